Open a silent watch anew before what it misses counts as told

The watch began at 0.01 s and fell silent; its news counted as told at 7.0 s, 2 s after its wait. The node noticed at 7.02 s, and the module then waited 0.4 to 0.6 s (in a fleet of hundreds up to 10 s more) before it asked again. Ruled out: list parsing, breakers, retries: every late send was to a server the new list named draining. At fault: watchWait + watchSlack in discovery.go, and the back-off for ListFailed in Balancer.Members, which took a silent watch for an overbooked discovery. Now: a wait of 3 s and 1.5 s of slack, so that the silence shows 1.5 s before its news are due, an event of its own (ListSilent) and a spread of 0.75 s at most. Where lists are pushed the calls after a failure come at least twice within a drain's grace: what discovery has counts there the moment it is back. A wish left over from before a watch no longer makes all nodes call again at once when the watch ends. Tests: watch_test.go over sockets, a budget check, TestSilentWatchIsCalledAnewSoon; with the old wait they fail.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,6 +34,7 @@
 	Zones          map[string]int
 	ConnIdle       time.Duration // servers close a connection that was idle for so long
 	ConnectTimeout time.Duration
+	DrainGrace     time.Duration // from when a drain is told to the last send
 }
 
 // The names and socket figures among the settings that the module does not need.
@@ -41,6 +42,7 @@
 	Accounts, Classes []struct{ Name string }
 	Zones             []string
 	Limits            struct{ ConnIdleMs, ConnectTimeoutMs float64 }
+	Contract          struct{ DrainGraceMs float64 }
 }
 
 // LoadConfig reads the file named by BALANCER_CONFIG; the other BALANCER
@@ -149,6 +151,7 @@
 	if d := millis(own.Limits.ConnectTimeoutMs); d > 0 {
 		c.ConnectTimeout = d
 	}
+	c.DrainGrace = max(0, millis(own.Contract.DrainGraceMs))
 	return c, nil
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -16,9 +17,17 @@
 )
 
 const (
-	watchWait    = 5 * time.Second       // what a watch asks discovery to wait
-	watchSlack   = 2 * time.Second       // and how much longer the answer may take
-	watchPause   = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
+	// silentTold is when at the earliest the news count as told that a watch misses,
+	// from when it fell silent, which may be as it begins. By then the silence has to be
+	// noticed and another call answered: half goes to the watch itself, a quarter to what
+	// an answer may be late by, and a quarter is left for that call.
+	silentTold = 6 * time.Second
+	watchWait  = silentTold / 2        // what a watch asks discovery to wait
+	watchSlack = silentTold / 4        // and how much longer the answer may take
+	listWait   = 2 * time.Second       // what the answer to a call that doesn't wait may take
+	watchPause = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
+	// Calls where lists are pushed, after a failed one: what discovery has counts as told
+	// the moment it is back, so the longest wait is half of what a drain allows.
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = time.Second
 	maxList      = 8 << 20 // bytes of a list
@@ -60,12 +69,16 @@
 	return policy.Draining
 }
 
+// errSilent is a watch that got no answer though its wait is over.
+var errSilent = errors.New("the watch fell silent")
+
 // discovery follows the list of servers.
 type discovery struct {
 	url        string
 	loop       *loop
 	zones      map[string]int
-	asked      bool // watches load discovery: the module says when to start one
+	backoff    time.Duration // the longest wait between calls where lists are pushed
+	asked      bool          // watches load discovery: the module says when to start one
 	wanted     chan struct{}
 	moved      <-chan string // the latest address to follow the list at
 	listed     bool          // a list is at hand; its generation may well be 0
@@ -77,7 +90,8 @@
 func newDiscovery(cfg *Config, l *loop, moved <-chan string) *discovery {
 	d := &discovery{
 		url: listURL(cfg.Discovery), loop: l, zones: cfg.Zones, moved: moved,
-		asked: cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
+		backoff: min(backoffMost, max(backoffFirst, cfg.DrainGrace/2)),
+		asked:   cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
 		unixZero: l.zero.Round(0),
 	}
@@ -136,6 +150,8 @@
 			case <-ctx.Done():
 				return
 			}
+		} else {
+			d.forgetWanted()
 		}
 		asked := time.Now()
 		list, err := d.get(ctx)
@@ -159,14 +175,31 @@
 			return
 		}
 		slog.Warn("discovery failed", "err", err)
+		silent := errors.Is(err, errSilent)
 		if d.asked {
 			watching = false
-			d.tell(policy.ListFailed, nil) // it asks again after a while
+			kind := policy.ListFailed // the module asks again after a while,
+			if silent {
+				kind = policy.ListSilent // or soon
+			}
+			d.tell(kind, nil)
+			continue
+		}
+		if silent {
 			continue
 		}
 		// Nodes that lost discovery together must not come back in step.
 		pause(ctx, delay/2+rand.N(delay/2))
-		delay = min(2*delay, backoffMost)
+		delay = min(2*delay, d.backoff)
+	}
+}
+
+// forgetWanted drops a wish for a watch that one under way fulfils: it would have the
+// next failed call followed by another at once, at all nodes together.
+func (d *discovery) forgetWanted() {
+	select {
+	case <-d.wanted:
+	default:
 	}
 }
 
@@ -179,20 +212,24 @@
 
 // get asks for what is newer than the list at hand, and waits for it. With no
 // list at hand it asks for all.
-func (d *discovery) get(ctx context.Context) (registry, error) {
-	var list registry
-	url, wait := d.url, watchSlack
+func (d *discovery) get(ctx context.Context) (list registry, err error) {
+	url, wait := d.url, listWait
 	if d.listed {
-		wait += watchWait
+		wait = watchWait + watchSlack
 		url += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	here, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(here, http.MethodGet, url, nil)
 	if err != nil {
 		return list, err
 	}
+	defer func() {
+		if err != nil && d.listed && ctx.Err() == nil && here.Err() != nil {
+			err = fmt.Errorf("%w: %w", errSilent, err)
+		}
+	}()
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return list, err
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -275,7 +275,7 @@
 // members takes news of the list: first where servers are, then what the module makes of it.
 func (l *loop) members(kind policy.ListKind, list []instance, entries []policy.Entry) bool {
 	return l.post(func(now time.Duration) {
-		if kind != policy.ListFailed {
+		if kind != policy.ListFailed && kind != policy.ListSilent {
 			l.up.update(kind != policy.ListDelta, list)
 		}
 		l.balancer.Members(now, kind, entries)
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// scripted is a discovery whose calls the test answers itself.
+func scripted(t *testing.T) (addr string, calls chan *http.Request, answers chan string) {
+	calls, answers = make(chan *http.Request, 100), make(chan string)
+	d := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		calls <- r
+		select {
+		case text := <-answers:
+			if text == "reset" {
+				reset(w, r)
+			}
+			io.WriteString(w, text)
+		case <-r.Context().Done():
+		}
+	})
+	return d.Listener.Addr().String(), calls, answers
+}
+
+// A watch that falls silent is opened anew before what it misses counts as told, and so
+// is one that is reset; what has changed meanwhile arrives, indented or not.
+func TestWatchFallsSilentOrIsReset(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"pushed", "on_request"} {
+		for _, how := range []string{"", "reset"} {
+			t.Run(mode+" "+how, func(t *testing.T) {
+				t.Parallel()
+				addr, calls, answers := scripted(t)
+				n := start(t, testConfig(t, newRegistry(t), func(file map[string]any) {
+					file["discovery"] = addr
+					file["settings"] = jsonText(strings.Replace(settingsText, "pushed", mode, 1))
+				}))
+				wait(t, calls, "the first call")
+				answers <- `{"generation":3,"reset":true,"instances":[]}`
+				n.waitReady(http.StatusOK)
+				wait(t, calls, "the watch")
+				began := time.Now()
+				if how != "" {
+					answers <- how
+				}
+				again := wait(t, calls, "the watch anew")
+				if took := time.Since(began); took >= silentTold {
+					t.Errorf("opened anew after %v", took)
+				}
+				if q := again.URL.RawQuery; !strings.HasPrefix(q, "after=3&") {
+					t.Errorf("asks for %q", q)
+				}
+				b := newBackend(t, ok)
+				text, err := json.MarshalIndent(registry{Generation: 4, Instances: []instance{b.instance("s-0")}}, "", "  ")
+				if err != nil {
+					t.Fatal(err)
+				}
+				answers <- string(text)
+				wait(t, calls, "the next watch")
+				if a := n.do(n.request("read")); a.status != http.StatusOK {
+					t.Errorf("status %d", a.status)
+				}
+			})
+		}
+	}
+}
+
+// The budget of a silent watch: its wait, what an answer may be late by and the spread of
+// the calls anew leave an eighth of the time for the answer.
+func TestSilentWatchIsNoticedInTime(t *testing.T) {
+	if left := silentTold - watchWait - watchSlack - time.Second*3/4; left < silentTold/8 {
+		t.Errorf("%v are left for the call anew", left)
+	}
+	// For a call that may wait, 2 s behind its wait count too, if that is later.
+	if watchWait+2*time.Second > silentTold {
+		t.Errorf("a wait of %v moves the time", watchWait)
+	}
+}
+
+// Where lists are pushed, the news count as told the moment discovery is back: the calls
+// come at least twice in what a drain allows.
+func TestPushedCallsKeepPaceWithADrain(t *testing.T) {
+	for ms, want := range map[int]time.Duration{
+		300: 150 * time.Millisecond, 1000: 500 * time.Millisecond, 9000: time.Second, 0: backoffFirst,
+	} {
+		cfg := testConfig(t, newRegistry(t), func(file map[string]any) {
+			file["settings"] = jsonText(strings.Replace(settingsText, `"Limits"`, fmt.Sprintf(`"Contract": {"DrainGraceMs": %d}, "Limits"`, ms), 1))
+		})
+		l, err := newLoop(t.Context(), cfg, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := newDiscovery(cfg, l, nil); d.backoff != want {
+			t.Errorf("a grace of %d ms: %v between calls, want %v", ms, d.backoff, want)
+		}
+	}
+}
+
+// Discovery moves while a call is out, at any point of it: the old call ends, whatever it
+// still brings, and the new place is asked for all.
+func TestDiscoveryMovesUnderACall(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			addr, calls, answers := scripted(t)
+			n := start(t, testConfig(t, newRegistry(t), func(file map[string]any) {
+				file["discovery"] = addr
+				file["settings"] = jsonText(strings.Replace(settingsText, "pushed", mode, 1))
+			}))
+			first := wait(t, calls, "the first call")
+			next, nextCalls, nextAnswers := scripted(t)
+			n.node.MoveDiscovery(next) // before anything is known
+			if q := wait(t, nextCalls, "a call to the new place").URL.RawQuery; q != "" {
+				t.Errorf("the new place is asked for %q", q)
+			}
+			wait(t, first.Context().Done(), "the end of the old call")
+			nextAnswers <- `{"generation":9,"reset":true,"instances":[]}`
+			n.waitReady(http.StatusOK)
+			watch := wait(t, nextCalls, "the watch")
+			n.node.MoveDiscovery(addr) // and back, under the watch
+			wait(t, watch.Context().Done(), "the end of the watch")
+			if q := wait(t, calls, "a call to the old place").URL.RawQuery; q != "" {
+				t.Errorf("the old place is asked for %q", q)
+			}
+			answers <- `{"generation":2,"reset":true,"instances":[]}`
+			if q := wait(t, calls, "its watch").URL.RawQuery; !strings.HasPrefix(q, "after=2&") {
+				t.Errorf("then for %q", q)
+			}
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,6 +45,7 @@
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
 	watchPerNode   = 60 * time.Millisecond // of the span over which the nodes spread their list calls
+	silentSpan     = time.Second * 3 / 4   // the most of it after a silent watch, whose news are due
 )
 
 const (
@@ -56,6 +57,11 @@
 
 // Members follows the list. Where it must be asked for it is watched, after failures again.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
+	if kind == ListSilent { // what it misses counts as told soon: there is no time to back off
+		span := min(time.Duration(b.set.Nodes)*watchPerNode, silentSpan)
+		b.host.SetTimer(now+time.Duration(b.rng.Float64()*float64(span)), tokenWatch)
+		return
+	}
 	if kind == ListFailed {
 		b.host.SetTimer(now+b.jitter(b.watchDelay)+2*b.spread(), tokenWatch)
 		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -880,3 +880,30 @@
 		t.Error("five failures in a row of a good server left its breaker closed")
 	}
 }
+
+// A silent watch is called anew within what is left until its news count as told, the
+// nodes of a fleet apart from one another, and it is no reason to wait longer each time.
+func TestSilentWatchIsCalledAnewSoon(t *testing.T) {
+	set := testSettings()
+	set.ListAsked, set.Nodes = true, 300
+	apart := map[time.Duration]bool{}
+	for node := range 20 {
+		set.Node = node
+		h := newHost()
+		b, err := New(set, uint64(node), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 5 {
+			h.timers = nil
+			b.Members(time.Hour, ListSilent, nil)
+			if len(h.timers) != 1 || h.timers[0].token != tokenWatch || h.timers[0].at > time.Hour+silentSpan {
+				t.Fatalf("timers %v", h.timers)
+			}
+			apart[h.timers[0].at.Truncate(silentSpan/10)] = true
+		}
+	}
+	if len(apart) < 8 {
+		t.Errorf("the calls fall into %d tenths of the span", len(apart))
+	}
+}
