Look at the client and the list last before a request's first byte goes out

One byte ahead of the answer ended net/http's reading, and then nothing told of the leaving until the deadline. Now the connection keeps reading while a request is at work (at most one more request's worth), and upstreams.send asks the socket itself just before the write, so no queue lies between. - An attempt that opens a connection while its server drains, goes, moves or restarts: only the request's own end revoked it, so it could send as late as the connection came up. loop.bar revokes what has not begun to be written as the list is taken in, and the module tries elsewhere. - An idle client connection was shut by a stop or a newcomer although its request lay unread in the kernel, and bytes read in the same moment were dropped (clientConn.Read read outside of the lock). Reading and shutting now happen under one lock, after a look for bytes.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -3,8 +3,11 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -16,8 +19,13 @@
 	silentGrace = 20 * time.Millisecond
 	// partGrace is the same for one that has sent a part of a request.
 	partGrace = 150 * time.Millisecond
+	// maxAhead bounds what is kept of a client that sends on while its request is at
+	// work: one more request of the largest kind. Clients ask one at a time.
+	maxAhead = maxHeader + maxBody
 )
 
+var errTooFarAhead = errors.New("more than a whole request came ahead of an answer")
+
 // clientConns keeps the number of client connections under a cap. Over it, those
 // make room that say nothing, then the longest idle ones, then those that don't say
 // all: a flood of them must not turn away clients that ask. Idle ones go at once: to
@@ -45,6 +53,7 @@
 // clientConn is a connection that counts. It is in one of the lists, or at work.
 type clientConn struct {
 	net.Conn
+	raw   syscall.RawConn
 	conns *clientConns
 	over  bool // accepted over the cap
 
@@ -52,36 +61,114 @@
 	in    *list.List
 	place *list.Element
 	since time.Time // in this list
-	ahead bool      // bytes came while it was at work
+	ahead []byte    // what came while it was at work
+	ended error     // what reading met when the client left
 	shut  bool
 }
 
-// Read implements net.Conn. What has been read from a connection that was shut
-// meanwhile counts as not read: nobody is going to answer it.
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err
+// Read implements net.Conn. The bytes leave the socket under the same lock as the
+// connection is shut: one that was shut is not read any more, and one that was read
+// is not shut as idle. While a request is at work no byte is handed on: that would
+// end net/http's reading, by which it sees the client leave.
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	waiting := c.raw.Read(func(fd uintptr) (done bool) {
+		n, done, err = c.receive(int(fd), p)
+		return done
+	})
+	if waiting != nil {
+		return 0, waiting
 	}
+	return n, err
+}
+
+// receive reads what is there; not done if there is nothing yet.
+func (c *clientConn) receive(fd int, p []byte) (n int, done bool, err error) {
 	cs := c.conns
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	if c.shut {
+		return 0, true, net.ErrClosed
+	}
+	if c.in == nil {
+		c.pull(fd)
+		return 0, c.ended != nil, c.ended
+	}
 	switch {
-	case c.shut:
-		return 0, net.ErrClosed
-	case c.in == &cs.silent, c.in == &cs.idle:
+	case len(c.ahead) > 0:
+		n = copy(p, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+	case c.ended != nil:
+		return 0, true, c.ended
+	default:
+		if n, err = readNow(fd, p); err != nil {
+			c.ended = err
+			return 0, true, err
+		}
+	}
+	if n > 0 && (c.in == &cs.silent || c.in == &cs.idle) {
 		cs.move(c, &cs.partial)
-	case c.in == nil:
-		c.ahead = true
 	}
-	return n, err
+	return n, n > 0, nil
+}
+
+// pull takes in what came while a request is at work; conns.mu is held.
+func (c *clientConn) pull(fd int) {
+	var p [4096]byte
+	for c.ended == nil {
+		n, err := readNow(fd, p[:])
+		switch c.ahead = append(c.ahead, p[:n]...); {
+		case err != nil:
+			c.ended = err
+		case len(c.ahead) > maxAhead:
+			c.ended = errTooFarAhead
+		case n == 0:
+			return
+		}
+	}
+}
+
+// readNow reads without waiting: 0 and no error if nothing is there.
+func readNow(fd int, p []byte) (int, error) {
+	for {
+		switch n, err := syscall.Read(fd, p); {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return 0, nil
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
+
+// gone tells whether the client of the request at work has left, by what its socket
+// says this moment, however busy the node is and whatever bytes lie ahead.
+func (c *clientConn) gone() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.shut {
+		return true
+	}
+	if err := c.raw.Control(func(fd uintptr) { c.pull(int(fd)) }); err != nil {
+		return true
+	}
+	return c.ended != nil
 }
 
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	return c.conns.close(c)
+	first := c.conns.shut(c)
+	c.conns.mu.Unlock()
+	if !first {
+		return nil
+	}
+	return c.Conn.Close() // with no lock: it waits for a reader, which waits for the lock
 }
 
 // CloseWrite lets a client that still sends see the end of its answer.
@@ -101,15 +188,27 @@
 	}
 }
 
-// close ends a connection, once; cs.mu is held.
-func (cs *clientConns) close(c *clientConn) error {
+// shut bars a connection from being read, once, and gives its place back; cs.mu is
+// held. The caller closes the socket with the lock released.
+func (cs *clientConns) shut(c *clientConn) bool {
 	if c.shut {
-		return nil
+		return false
 	}
 	c.shut = true
+	c.ahead = nil
 	cs.open--
 	cs.move(c, nil)
-	return c.Conn.Close()
+	return true
+}
+
+// shutIdle is shut for a connection between two requests, unless its client has
+// asked again: that request is taken.
+func (cs *clientConns) shutIdle(c *clientConn) bool {
+	if peek(c.Conn) == unread {
+		cs.move(c, &cs.partial)
+		return false
+	}
+	return cs.shut(c)
 }
 
 // move puts a connection into a list, or nil for one at work; cs.mu is held.
@@ -130,21 +229,25 @@
 // state follows which connections are between two requests.
 func (cs *clientConns) state(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*clientConn)
-	if !ok || s != http.StateIdle {
-		return
+	if ok && s == http.StateIdle && cs.rest(c) {
+		c.Conn.Close()
 	}
+}
+
+// rest takes note that a request is over; true if the connection is to be closed.
+func (cs *clientConns) rest(c *clientConn) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch {
 	case c.shut:
-	case c.ahead: // the next request, or a part of it, is in net/http's hands
-		c.ahead = false
+	case len(c.ahead) > 0: // the next request, or a part of it
 		cs.move(c, &cs.partial)
 	case cs.draining:
-		cs.close(c)
+		return cs.shutIdle(c)
 	default:
 		cs.move(c, &cs.idle)
 	}
+	return false
 }
 
 // oldest gives the connection that has to make room first, and in how long it
@@ -153,11 +256,18 @@
 	now := time.Now()
 	for e := cs.silent.Front(); e != nil; e = cs.silent.Front() {
 		c := e.Value.(*clientConn)
-		if now.Sub(c.since) < silentGrace || quiet(c.Conn) {
+		if now.Sub(c.since) < silentGrace || peek(c.Conn) == nothing {
 			break
 		}
 		cs.move(c, &cs.partial) // it has spoken: this node was too busy to listen
 	}
+	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
+		c := e.Value.(*clientConn)
+		if peek(c.Conn) != unread {
+			break
+		}
+		cs.move(c, &cs.partial)
+	}
 	for _, l := range []struct {
 		conns *list.List
 		grace time.Duration
@@ -177,7 +287,15 @@
 
 // admit counts a new connection; nil if there is no place for it.
 func (cs *clientConns) admit(nc net.Conn) *clientConn {
-	c := &clientConn{Conn: nc, conns: cs}
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	c := &clientConn{Conn: nc, raw: raw, conns: cs}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for cs.open >= cs.max {
@@ -190,7 +308,10 @@
 			break
 		}
 		if wait <= 0 {
-			cs.close(first)
+			cs.shut(first)
+			cs.mu.Unlock()
+			first.Conn.Close()
+			cs.mu.Lock()
 			continue
 		}
 		cs.mu.Unlock()
@@ -224,7 +345,11 @@
 	defer cs.mu.Unlock()
 	cs.draining = true
 	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
-		cs.close(e.Value.(*clientConn))
+		if c := e.Value.(*clientConn); cs.shutIdle(c) {
+			cs.mu.Unlock()
+			c.Conn.Close()
+			cs.mu.Lock()
+		}
 	}
 	for cs.open > 0 && ctx.Err() == nil {
 		cs.mu.Unlock()
@@ -236,24 +361,39 @@
 	}
 }
 
-// quiet tells that nothing can be read from a connection that is open: no
-// bytes, no end.
-func quiet(nc net.Conn) bool {
+// sight is what a connection shows without being read.
+type sight int
+
+const (
+	nothing sight = iota // it is open and silent
+	unread               // bytes are there
+	over                 // it ended or broke
+)
+
+func peek(nc net.Conn) sight {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false
+		return over
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return over
 	}
-	nothing := false
+	seen := over
 	err = raw.Control(func(fd uintptr) { // not Read: it would wait for one that reads already
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		nothing = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN:
+			seen = nothing
+		case err == nil && n > 0:
+			seen = unread
+		}
 	})
-	return err == nil && nothing
+	if err != nil {
+		return over
+	}
+	return seen
 }
 
 // cappedListener counts what it accepts.
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -21,8 +21,9 @@
 	// time, for the way of the request here and of the answer's last byte back.
 	answerMargin = 10 * time.Millisecond
 	maxHeader    = 16 << 10
-	// readTimeout is how long a client may take from its connection, or a
-	// request's first byte, to the request's last byte. No deadline leaves more.
+	// readTimeout is how long a client may take from its connection, or a request's
+	// first byte, to the request's last byte, whatever its deadline: one that sends
+	// half a request is owed a close within 3 s of connecting.
 	readTimeout = 2 * time.Second
 	idleTimeout = 10 * time.Second
 	// writeTimeout is how long after its time a client may still take its answer.
@@ -74,8 +75,10 @@
 		refuse(w, r, err)
 		return
 	}
+	q.gone = func() bool { return r.Context().Err() != nil }
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		c.whole()
+		q.gone = c.gone
 		if c.over {
 			w.Header().Set("Connection", "close")
 			f.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: f.cfg.Policy.Limits.MaxRetryAfter})
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -47,6 +47,7 @@
 	class, tenant int
 	hint          time.Duration
 	end           time.Duration // when the answer must be on its way
+	gone          func() bool   // tells whether its client has left, as of now
 
 	id       policy.RequestID
 	answer   chan answer // takes one
@@ -115,7 +116,7 @@
 	}
 	select {
 	case a := <-r.answer:
-		return a, true
+		return a, a.status != 0
 	case <-ctx.Done():
 		l.post(func(now time.Duration) { l.left(now, r) })
 	case <-l.ctx.Done():
@@ -141,7 +142,7 @@
 	if r.ended {
 		return
 	}
-	l.end(r)
+	l.finish(r, answer{}) // nobody reads it, but whoever waits for an answer learns of it
 	l.balancer.Left(now, r.id)
 	l.release(r)
 }
@@ -218,7 +219,7 @@
 		return
 	}
 	now := l.clock()
-	a := &attempt{server: server, sent: now, call: newCall(l.ctx)}
+	a := &attempt{server: server, sent: now, call: newCall(l.ctx, r.gone)}
 	index := len(r.attempts)
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -233,7 +234,12 @@
 	}
 	go func() {
 		res := l.up.send(a.call, server, &r.outgoing, r.end-now)
-		l.post(func(now time.Duration) { l.outcome(now, r, index, res) })
+		l.post(func(now time.Duration) {
+			if res.left {
+				l.left(now, r)
+			}
+			l.outcome(now, r, index, res)
+		})
 	}()
 }
 
@@ -275,9 +281,33 @@
 // members takes news of the list: first where servers are, then what the module makes of it.
 func (l *loop) members(kind policy.ListKind, list []instance, entries []policy.Entry) bool {
 	return l.post(func(now time.Duration) {
+		var barred []unsentAttempt
 		if kind != policy.ListFailed && kind != policy.ListSilent {
-			l.up.update(kind != policy.ListDelta, list)
+			barred = l.bar(l.up.update(kind != policy.ListDelta, list))
 		}
 		l.balancer.Members(now, kind, entries)
+		for _, b := range barred {
+			l.outcome(now, b.request, b.index, result{status: policy.Moot})
+		}
 	})
 }
+
+// unsentAttempt is an attempt of which nothing was or will be written.
+type unsentAttempt struct {
+	request *request
+	index   int
+}
+
+// bar revokes the attempts on servers that drain, are gone or are another process now,
+// as far as no byte of theirs is out: one that opens a connection could take as long
+// as that takes, and send after the time that a drain allows.
+func (l *loop) bar(servers map[policy.ServerID]bool) (barred []unsentAttempt) {
+	for _, r := range l.requests {
+		for i, a := range r.attempts {
+			if !a.told && servers[a.server] && a.call.revoke() {
+				barred = append(barred, unsentAttempt{r, i})
+			}
+		}
+	}
+	return barred
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -45,6 +45,7 @@
 // result is how an attempt ended, and the answer if it was served.
 type result struct {
 	status policy.Status
+	left   bool // the client was found to be gone
 	header http.Header
 	body   []byte
 }
@@ -53,6 +54,7 @@
 type call struct {
 	ctx  context.Context
 	stop context.CancelFunc // gives the attempt up: its connection is closed
+	left func() bool        // tells whether the client is gone
 	gate atomic.Int32
 }
 
@@ -62,14 +64,14 @@
 	revoked
 )
 
-func newCall(ctx context.Context) *call {
-	c := &call{}
+func newCall(ctx context.Context, left func() bool) *call {
+	c := &call{left: left}
 	c.ctx, c.stop = context.WithCancel(ctx)
 	return c
 }
 
-// revoke bars the call from being written if that has not begun.
-func (c *call) revoke() { c.gate.CompareAndSwap(unsent, revoked) }
+// revoke bars the call from being written; false if that has begun.
+func (c *call) revoke() bool { return c.gate.CompareAndSwap(unsent, revoked) }
 
 // upstreams holds the servers' addresses and the idle connections to them. The
 // connections are its own, not those of an http.Transport: that one sends a
@@ -131,33 +133,40 @@
 }
 
 // update follows the list. A server at a new address or with a new start is
-// another process: connections to the former one are dropped.
-func (u *upstreams) update(full bool, list []instance) {
+// another process: connections to the former one are dropped. It gives the servers
+// to which nothing may go any more that was meant for them before.
+func (u *upstreams) update(full bool, list []instance) map[policy.ServerID]bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	listed := map[policy.ServerID]bool{}
+	listed, barred := map[policy.ServerID]bool{}, map[policy.ServerID]bool{}
 	for _, in := range list {
 		id := in.id()
 		old := u.servers[id]
 		if in.state() == policy.Gone {
+			barred[id] = true
 			u.drop(id, old)
 			continue
 		}
 		listed[id] = true
-		if old != nil && old.addr == in.HostPort && old.started == in.StartedAtMs {
-			continue
+		same := old != nil && old.addr == in.HostPort && old.started == in.StartedAtMs
+		if !same || in.state() != policy.Ready {
+			barred[id] = true
+		}
+		if !same {
+			u.drop(id, old)
+			u.servers[id] = &server{addr: in.HostPort, started: in.StartedAtMs}
 		}
-		u.drop(id, old)
-		u.servers[id] = &server{addr: in.HostPort, started: in.StartedAtMs}
 	}
 	if !full {
-		return
+		return barred
 	}
 	for id, s := range u.servers {
 		if !listed[id] {
+			barred[id] = true
 			u.drop(id, s)
 		}
 	}
+	return barred
 }
 
 // drop forgets a server; u.mu is held.
@@ -298,7 +307,7 @@
 			u.put(conn, true)
 			return result{status: policy.Moot}
 		}
-		if !quiet(conn.Conn) { // closed, or out of step
+		if peek(conn.Conn) != nothing { // closed, or out of step
 			u.put(conn, false)
 			if conn.used {
 				continue
@@ -306,6 +315,12 @@
 			return result{status: policy.ConnectFailed}
 		}
 		unhook := context.AfterFunc(c.ctx, func() { conn.Conn.Close() })
+		// The two last looks before the first byte goes out: the news of a client's leaving
+		// may still wait in a queue, and the loop may have barred the call.
+		if c.left() {
+			u.put(conn, unhook())
+			return result{status: policy.Moot, left: true}
+		}
 		if !c.gate.CompareAndSwap(unsent, sending) {
 			u.put(conn, unhook())
 			return result{status: policy.Moot}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -59,6 +59,9 @@
 	return u, in.id()
 }
 
+// present is a client that does not leave.
+func present() bool { return false }
+
 func anyRequest() *outgoing {
 	return &outgoing{method: "POST", url: &url.URL{Path: "/pay"}, host: "x", header: http.Header{}, body: []byte("b")}
 }
@@ -106,7 +109,7 @@
 			for range 2 {
 				// What is spoilt has to be seen from itself: the call has no deadline that is near.
 				ctx, cancel := context.WithTimeout(context.Background(), patience)
-				res := u.send(newCall(ctx), id, anyRequest(), time.Minute)
+				res := u.send(newCall(ctx, present), id, anyRequest(), time.Minute)
 				if ctx.Err() != nil {
 					t.Error("waited for to the end of the request's time")
 				}
@@ -127,7 +130,7 @@
 
 func TestConnectFailed(t *testing.T) {
 	u, id := upstreamsTo(freeAddr(t))
-	if res := u.send(newCall(context.Background()), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
+	if res := u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
 		t.Errorf("status %d", res.status)
 	}
 	if u.open != 0 {
@@ -140,12 +143,12 @@
 func TestNoSendAfterFinalAnswer(t *testing.T) {
 	b := newBackend(t, ok)
 	u, id := upstreamsTo(b.Listener.Addr().String())
-	c := newCall(context.Background())
+	c := newCall(context.Background(), present)
 	c.revoke()
 	if res := u.send(c, id, anyRequest(), time.Minute); res.status != policy.Moot {
 		t.Errorf("status %d", res.status)
 	}
-	u.send(newCall(context.Background()), id, anyRequest(), time.Minute)
+	u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute)
 	if len(b.got) != 1 {
 		t.Errorf("%d sends, want the second one only", len(b.got))
 	}
@@ -158,7 +161,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go u.retire(ctx)
-	u.send(newCall(ctx), id, anyRequest(), time.Minute)
+	u.send(newCall(ctx, present), id, anyRequest(), time.Minute)
 	wait(t, conns, "a connection")
 	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 		u.mu.Lock()
@@ -179,7 +182,7 @@
 	u, id := upstreamsTo(b.Listener.Addr().String())
 	u.maxOpen = 1
 	u.open = 1 // one is in use
-	if res := u.send(newCall(context.Background()), id, anyRequest(), time.Minute); res.status != policy.Moot {
+	if res := u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute); res.status != policy.Moot {
 		t.Errorf("status %d at the cap", res.status)
 	}
 	u.open = 0
@@ -187,7 +190,7 @@
 	in := instance{InstanceID: "o", HostPort: other.Listener.Addr().String(), Lifecycle: "Ready"}
 	u.update(false, []instance{in})
 	for _, to := range []policy.ServerID{id, in.id(), id} {
-		if res := u.send(newCall(context.Background()), to, anyRequest(), time.Minute); res.status != policy.OK {
+		if res := u.send(newCall(context.Background(), present), to, anyRequest(), time.Minute); res.status != policy.OK {
 			t.Errorf("status %d although an idle connection could make room", res.status)
 		}
 	}
@@ -219,7 +222,7 @@
 			u.settle = time.Hour
 			send := func() {
 				t.Helper()
-				if res := u.send(newCall(t.Context()), id, anyRequest(), time.Minute); res.status != policy.OK || string(res.body) != "hi" {
+				if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.OK || string(res.body) != "hi" {
 					t.Errorf("status %d, body %q", res.status, res.body)
 				}
 			}
@@ -250,12 +253,12 @@
 		t.Fatal(err)
 	}
 	nc.Close()
-	for quiet(conn.Conn) {
+	for peek(conn.Conn) == nothing {
 		time.Sleep(time.Millisecond)
 	}
 	conn.server.idle = append(conn.server.idle, conn) // for the next send, though never used
 	conn.since = time.Now()
-	if res := u.send(newCall(t.Context()), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
+	if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
 		t.Errorf("status %d", res.status)
 	}
 }
