End a stop before the kill whatever the deadlines, and close the listener last

The settings there have a deadline above 3 s, which the protocol counts as 3 s for the kill. Ruled out: the event queue and the answers' way out (304 us in the median). At fault: Config.longestDeadline had no cap (Node.Run: whole). Now: stopSpan counts a deadline as 3 s at most. At its end the module gives up what is open (Balancer.Stop: refused where that promise holds, which the loop's 502 for all was not), and the loop turns away what still comes. The listener is closed after the connections: closed before, it reset the connections in its backlog.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -157,11 +157,12 @@
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// longestDeadline is how long a request taken now may still be open.
-func (c *Config) longestDeadline() time.Duration {
+// stopSpan is how long a stop may take. A request that is open for longer than that is
+// answered at its end, as failed if it has to be: the node would be killed under it.
+func (c *Config) stopSpan() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range c.Policy.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	return longest
+	return min(longest, killCap) + killSlack - killMargin
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,12 +25,14 @@
 	up     *upstreams
 	events chan func(now time.Duration)
 
-	balancer *policy.Balancer
-	watch    func() // starts a watch of the list
-	requests map[policy.RequestID]*request
-	lastID   policy.RequestID
-	maxTries int
-	after    []func(now time.Duration) // what host calls leave to be told to the balancer
+	balancer   *policy.Balancer
+	watch      func() // starts a watch of the list
+	requests   map[policy.RequestID]*request
+	lastID     policy.RequestID
+	maxTries   int
+	stopped    bool                      // the node ends: what still comes is turned away
+	retryAfter time.Duration             // told to those who are turned away by a node that ends
+	after      []func(now time.Duration) // what host calls leave to be told to the balancer
 }
 
 // answer is a request's final answer.
@@ -71,6 +73,7 @@
 		ctx: ctx, zero: time.Now().Add(-clockStart), up: up,
 		events: make(chan func(time.Duration), eventQueue), watch: func() {},
 		requests: map[policy.RequestID]*request{}, maxTries: cfg.Policy.Limits.MaxAttempts,
+		retryAfter: cfg.Policy.Limits.MaxRetryAfter,
 	}
 	var err error
 	l.balancer, err = policy.New(cfg.Policy, cfg.Seed, l)
@@ -130,6 +133,10 @@
 		l.lastID++
 	}
 	r.id = l.lastID
+	if l.stopped {
+		l.finish(r, answer{status: http.StatusServiceUnavailable, retryAfter: l.retryAfter})
+		return
+	}
 	l.requests[r.id] = r
 	left := max(0, r.end-now)
 	r.deadline = time.AfterFunc(left, func() { l.post(func(now time.Duration) { l.expire(now, r) }) })
@@ -155,16 +162,12 @@
 	}
 }
 
-// abandon answers all that is still open: the node ends.
+// abandon has all that is still open answered: the node ends. What comes later was
+// never sent on and is turned away at once.
 func (l *loop) abandon() {
 	l.post(func(now time.Duration) {
-		for _, r := range l.requests {
-			if !r.ended {
-				l.finish(r, answer{status: http.StatusBadGateway})
-				l.balancer.Left(now, r.id)
-				l.release(r)
-			}
-		}
+		l.stopped = true
+		l.balancer.Stop(now)
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,9 +17,11 @@
 	// frontNotice is how long connections are still dealt to a node that stops,
 	// and how long none of its clients must have asked for it to stop early.
 	frontNotice = 500 * time.Millisecond
-	// stopSlack is what a stop may take beyond the longest deadline. The node is
-	// killed 0.7 s after that.
-	stopSlack = 500 * time.Millisecond
+	// A node is killed killSlack after the longest deadline from its being told to stop,
+	// but a deadline counts as killCap at most. It ends killMargin before that.
+	killCap    = 3 * time.Second
+	killSlack  = 700 * time.Millisecond
+	killMargin = 200 * time.Millisecond
 	// stopTail is the last part of a stop, in which nothing new is taken, and
 	// stopAnswers the end of that, in which what is still open is answered.
 	stopTail    = 300 * time.Millisecond
@@ -89,22 +91,25 @@
 	slog.Info("stopping")
 	began := time.Now()
 	front.stopping.Store(true)
-	whole := n.cfg.longestDeadline() + stopSlack
+	whole := n.cfg.stopSpan()
 	// The clients here may have no other node to go to: they are served for as
 	// long as they ask and the stop may take.
 	for time.Since(began) < whole-stopTail && front.busySince(began) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	front.draining.Store(true)
-	listener.Close()
-	if err := <-failed; !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("serve: %w", err)
-	}
 	// Not http.Server.Shutdown: it drops requests that are just being read.
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(whole))
 	defer cancel()
 	last := time.AfterFunc(time.Until(began.Add(whole-stopAnswers)), loop.abandon)
 	defer last.Stop()
+	// The listener goes last: closed before, it would reset the connections in its
+	// backlog, whose clients may have asked.
 	conns.drain(limit)
+	listener.Close()
+	if err := <-failed; !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	conns.drain(limit) // those that were accepted just then
 	return nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -478,6 +478,14 @@
 	b.finish(r)
 }
 
+// Stop ends every request that is open: the node is about to go.
+func (b *Balancer) Stop(now time.Duration) {
+	for len(b.open) > 0 {
+		b.giveUp(b.open[len(b.open)-1])
+	}
+	b.dispatch(now) // drops what was held
+}
+
 // finish ends a request; attempts that are still out are cancelled.
 func (b *Balancer) finish(r *request) {
 	if !r.done {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -907,3 +907,31 @@
 		t.Errorf("the calls fall into %d tenths of the span", len(apart))
 	}
 }
+
+// A node that ends answers all that is open: a refusal where that promise holds, a failure
+// where the effect may have come about. Nothing is sent or told of it afterwards.
+func TestStopAnswersEverything(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	var ids []RequestID
+	for class := range r.b.classes {
+		for range 10 {
+			ids = append(ids, r.request(class))
+		}
+	}
+	sends := len(r.h.sends)
+	maySay := map[RequestID]bool{}
+	for _, id := range ids {
+		maySay[id] = r.b.requests[id].mayRefuse()
+	}
+	r.b.Stop(r.now)
+	for _, id := range ids {
+		_, refused := r.h.refused[id]
+		if refused == r.h.failed[id] || refused != maySay[id] {
+			t.Errorf("request %d: refused %v, failed %v", id, refused, r.h.failed[id])
+		}
+	}
+	r.pass(time.Minute)
+	if len(r.h.sends) != sends || len(r.b.open) != 0 {
+		t.Errorf("%d sends more, %d still open", len(r.h.sends)-sends, len(r.b.open))
+	}
+}
