Refuse an impossible discovery address and unusable class names at the start

A discovery address with no port, or a port over 65535, was taken at the start and only logged with each call; two classes of one name, or one with none, made requests go by the last. Both now end the start with a message and a non-zero exit; at SIGHUP the old configuration stays, as before.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"yokestall/internal/wire"
@@ -66,7 +67,7 @@
 	if c.Listen == "" || c.Discovery == "" {
 		return nil, fmt.Errorf("configuration %s: listen and discovery are required", path)
 	}
-	return c, nil
+	return c, checkAddr(path, c.Discovery)
 }
 
 // ReloadDiscovery gives the address of discovery in the file named by
@@ -78,10 +79,19 @@
 	if err != nil {
 		return "", err
 	}
-	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
-		return "", fmt.Errorf("configuration %s: discovery: %w", path, err)
+	return c.Discovery, checkAddr(path, c.Discovery)
+}
+
+// checkAddr tells what is wrong with the address of discovery.
+func checkAddr(path, addr string) error {
+	_, port, err := net.SplitHostPort(addr)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		return fmt.Errorf("configuration %s: discovery: %w", path, err)
 	}
-	return c.Discovery, nil
+	return nil
 }
 
 func readConfig(path string) (*Config, error) {
@@ -137,6 +147,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	for i, x := range own.Classes {
+		if _, twice := c.Classes[x.Name]; twice || x.Name == "" || strings.Contains(x.Name, "/") {
+			return nil, fmt.Errorf("settings: Classes[%d].Name: %q is empty, taken or no part of a path", i, x.Name)
+		}
 		c.Classes[x.Name] = i
 	}
 	for i, x := range own.Accounts {
