Ask a discovery that moved again soon when its first call fails

Now such a failure is told as one whose news are due (ListDue, once ListSilent) until the 4 s are over.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -22,9 +22,11 @@
 	// noticed and another call answered: half goes to the watch itself, a quarter to what
 	// an answer may be late by, and a quarter is left for that call.
 	silentTold = 6 * time.Second
-	watchWait  = silentTold / 2        // what a watch asks discovery to wait
-	watchSlack = silentTold / 4        // and how much longer the answer may take
-	listWait   = 2 * time.Second       // what the answer to a call that doesn't wait may take
+	watchWait  = silentTold / 2  // what a watch asks discovery to wait
+	watchSlack = silentTold / 4  // and how much longer the answer may take
+	listWait   = 2 * time.Second // what the answer to a call that doesn't wait may take
+	// movedTold is when all that the new discovery has counts as told, from SIGHUP.
+	movedTold  = 4 * time.Second
 	watchPause = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
 	// Calls where lists are pushed, after a failed one: what discovery has counts as told
 	// the moment it is back, so the longest wait is half of what a drain allows.
@@ -83,6 +85,7 @@
 	moved      <-chan string // the latest address to follow the list at
 	listed     bool          // a list is at hand; its generation may well be 0
 	generation uint64
+	due        time.Time // discovery moved: until then its list has to be here
 	client     *http.Client
 	unixZero   time.Time // wall time at the zero of the loop's clock
 }
@@ -133,6 +136,7 @@
 			slog.Info("discovery moves", "addr", addr)
 			d.client.CloseIdleConnections()
 			d.url, d.listed, watching = listURL(addr), false, true
+			d.due = time.Now().Add(movedTold)
 		case <-ctx.Done():
 			leave()
 			<-left
@@ -175,17 +179,20 @@
 			return
 		}
 		slog.Warn("discovery failed", "err", err)
-		silent := errors.Is(err, errSilent)
+		// There is no time to back off in after a silent watch, nor before the first list
+		// of a discovery that moved.
+		soon := errors.Is(err, errSilent) || (!d.listed && time.Now().Before(d.due))
 		if d.asked {
 			watching = false
 			kind := policy.ListFailed // the module asks again after a while,
-			if silent {
-				kind = policy.ListSilent // or soon
+			if soon {
+				kind = policy.ListDue // or soon
 			}
 			d.tell(kind, nil)
 			continue
 		}
-		if silent {
+		if soon {
+			pause(ctx, rand.N(backoffFirst))
 			continue
 		}
 		// Nodes that lost discovery together must not come back in step.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -285,7 +285,7 @@
 func (l *loop) members(kind policy.ListKind, list []instance, entries []policy.Entry) bool {
 	return l.post(func(now time.Duration) {
 		var barred []unsentAttempt
-		if kind != policy.ListFailed && kind != policy.ListSilent {
+		if kind != policy.ListFailed && kind != policy.ListDue {
 			barred = l.bar(l.up.update(kind != policy.ListDelta, list))
 		}
 		l.balancer.Members(now, kind, entries)
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -133,3 +133,36 @@
 		})
 	}
 }
+
+// Discovery moves to a place that turns the first call away: its news count as told 4 s after
+// the move, so that the nodes of a large fleet must not back off as after other failures.
+func TestNewDiscoveryFailsAtFirst(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			addr, calls, answers := scripted(t)
+			n := start(t, testConfig(t, newRegistry(t), func(file map[string]any) {
+				file["discovery"] = addr
+				file["known"] = registry{Instances: []instance{{InstanceID: "s", HostPort: "127.0.0.1:1", Lifecycle: "Gone"}}}
+				text := strings.Replace(settingsText, "pushed", mode, 1)
+				file["settings"] = jsonText(strings.Replace(text, `"Limits"`, `"Balancers": 300, "Contract": {"MustAskInMs": 600000}, "Limits"`, 1))
+			}))
+			next, nextCalls, nextAnswers := scripted(t)
+			n.waitReady(http.StatusOK)
+			began := time.Now()
+			n.node.MoveDiscovery(next)
+			for range 3 {
+				wait(t, nextCalls, "a call to the new place")
+				nextAnswers <- "reset"
+			}
+			wait(t, nextCalls, "a call after the failed ones")
+			if took := time.Since(began); took >= movedTold {
+				t.Errorf("asked again after %v", took)
+			}
+			nextAnswers <- `{"generation":1,"reset":true,"instances":[]}`
+			wait(t, nextCalls, "the watch")
+			_, _ = calls, answers
+		})
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -116,7 +116,7 @@
 	ListFull                   // all servers
 	ListCached                 // all servers as known some time ago
 	ListFailed                 // a call failed or the watch broke; the old list stays
-	ListSilent                 // the watch got no answer though its wait is over; the old list stays
+	ListDue                    // the same with news that are due soon: the watch fell silent, or discovery moved
 )
 
 // Request is a client's request as it comes in.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,7 +57,7 @@
 
 // Members follows the list. Where it must be asked for it is watched, after failures again.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
-	if kind == ListSilent { // what it misses counts as told soon: there is no time to back off
+	if kind == ListDue { // what is missed counts as told soon: there is no time to back off
 		span := min(time.Duration(b.set.Nodes)*watchPerNode, silentSpan)
 		b.host.SetTimer(now+time.Duration(b.rng.Float64()*float64(span)), tokenWatch)
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -896,7 +896,7 @@
 		}
 		for range 5 {
 			h.timers = nil
-			b.Members(time.Hour, ListSilent, nil)
+			b.Members(time.Hour, ListDue, nil)
 			if len(h.timers) != 1 || h.timers[0].token != tokenWatch || h.timers[0].at > time.Hour+silentSpan {
 				t.Fatalf("timers %v", h.timers)
 			}
