Bound an answer's time by its class's aim as well

answerSpan, 150 ms from an answer's first byte to its last, was taken from one deployment: on one whose aims are 70 ms a spoilt answer that never ends took the time of two attempts. It is now half of the class's aim at most; where aims are 300 ms and more nothing changes. Tests: TestSpoiltAnswerLeavesTimeForAnother, and two more crossings that held already: a reset under a request on a pooled connection, a connection that comes up after its time.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -193,3 +194,76 @@
 		})
 	}
 }
+
+// A pooled connection breaks as a request is written to it, its last byte included: one that
+// must not run twice is not sent again, by nobody.
+func TestResetUnderARequestOnAPooledConnection(t *testing.T) {
+	var first atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			ok(w, r)
+			return
+		}
+		reset(w, r)
+	}
+	a, b := newBackend(t, handle), newBackend(t, ok)
+	l := loopOf(t, a.instance("s-0"))
+	l.up.settle = 0
+	if x, _ := l.do(t.Context(), l.ofClass(2, present)); x.status != http.StatusOK {
+		t.Fatalf("status %d", x.status)
+	}
+	l.then(t, func() {
+		l.up.mu.Lock()
+		l.up.servers[(&instance{InstanceID: "s-0"}).id()].idle[0].used = true
+		l.up.mu.Unlock()
+	})
+	answered := make(chan answer, 1)
+	go func() { x, _ := l.do(t.Context(), l.ofClass(2, present)); answered <- x }()
+	(&discovery{loop: l}).tell(policy.ListDelta, []instance{b.instance("s-1")}) // another one could take it
+	if x := wait(t, answered, "an answer"); x.status != http.StatusBadGateway {
+		t.Errorf("status %d", x.status)
+	}
+	l.open(t, 0, 0)
+	if len(a.got) != 2 || len(b.got) != 0 {
+		t.Errorf("%d and %d sends, want 2 and none", len(a.got), len(b.got))
+	}
+}
+
+// A connection comes up after the time that it may take: nothing is written to it, and its
+// place is free.
+func TestConnectionComesUpTooLate(t *testing.T) {
+	t.Parallel()
+	far := newStuck(t)
+	u, id := upstreamsTo(far.Addr().String())
+	u.connectTimeout = 50 * time.Millisecond
+	if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
+		t.Errorf("status %d", res.status)
+	}
+	said := far.letIn()
+	nc, err := net.Dial("tcp", far.Addr().String()) // comes up behind it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, "mine")
+	if text := wait(t, said, "the later connection"); text != "mine" || u.open != 0 {
+		t.Errorf("%q was sent; %d places are taken", text, u.open)
+	}
+}
+
+// An answer has half of its class's aim from its first byte to its last: a spoilt one on a
+// deployment with short times would else take the time of the next attempt.
+func TestSpoiltAnswerLeavesTimeForAnother(t *testing.T) {
+	for aim, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: answerSpan} {
+		cfg := testConfig(t, newRegistry(t), deadlines(aim*4/3))
+		f := &frontend{cfg: cfg, loop: loopOf(t)}
+		n := &running{t: t, addr: "x"}
+		q, err := f.parse(nil, n.request("read"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if q.span != want {
+			t.Errorf("aim %d ms: %v, want %v", aim, q.span, want)
+		}
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -23,7 +23,7 @@
 	maxBody       = 64 << 10               // bytes of a message's body
 	maxAnswer     = maxBody + 64<<10       // of a server's answer with head and framing
 	maxInterim    = 8                      // 1xx answers ahead of the real one
-	answerSpan    = 150 * time.Millisecond // from an answer's first byte to its last
+	answerSpan    = 150 * time.Millisecond // from an answer's first byte to its last, at most
 	idlePart      = 0.6                    // of the servers' idle time, after which a connection is retired
 	idlePerServer = 32                     // idle connections kept to a server
 )
@@ -40,6 +40,7 @@
 	host   string
 	header http.Header // end-to-end ones
 	body   []byte
+	span   time.Duration // from the first byte of an answer to its last
 }
 
 // result is how an attempt ended, and the answer if it was served.
@@ -100,9 +101,10 @@
 	net.Conn
 	server *server
 	reader *bufio.Reader
-	budget int   // bytes that the present answer may still have
-	ended  error // what reading met when the connection broke or ended
-	used   bool  // it comes from the pool
+	budget int           // bytes that the present answer may still have
+	span   time.Duration // and how long it may take from its first byte
+	ended  error         // what reading met when the connection broke or ended
+	used   bool          // it comes from the pool
 	since  time.Time
 }
 
@@ -325,6 +327,7 @@
 			u.put(conn, unhook())
 			return result{status: policy.Moot}
 		}
+		conn.span = o.span
 		res, keep := conn.exchange(req, message.Bytes())
 		u.put(conn, unhook() && keep)
 		return res
@@ -401,7 +404,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.SetReadDeadline(time.Now().Add(answerSpan))
+	c.SetReadDeadline(time.Now().Add(c.span))
 	start, err := c.reader.Peek(len(answerStart))
 	if err != nil {
 		return nil, err
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -63,7 +63,7 @@
 func present() bool { return false }
 
 func anyRequest() *outgoing {
-	return &outgoing{method: "POST", url: &url.URL{Path: "/pay"}, host: "x", header: http.Header{}, body: []byte("b")}
+	return &outgoing{method: "POST", url: &url.URL{Path: "/pay"}, host: "x", header: http.Header{}, body: []byte("b"), span: answerSpan}
 }
 
 func TestOutcomes(t *testing.T) {
