Read nothing any more once the last answers of a stop are out

From reading: a request read in the last 50 ms of a stop was answered by the loop, but the node's end could come before that answer was written, and a client that asked again right behind its answer was read and cut off. clientConns.end now bars reading in the same lock as it happens in, before the loop gives its last answers: what was read finds the loop answering, what was not read is its client's to send elsewhere. Test: TestRequestAsTheNodeEnds.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -30,13 +30,13 @@
 // make room that say nothing, then the longest idle ones, then those that don't say
 // all: a flood of them must not turn away clients that ask. Idle ones go at once: to
 // wait for them to age would hold up all that come behind, to the end of their time.
-// A newcomer waits only while one of the others is about to come of age. Where all are at work it is answered with a
-// refusal, as long as spare descriptors last.
+// A newcomer waits only while one of the others is about to come of age. Where all are
+// at work it is answered with a refusal, as long as spare descriptors last.
 type clientConns struct {
 	max, spare int
 	changed    chan struct{} // poked when one ends or changes its phase
 	ended      chan struct{} // closed with the listener
-	end        sync.Once
+	endOnce    sync.Once
 
 	mu       sync.Mutex
 	open     int
@@ -44,6 +44,7 @@
 	partial  list.List // the same of those with a part of a request
 	idle     list.List // and of those between two requests
 	draining bool
+	ending   bool // nothing is read any more
 }
 
 func newClientConns(max, spare int) *clientConns {
@@ -90,17 +91,21 @@
 		return 0, true, net.ErrClosed
 	}
 	if c.in == nil {
-		c.pull(fd)
+		if !cs.ending {
+			c.pull(fd)
+		}
 		return 0, c.ended != nil, c.ended
 	}
 	switch {
-	case len(c.ahead) > 0:
+	case len(c.ahead) > 0: // was taken, and is answered also by a node that ends
 		n = copy(p, c.ahead)
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 			c.ahead = nil
 		}
 	case c.ended != nil:
 		return 0, true, c.ended
+	case cs.ending:
+		return 0, true, net.ErrClosed
 	default:
 		if n, err = readNow(fd, p); err != nil {
 			c.ended = err
@@ -361,6 +366,14 @@
 	}
 }
 
+// end has nothing read any more: what was not read by then is not taken, and its client
+// asks elsewhere. What was read is still answered.
+func (cs *clientConns) end() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.ending = true
+}
+
 // sight is what a connection shows without being read.
 type sight int
 
@@ -418,6 +431,6 @@
 
 // Close implements net.Listener.
 func (l cappedListener) Close() error {
-	l.conns.end.Do(func() { close(l.conns.ended) })
+	l.conns.endOnce.Do(func() { close(l.conns.ended) })
 	return l.Listener.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,10 @@
 	// Not http.Server.Shutdown: it drops requests that are just being read.
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(whole))
 	defer cancel()
-	last := time.AfterFunc(time.Until(began.Add(whole-stopAnswers)), loop.abandon)
+	last := time.AfterFunc(time.Until(began.Add(whole-stopAnswers)), func() {
+		conns.end() // first: each request that was read finds the loop answering
+		loop.abandon()
+	})
 	defer last.Stop()
 	// The listener goes last: closed before, it would reset the connections in its
 	// backlog, whose clients may have asked.
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -161,3 +161,43 @@
 }
 
 func (cs *clientConns) whole(c *clientConn) { c.whole() }
+
+// A request that comes as the node ends, after its last answers, is left unread, so that its
+// client asks elsewhere; one that was read by then is answered.
+func TestRequestAsTheNodeEnds(t *testing.T) {
+	for name, state := range map[string]func(cs *clientConns, c *clientConn){
+		"on a new connection":    func(*clientConns, *clientConn) {},
+		"between two requests":   func(cs *clientConns, c *clientConn) { c.whole(); cs.state(c, http.StateIdle) },
+		"right behind an answer": func(cs *clientConns, c *clientConn) { c.whole() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cs := newClientConns(5, 0)
+			client, c := accepted(t, cs)
+			state(cs, c)
+			cs.end()
+			io.WriteString(client, "GET")
+			sees(t, c.Conn, unread)
+			cs.state(c, http.StateIdle)
+			if n, err := c.Read(make([]byte, 10)); n != 0 || err == nil {
+				t.Errorf("read %d bytes, %v", n, err)
+			}
+			if peek(c.Conn) != unread {
+				t.Error("the bytes were read")
+			}
+		})
+	}
+	cs := newClientConns(5, 0)
+	client, c := accepted(t, cs)
+	c.whole()
+	io.WriteString(client, "GET")
+	sees(t, c.Conn, unread)
+	if c.gone() {
+		t.Fatal("taken for gone") // and the bytes are read
+	}
+	cs.end()
+	cs.state(c, http.StateIdle)
+	p := make([]byte, 10)
+	if n, err := c.Read(p); string(p[:n]) != "GET" || err != nil {
+		t.Errorf("read %q, %v", p[:n], err)
+	}
+}
