--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -154,8 +154,6 @@
 			case <-ctx.Done():
 				return
 			}
-		} else {
-			d.forgetWanted()
 		}
 		asked := time.Now()
 		list, err := d.get(ctx)
@@ -188,6 +186,7 @@
 			if soon {
 				kind = policy.ListDue // or soon
 			}
+			d.forgetWanted()
 			d.tell(kind, nil)
 			continue
 		}
@@ -201,8 +200,8 @@
 	}
 }
 
-// forgetWanted drops a wish for a watch that one under way fulfils: it would have the
-// next failed call followed by another at once, at all nodes together.
+// forgetWanted drops a wish for a watch from before the present one failed: it would be
+// followed by another at once, at all nodes together.
 func (d *discovery) forgetWanted() {
 	select {
 	case <-d.wanted:
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -166,3 +167,39 @@
 		})
 	}
 }
+
+// A watch is wished for while one is under way, which then fails: the module says anew when
+// to ask, and the old wish does not make all nodes ask at once.
+func TestStaleWishForAWatch(t *testing.T) {
+	addr, calls, answers := scripted(t)
+	cfg := testConfig(t, newRegistry(t), func(file map[string]any) {
+		file["discovery"] = addr
+		text := strings.Replace(settingsText, "pushed", "on_request", 1)
+		file["settings"] = jsonText(strings.Replace(text, `"Limits"`, `"Balancers": 300, "Contract": {"MustAskInMs": 600000000}, "Limits"`, 1))
+	})
+	l, err := newLoop(t.Context(), cfg, newUpstreams(cfg, 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.run()
+	d := newDiscovery(cfg, l, nil)
+	d.listed = true
+	failed := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { defer close(failed); d.follow(ctx, true, func() {}) }()
+	wait(t, calls, "the watch")
+	l.watch()
+	answers <- "reset"
+	for end := time.Now().Add(patience); len(d.wanted) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the wish stays")
+		}
+	}
+	l.then(t, func() {}) // the module has the failure, and its timer is 0.4 s away at least
+	if len(calls) > 0 {
+		t.Error("asked again at once")
+	}
+	cancel()
+	wait(t, failed, "the end")
+}
