--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -135,3 +135,24 @@
 		t.Errorf("%d bytes are kept", len(c.ahead))
 	}
 }
+
+// A client asks on its idle connection and closes it at once: the request is read, and by
+// the last look nobody waits for it.
+func TestClientAsksAndGoesAtOnce(t *testing.T) {
+	cs := newClientConns(5, 0)
+	client, c := accepted(t, cs)
+	c.whole()
+	cs.state(c, http.StateIdle)
+	io.WriteString(client, "GET")
+	client.Close()
+	sees(t, c.Conn, unread)
+	p := make([]byte, 10)
+	if n, err := c.Read(p); string(p[:n]) != "GET" || err != nil {
+		t.Fatalf("read %q, %v", p[:n], err)
+	}
+	c.whole()
+	sees(t, c.Conn, over)
+	if !c.gone() {
+		t.Error("the client is not seen to be gone")
+	}
+}
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -18,10 +18,14 @@
 		calls <- r
 		select {
 		case text := <-answers:
-			if text == "reset" {
+			switch text {
+			case "reset":
 				reset(w, r)
+			case "down":
+				http.Error(w, "down", http.StatusServiceUnavailable)
+			default:
+				io.WriteString(w, text)
 			}
-			io.WriteString(w, text)
 		case <-r.Context().Done():
 		}
 	})
@@ -203,3 +207,45 @@
 	cancel()
 	wait(t, failed, "the end")
 }
+
+// Discovery goes down, which ends the watch, and comes back with a change: the node asks
+// again by itself, from where it was, and follows.
+func TestWatchEndsAndDiscoveryReturns(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			a, b := newBackend(t, ok), newBackend(t, ok)
+			addr, calls, answers := scripted(t)
+			n := start(t, testConfig(t, newRegistry(t), func(file map[string]any) {
+				file["discovery"] = addr
+				file["settings"] = jsonText(strings.Replace(settingsText, "pushed", mode, 1))
+			}))
+			list := func(generation uint64, in ...instance) {
+				text, err := json.Marshal(registry{Generation: generation, Instances: in})
+				if err != nil {
+					t.Error(err)
+				}
+				answers <- string(text)
+			}
+			wait(t, calls, "the first call")
+			list(5, a.instance("s-0"))
+			wait(t, calls, "the watch")
+			answers <- "down"
+			wait(t, calls, "a call while it is down")
+			answers <- "down"
+			again := wait(t, calls, "a call as it is back")
+			if q := again.URL.RawQuery; !strings.HasPrefix(q, "after=5&") {
+				t.Errorf("asks for %q", q)
+			}
+			drains := a.instance("s-0")
+			drains.Lifecycle = "Terminating"
+			list(6, drains, b.instance("s-1"))
+			if q := wait(t, calls, "the next watch").URL.RawQuery; !strings.HasPrefix(q, "after=6&") {
+				t.Errorf("then for %q", q)
+			}
+			if x := n.do(n.request("read")); x.status != http.StatusOK || len(a.got) > 0 {
+				t.Errorf("status %d, %d sends to the server that drains", x.status, len(a.got))
+			}
+		})
+	}
+}
