Call discovery again within 6 s of its return, whatever the calls before have met

Cause: after a failed call a node waited up to MustAsk/4 + 0.5 s and up to MustAsk more, neither bounded by the 6 s after which news count as told (Balancer.Members on ListFailed).

Change: the node says by when the news that a failed call missed count as told, 6 s after it began or 4 s after SIGHUP; the module draws its first call from what that leaves, so that nodes that lost discovery together come back apart, and keeps the same pace from then on. One event, Balancer.ListFailed, takes the place of two kinds of list. The calls of a start are spread over 4.5 s at most, too.

Over sockets all six kinds of failure are followed by a call within 6 s.

--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -89,7 +89,11 @@
 	case wire.Stop:
 		delete(h.instances, h.current)
 	case wire.Members:
-		inst.Members(b.Now, e.Kind, e.Entries)
+		if e.Failed {
+			inst.ListFailed(b.Now, b.Now+policy.ToldIn)
+		} else {
+			inst.Members(b.Now, e.Kind, e.Entries)
+		}
 	case wire.Request:
 		inst.Request(b.Now, e.Request)
 	case wire.Started:
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,14 +17,13 @@
 )
 
 const (
-	// silentTold is when at the earliest the news count as told that a watch misses,
-	// from when it fell silent, which may be as it begins. By then the silence has to be
-	// noticed and another call answered: half goes to the watch itself, a quarter to what
-	// an answer may be late by, and a quarter is left for that call.
-	silentTold = 6 * time.Second
-	watchWait  = silentTold / 2  // what a watch asks discovery to wait
-	watchSlack = silentTold / 4  // and how much longer the answer may take
-	listWait   = 2 * time.Second // what the answer to a call that doesn't wait may take
+	// What a watch misses counts as told policy.ToldIn after it fell silent, which may be as
+	// it begins. By then the silence has to be noticed and another call answered: half goes to
+	// the watch itself, a quarter to what an answer may be late by, and a quarter is left for
+	// that call.
+	watchWait  = policy.ToldIn / 2 // what a watch asks discovery to wait
+	watchSlack = policy.ToldIn / 4 // and how much longer the answer may take
+	listWait   = 2 * time.Second   // what the answer to a call that doesn't wait may take
 	// movedTold is when all that the new discovery has counts as told, from SIGHUP.
 	movedTold  = 4 * time.Second
 	watchPause = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
@@ -85,7 +84,7 @@
 	moved      <-chan string // the latest address to follow the list at
 	listed     bool          // a list is at hand; its generation may well be 0
 	generation uint64
-	due        time.Time // discovery moved: until then its list has to be here
+	due        time.Duration // discovery moved: by then its list has to be here
 	client     *http.Client
 	unixZero   time.Time // wall time at the zero of the loop's clock
 }
@@ -136,7 +135,7 @@
 			slog.Info("discovery moves", "addr", addr)
 			d.client.CloseIdleConnections()
 			d.url, d.listed, watching = listURL(addr), false, true
-			d.due = time.Now().Add(movedTold)
+			d.due = d.loop.clock() + movedTold
 		case <-ctx.Done():
 			leave()
 			<-left
@@ -155,7 +154,7 @@
 				return
 			}
 		}
-		asked := time.Now()
+		began := d.loop.clock()
 		list, err := d.get(ctx)
 		if err == nil {
 			delay, watching = backoffFirst, true
@@ -167,7 +166,7 @@
 				d.tell(policy.ListDelta, list.Instances)
 			}
 			ready()
-			if time.Since(asked) < watchPause {
+			if d.loop.clock()-began < watchPause {
 				// A discovery that doesn't wait must not be asked in a loop without a breath.
 				pause(ctx, watchPause)
 			}
@@ -177,20 +176,20 @@
 			return
 		}
 		slog.Warn("discovery failed", "err", err)
-		// There is no time to back off in after a silent watch, nor before the first list
-		// of a discovery that moved.
-		soon := errors.Is(err, errSilent) || (!d.listed && time.Now().Before(d.due))
+		moving := !d.listed && d.loop.clock() < d.due
 		if d.asked {
 			watching = false
-			kind := policy.ListFailed // the module asks again after a while,
-			if soon {
-				kind = policy.ListDue // or soon
+			due := began + policy.ToldIn
+			if moving {
+				due = min(due, d.due)
 			}
 			d.forgetWanted()
-			d.tell(kind, nil)
+			d.loop.post(func(now time.Duration) { d.loop.balancer.ListFailed(now, due) })
 			continue
 		}
-		if soon {
+		// There is no time to back off in after a silent watch, nor before the first list
+		// of a discovery that moved.
+		if moving || errors.Is(err, errSilent) {
 			pause(ctx, rand.N(backoffFirst))
 			continue
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -284,10 +284,7 @@
 // members takes news of the list: first where servers are, then what the module makes of it.
 func (l *loop) members(kind policy.ListKind, list []instance, entries []policy.Entry) bool {
 	return l.post(func(now time.Duration) {
-		var barred []unsentAttempt
-		if kind != policy.ListFailed && kind != policy.ListDue {
-			barred = l.bar(l.up.update(kind != policy.ListDelta, list))
-		}
+		barred := l.bar(l.up.update(kind != policy.ListDelta, list))
 		l.balancer.Members(now, kind, entries)
 		for _, b := range barred {
 			l.outcome(now, b.request, b.index, result{status: policy.Moot})
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"yokestall/policy"
 )
 
 // scripted is a discovery whose calls the test answers itself.
@@ -54,7 +57,7 @@
 					answers <- how
 				}
 				again := wait(t, calls, "the watch anew")
-				if took := time.Since(began); took >= silentTold {
+				if took := time.Since(began); took >= policy.ToldIn {
 					t.Errorf("opened anew after %v", took)
 				}
 				if q := again.URL.RawQuery; !strings.HasPrefix(q, "after=3&") {
@@ -78,11 +81,11 @@
 // The budget of a silent watch: its wait, what an answer may be late by and the spread of
 // the calls anew leave an eighth of the time for the answer.
 func TestSilentWatchIsNoticedInTime(t *testing.T) {
-	if left := silentTold - watchWait - watchSlack - time.Second*3/4; left < silentTold/8 {
+	if left := policy.ToldIn - watchWait - watchSlack - time.Second*3/4; left < policy.ToldIn/8 {
 		t.Errorf("%v are left for the call anew", left)
 	}
 	// For a call that may wait, 2 s behind its wait count too, if that is later.
-	if watchWait+2*time.Second > silentTold {
+	if watchWait+2*time.Second > policy.ToldIn {
 		t.Errorf("a wait of %v moves the time", watchWait)
 	}
 }
@@ -249,3 +252,77 @@
 		})
 	}
 }
+
+// Calls to discovery fail twice over, in each way in which they can, at a node of a large fleet
+// where little is asked for: news count as told 6 s after discovery could be reached again.
+func TestNewsAfterFailedCalls(t *testing.T) {
+	const known = `{"generation":3,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"Ready"}]}`
+	answer := func(text string) func(*running, chan string) {
+		return func(_ *running, answers chan string) { answers <- text }
+	}
+	for name, fail := range map[string]func(n *running, answers chan string){
+		"turned away": answer("down"),
+		"reset":       answer("reset"),
+		"no list":     answer("<html>"),
+		"silent":      func(*running, chan string) {},
+		"given up at SIGHUP": func(n *running, _ chan string) { // of a file that was not changed
+			n.node.MoveDiscovery(n.node.cfg.Discovery)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, calls, answers := scripted(t)
+			n := start(t, testConfig(t, newRegistry(t), largeFleet(addr)))
+			wait(t, calls, "the first call")
+			answers <- known
+			wait(t, calls, "the watch")
+			for range 2 {
+				began := time.Now()
+				fail(n, answers)
+				wait(t, calls, "a call after a failed one")
+				if took := time.Since(began); took >= policy.ToldIn {
+					t.Errorf("called again after %v", took)
+				}
+			}
+		})
+	}
+	t.Run("refused", func(t *testing.T) {
+		t.Parallel()
+		addr := freeAddr(t)
+		cfg := testConfig(t, newRegistry(t), largeFleet(addr))
+		l, err := newLoop(t.Context(), cfg, newUpstreams(cfg, 20))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := newDiscovery(cfg, l, nil)
+		go d.run(t.Context(), registry{}, func() {})
+		for range 5 { // no list, a refused call, a timer, the same again
+			wait(t, l.events, "an event")(l.clock())
+		}
+		back, err := net.Listen("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer back.Close()
+		began := time.Now()
+		go l.run()
+		nc, err := back.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.Close()
+		if took := time.Since(began); took >= policy.ToldIn {
+			t.Errorf("called again after %v", took)
+		}
+	})
+}
+
+// largeFleet is the configuration of a node among many before a discovery that is asked seldom.
+func largeFleet(discovery string) func(file map[string]any) {
+	return func(file map[string]any) {
+		file["discovery"] = discovery
+		text := strings.Replace(settingsText, "pushed", "on_request", 1)
+		file["settings"] = jsonText(strings.Replace(text, `"Limits"`,
+			`"Balancers": 650, "Me": 649, "Contract": {"MustAskInMs": 30000}, "Limits"`, 1))
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,6 +22,7 @@
 	eventSize   = 48
 	actionSize  = 24
 	entrySize   = 25
+	listFailed  = 3 // behind the kinds of list
 	maxBody     = 1 << 30
 )
 
@@ -137,6 +138,7 @@
 	Seed     uint64 // Open
 	Settings []byte // Open: JSON
 	Kind     policy.ListKind
+	Failed   bool           // Members: a call for the list failed, there is none
 	Entries  []policy.Entry // Members; valid until the next Event
 	Request  policy.Request
 	Outcome  policy.Outcome // Outcome, Started (ID, Attempt), Left (ID)
@@ -170,10 +172,10 @@
 		}
 		e.Settings = text
 	case Members:
-		if rec[1] > uint8(policy.ListFailed) {
+		e.Kind, e.Failed = policy.ListKind(rec[1]), rec[1] == listFailed
+		if e.Kind > policy.ListCached && !e.Failed {
 			return fail("list kind", rec[1])
 		}
-		e.Kind = policy.ListKind(rec[1])
 		raw, ok := b.slice(u32(10), u32(14), entrySize)
 		if !ok {
 			return fail("entries out of the tail:", u32(10))
--- a/policy/api.go
+++ b/policy/api.go
@@ -107,6 +107,10 @@
 	Started time.Duration // time of its latest start; 0: long past
 }
 
+// ToldIn is when the news of discovery count as told at the latest, from when it had them and
+// could be reached, whatever became of the calls until then.
+const ToldIn = 6 * time.Second
+
 // ListKind tells how to read a Members event.
 type ListKind uint8
 
@@ -115,8 +119,6 @@
 	ListDelta  ListKind = iota // changed entries only
 	ListFull                   // all servers
 	ListCached                 // all servers as known some time ago
-	ListFailed                 // a call failed or the watch broke; the old list stays
-	ListDue                    // the same with news that are due soon: the watch fell silent, or discovery moved
 )
 
 // Request is a client's request as it comes in.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,8 +44,8 @@
 	coldSafety     = 0.8             // share of a cold server's bearable load that is sent
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
-	watchPerNode   = 60 * time.Millisecond // of the span over which the nodes spread their list calls
-	silentSpan     = time.Second * 3 / 4   // the most of it after a silent watch, whose news are due
+	watchPerNode   = 60 * time.Millisecond   // of the span over which the nodes spread their list calls
+	listAnswer     = 1500 * time.Millisecond // of the time until news are due: what a call's answer may take
 )
 
 const (
@@ -55,22 +55,15 @@
 
 // ---- the list of servers
 
-// Members follows the list. Where it must be asked for it is watched, after failures again.
+// Members follows the list. Where it must be asked for it is watched.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
-	if kind == ListDue { // what is missed counts as told soon: there is no time to back off
-		span := min(time.Duration(b.set.Nodes)*watchPerNode, silentSpan)
-		b.host.SetTimer(now+time.Duration(b.rng.Float64()*float64(span)), tokenWatch)
-		return
-	}
-	if kind == ListFailed {
-		b.host.SetTimer(now+b.jitter(b.watchDelay)+2*b.spread(), tokenWatch)
-		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
-		return
-	}
 	b.watchDelay = watchAgain
 	if kind == ListCached && b.set.ListAsked {
-		if wait := b.spread(); wait > 0 && len(entries) > 0 {
-			b.host.SetTimer(now+wait, tokenWatch)
+		// Nodes of a release start in step. Discovery takes calls in turn, those that were given up
+		// included: at once, most of 80 calls time out, and so do those that come again behind them.
+		span := min(time.Duration(b.set.Nodes)*watchPerNode, b.set.Rules.MustAsk/2, ToldIn-listAnswer)
+		if span > watchAgain && len(entries) > 0 {
+			b.host.SetTimer(now+b.within(span), tokenWatch)
 		} else {
 			b.host.WatchList()
 		}
@@ -80,15 +73,18 @@
 	b.dispatch(now)
 }
 
-// spread is a wait that keeps the list calls of many nodes apart. Nodes of a release start in
-// step, and discovery takes calls in turn, those that were given up included: at once, most
-// calls of 80 nodes time out, and so do those that come again before the queue is worked off.
-func (b *Balancer) spread() time.Duration {
-	span := min(time.Duration(b.set.Nodes)*watchPerNode, b.set.Rules.MustAsk/2)
-	if span <= watchAgain {
-		return 0
+// ListFailed is told when a call for the list failed, or the watch broke; the list at hand
+// stays in force. What that missed counts as told when due, and an answer has to fit before.
+// The nodes that lost discovery together come back apart, each after the same time from then
+// on, so that a discovery that carries their watches carries their return as well.
+func (b *Balancer) ListFailed(now, due time.Duration) {
+	most := min(max(due-now-listAnswer, (due-now)/2, 0), max(b.set.Rules.MustAsk, watchAgain))
+	wait := min(max(b.watchDelay, time.Duration(b.set.Nodes)*watchPerNode), most)
+	if b.watchDelay == watchAgain {
+		wait = b.within(wait)
 	}
-	return time.Duration(b.rng.Float64() * float64(span))
+	b.host.SetTimer(now+wait, tokenWatch)
+	b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
 }
 
 // share keeps the node to its own part of the ready servers, so many closed ones that
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -426,8 +426,9 @@
 	if r.h.watches != 1 {
 		t.Fatalf("%d calls at the start, want 1", r.h.watches)
 	}
-	r.list(ListFailed)
-	r.list(ListFailed)
+	for range 2 {
+		r.b.ListFailed(r.now, r.now+ToldIn)
+	}
 	r.pass(set.Rules.MustAsk / 2)
 	if r.h.watches < 2 {
 		t.Fatal("not asked again after a failure")
@@ -884,10 +885,11 @@
 // A silent watch is called anew within what is left until its news count as told, the
 // nodes of a fleet apart from one another, and it is no reason to wait longer each time.
 func TestSilentWatchIsCalledAnewSoon(t *testing.T) {
+	const left, span = ToldIn / 4, ToldIn / 8 // until its news count as told, and to call anew
 	set := testSettings()
 	set.ListAsked, set.Nodes = true, 300
 	apart := map[time.Duration]bool{}
-	for node := range 20 {
+	for node := range 100 {
 		set.Node = node
 		h := newHost()
 		b, err := New(set, uint64(node), h)
@@ -896,11 +898,11 @@
 		}
 		for range 5 {
 			h.timers = nil
-			b.Members(time.Hour, ListDue, nil)
-			if len(h.timers) != 1 || h.timers[0].token != tokenWatch || h.timers[0].at > time.Hour+silentSpan {
+			b.ListFailed(time.Hour, time.Hour+left)
+			if len(h.timers) != 1 || h.timers[0].token != tokenWatch || h.timers[0].at > time.Hour+span {
 				t.Fatalf("timers %v", h.timers)
 			}
-			apart[h.timers[0].at.Truncate(silentSpan/10)] = true
+			apart[h.timers[0].at.Truncate(span/10)] = true
 		}
 	}
 	if len(apart) < 8 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -408,6 +408,11 @@
 	return time.Duration(b.loneLatency(r) * b.meanLatency * float64(time.Second))
 }
 
+// within draws a delay up to the given one.
+func (b *Balancer) within(d time.Duration) time.Duration {
+	return time.Duration(b.rng.Float64() * float64(d))
+}
+
 // jitter spreads a delay by a fifth either way, so that doubled delays still grow.
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*b.rng.Float64()))
