Wait longer for the first list, so that a release which starts anew comes to an end

Cause: a process with an empty list gave its call up after 2 s. Discovery takes calls in turn and works off those that were given up as well; where all lists of a release take 4 s, half of the calls were given up, came again behind their own leftovers, and so on.

Change: such a call waits as long as a watch does, 4.5 s, but half of the 4 s that count behind SIGHUP.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -23,7 +23,6 @@
 	// that call.
 	watchWait  = policy.ToldIn / 2 // what a watch asks discovery to wait
 	watchSlack = policy.ToldIn / 4 // and how much longer the answer may take
-	listWait   = 2 * time.Second   // what the answer to a call that doesn't wait may take
 	// movedTold is when all that the new discovery has counts as told, from SIGHUP.
 	movedTold  = 4 * time.Second
 	watchPause = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
@@ -176,11 +175,10 @@
 			return
 		}
 		slog.Warn("discovery failed", "err", err)
-		moving := !d.listed && d.loop.clock() < d.due
 		if d.asked {
 			watching = false
 			due := began + policy.ToldIn
-			if moving {
+			if d.moving() {
 				due = min(due, d.due)
 			}
 			d.forgetWanted()
@@ -189,7 +187,7 @@
 		}
 		// There is no time to back off in after a silent watch, nor before the first list
 		// of a discovery that moved.
-		if moving || errors.Is(err, errSilent) {
+		if d.moving() || errors.Is(err, errSilent) {
 			pause(ctx, rand.N(backoffFirst))
 			continue
 		}
@@ -199,6 +197,9 @@
 	}
 }
 
+// moving tells whether discovery moved a short while ago and has not yet given its list.
+func (d *discovery) moving() bool { return !d.listed && d.loop.clock() < d.due }
+
 // forgetWanted drops a wish for a watch from before the present one failed: it would be
 // followed by another at once, at all nodes together.
 func (d *discovery) forgetWanted() {
@@ -215,12 +216,15 @@
 	}
 }
 
-// get asks for what is newer than the list at hand, and waits for it. With no
-// list at hand it asks for all.
+// get asks for what is newer than the list at hand, and waits for it. With no list at hand it
+// asks for all, and waits as long: discovery works off the calls that were given up as well, so
+// that a fleet which starts anew and calls again too soon would come to no end.
 func (d *discovery) get(ctx context.Context) (list registry, err error) {
-	url, wait := d.url, listWait
+	url, wait := d.url, watchWait+watchSlack
+	if d.moving() {
+		wait = movedTold / 2 // for another one
+	}
 	if d.listed {
-		wait = watchWait + watchSlack
 		url += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
 	}
