Answer keyed requests whose window for repeats is over at once

Cause: retry looked at the window only where a refusal was ruled out, as it is now rather than when the further attempt would be due, and counted it from the first attempt even if that never ran; shed did not look at it at all. A keyed request whose repeats were not dropped any more by the time of its next attempt, or while that waited for room, stayed open to the end of its use though nothing could be sent; one whose first attempt was turned away lost further attempts.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -296,23 +296,28 @@
 // the end, no attempt too many, nothing to a server that drains or is gone, no
 // effect twice, no cold server pushed over.
 func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
-	if r.done || r.stream || now >= r.end || len(r.attempts) >= b.set.Limits.MaxAttempts || s.State != Ready {
+	if r.done || r.stream || now >= r.end || r.spent(now) ||
+		len(r.attempts) >= b.set.Limits.MaxAttempts || s.State != Ready {
 		return false
 	}
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		switch {
-		case a.neverRan:
-			continue
-		case a.out && !b.set.Limits.SecondCopies, r.class.Effect == Unsafe:
-			return false
-		case r.class.Effect == Keyed && (now-a.sent >= r.class.Window || !r.class.sameGroup(a, s)):
+		if !a.neverRan && (a.out && !b.set.Limits.SecondCopies ||
+			r.class.Effect == Keyed && !r.class.sameGroup(a, s)) {
 			return false
 		}
 	}
 	return b.coldBudget(s, now, b.loneLatency(r))
 }
 
+// spent tells whether no attempt may follow at a time: an earlier one may have run, and its
+// repeats are not dropped, or not any more.
+func (r *request) spent(at time.Duration) bool {
+	first := slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
+	return first >= 0 && (r.class.Effect == Unsafe ||
+		r.class.Effect == Keyed && at-r.attempts[first].sent >= r.class.Window)
+}
+
 // mayRefuse tells whether the promise of a refusal holds.
 func (r *request) mayRefuse() bool {
 	c := r.class
@@ -581,8 +586,7 @@
 // retry waits for the backoff of a further attempt, or answers now if none fits.
 func (b *Balancer) retry(now time.Duration, r *request) {
 	delay := b.jitter(min(time.Duration(float64(r.class.Aim)*backoffPart)<<(len(r.attempts)-1), backoffMost))
-	over := !r.mayRefuse() && (r.class.Effect == Unsafe || now-r.attempts[0].sent >= r.class.Window)
-	if over || now+delay+b.expected(r) > r.lastUse() {
+	if r.spent(now+delay) || now+delay+b.expected(r) > r.lastUse() {
 		b.giveUp(r)
 		return
 	}
@@ -645,7 +649,7 @@
 func (b *Balancer) shed(now time.Duration) {
 	b.held = slices.DeleteFunc(b.held, func(r *request) bool {
 		// One that could not be sent by half of its time goes back: its client can ask elsewhere.
-		late := now >= r.half && !r.mayHaveRun()
+		late := r.spent(now) || now >= r.half && !r.mayHaveRun()
 		if r.done || !late && now+b.mustFit(r) <= b.worthUntil(r) {
 			return false // dispatch drops those that are done
 		}
