Write no keyed repeat once its window has passed

Cause: the module asks for a keyed request's window when it decides on an attempt, but nothing did as the attempt was written: on a connection that came up behind the window, or to a server that took the bytes in slowly, the last byte went out when repeats were not dropped any more, and the work could run twice. The first attempt itself could, behind a second copy that was written before it.

Change: from the second attempt on that may run, all of a keyed request's attempts that are out keep to one end, first send plus window. It is looked at last before the first byte, bounds the write, and the loop gives the new attempt up as not sent when it comes.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"yokestall/policy"
@@ -30,6 +31,7 @@
 	requests   map[policy.RequestID]*request
 	lastID     policy.RequestID
 	maxTries   int
+	classes    []policy.Class
 	stopped    bool                      // the node ends: what still comes is turned away
 	retryAfter time.Duration             // told to those who are turned away by a node that ends
 	after      []func(now time.Duration) // what host calls leave to be told to the balancer
@@ -61,11 +63,12 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	call   *call
-	server policy.ServerID
-	sent   time.Duration
-	told   bool // the balancer has its outcome
-	timer  *time.Timer
+	call     *call
+	server   policy.ServerID
+	sent     time.Duration
+	told     bool // the balancer has its outcome
+	neverRan bool // as that says
+	timer    *time.Timer
 }
 
 func newLoop(ctx context.Context, cfg *Config, up *upstreams) (*loop, error) {
@@ -73,7 +76,7 @@
 		ctx: ctx, zero: time.Now().Add(-clockStart), up: up,
 		events: make(chan func(time.Duration), eventQueue), watch: func() {},
 		requests: map[policy.RequestID]*request{}, maxTries: cfg.Policy.Limits.MaxAttempts,
-		retryAfter: cfg.Policy.Limits.MaxRetryAfter,
+		retryAfter: cfg.Policy.Limits.MaxRetryAfter, classes: cfg.Policy.Classes,
 	}
 	var err error
 	l.balancer, err = policy.New(cfg.Policy, cfg.Seed, l)
@@ -178,6 +181,7 @@
 		return
 	}
 	a.told = true
+	a.neverRan = res.status == policy.Full || res.status == policy.ConnectFailed || res.status == policy.Moot
 	r.out--
 	a.call.stop()
 	if a.timer != nil {
@@ -235,6 +239,7 @@
 			l.post(func(now time.Duration) { l.outcome(now, r, index, result{status: policy.Timeout}) })
 		})
 	}
+	l.keepWindow(r, a, index)
 	go func() {
 		res := l.up.send(a.call, server, &r.outgoing, r.end-now)
 		l.post(func(now time.Duration) {
@@ -246,6 +251,26 @@
 	}()
 }
 
+// keepWindow has no attempt of a keyed request written once its repeats are not dropped any
+// more. They count from the first that may have run; but which of those that are out gets its
+// connection first is open, so each keeps to the same end.
+func (l *loop) keepWindow(r *request, a *attempt, index int) {
+	first := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.neverRan })
+	if c := &l.classes[r.class]; c.Effect == policy.Keyed && first < index {
+		end := l.zero.Add(r.attempts[first].sent + c.Window)
+		for _, a := range r.attempts[first:] {
+			a.call.end.Store(&end)
+		}
+		a.timer = time.AfterFunc(time.Until(end), func() {
+			l.post(func(now time.Duration) {
+				if a.call.revoke() {
+					l.outcome(now, r, index, result{status: policy.Moot})
+				}
+			})
+		})
+	}
+}
+
 // Cancel implements policy.Host.
 func (l *loop) Cancel(id policy.RequestID, index int) {
 	r := l.requests[id]
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -57,6 +57,7 @@
 	stop context.CancelFunc // gives the attempt up: its connection is closed
 	left func() bool        // tells whether the client is gone
 	gate atomic.Int32
+	end  atomic.Pointer[time.Time] // nothing is written from then on; nil: at any time
 }
 
 const (
@@ -74,6 +75,14 @@
 // revoke bars the call from being written; false if that has begun.
 func (c *call) revoke() bool { return c.gate.CompareAndSwap(unsent, revoked) }
 
+// latest is when the call may be written at the latest; zero for any time.
+func (c *call) latest() (end time.Time) {
+	if p := c.end.Load(); p != nil {
+		end = *p
+	}
+	return end
+}
+
 // upstreams holds the servers' addresses and the idle connections to them. The
 // connections are its own, not those of an http.Transport: that one sends a
 // request again by itself, which would be an attempt nobody decided on.
@@ -317,16 +326,18 @@
 			return result{status: policy.ConnectFailed}
 		}
 		unhook := context.AfterFunc(c.ctx, func() { conn.Conn.Close() })
-		// The two last looks before the first byte goes out: the news of a client's leaving
-		// may still wait in a queue, and the loop may have barred the call.
+		// The last looks before the first byte goes out: the news of a client's leaving may
+		// still wait in a queue, the loop may have barred the call, or be too late to do so.
 		if c.left() {
 			u.put(conn, unhook())
 			return result{status: policy.Moot, left: true}
 		}
-		if !c.gate.CompareAndSwap(unsent, sending) {
+		latest := c.latest()
+		if !latest.IsZero() && !time.Now().Before(latest) || !c.gate.CompareAndSwap(unsent, sending) {
 			u.put(conn, unhook())
 			return result{status: policy.Moot}
 		}
+		conn.Conn.SetWriteDeadline(latest) // a server begins a request with its last byte
 		conn.span = o.span
 		res, keep := conn.exchange(req, message.Bytes())
 		u.put(conn, unhook() && keep)
