Linger behind the last answer on a client's connection

Cause: in the last part of a stop an answer says Connection: close, and net/http closes the socket as soon as it is handed to the system. Bytes that arrived there then had the close answered by a reset, and what of the answer the client had not taken in yet was lost: 8,053 of 65,536 bytes came.

Change: behind such an answer the node ends its sending only, leaves unread what comes, and waits for the client's close, 0.5 s at most (as net/http does behind a body that it does not read) and never past the end of the stop.

Measured: TestAnswerOutlivesItsConnection/behind_it failed before and passes; internal/node and cmd pass under -race (46 s).

--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +17,16 @@
 	"yokestall/policy"
 )
 
+// until waits for a state.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
 // Connections come up when a keyed request's window for repeats has passed, or before. Of its
 // attempts none is written then, the first one itself included, if another may have run.
 func TestRepeatsStayInsideTheirWindow(t *testing.T) {
@@ -56,16 +67,14 @@
 				}
 				l.Send(r.id, servers[1], 0)
 			})
-			for c.over && l.clock() < r.attempts[0].sent+l.classes[keyed].Window {
-				time.Sleep(time.Millisecond) // the window is under test
-			}
+			until(t, "the window's end", func() bool { // which is under test
+				return !c.over || l.clock() >= r.attempts[0].sent+l.classes[keyed].Window
+			})
 			said := far.letIn()
-			told := func() (told bool) {
+			until(t, "the outcome", func() (told bool) {
 				l.then(t, func() { told = r.attempts[c.late].told })
 				return told
-			}
-			for end := time.Now().Add(patience); !told() && time.Now().Before(end); time.Sleep(time.Millisecond) {
-			}
+			})
 			if len(said) != map[bool]int{true: 1}[c.sent] {
 				t.Errorf("%d sends", len(said))
 			}
@@ -114,3 +123,113 @@
 		t.Errorf("the request came whole or goes on: %v", err)
 	}
 }
+
+// tapped shows the connections that come in.
+type tapped struct {
+	net.Listener
+	conns chan *clientConn
+}
+
+func (l tapped) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if c, ok := nc.(*clientConn); ok {
+		l.conns <- c
+	}
+	return nc, err
+}
+
+// parts starts the parts of a node that take requests, for a look inside.
+func parts(t *testing.T, list ...instance) (*running, *frontend, <-chan *clientConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &frontend{
+		cfg: testConfig(t, newRegistry(t), nil), loop: loopOf(t, list...),
+		conns: newClientConns(20, 2), open: map[string]struct{}{},
+	}
+	srv := f.server()
+	conns := make(chan *clientConn, 1000)
+	go srv.Serve(tapped{cappedListener{l, f.conns}, conns})
+	t.Cleanup(func() { srv.Close() })
+	return &running{t: t, addr: l.Addr().String()}, f, conns
+}
+
+// empty waits until nothing is open but idle connections to servers.
+func (f *frontend) empty(t *testing.T) {
+	t.Helper()
+	f.loop.open(t, 0, 0)
+	until(t, "the connections' end", func() bool {
+		f.conns.mu.Lock()
+		defer f.conns.mu.Unlock()
+		f.loop.up.mu.Lock()
+		defer f.loop.up.mu.Unlock()
+		busy := f.loop.up.open
+		for _, s := range f.loop.up.servers {
+			busy -= len(s.idle)
+		}
+		return f.conns.open == 0 && busy == 0
+	})
+}
+
+// slowDial gives a connection that takes little in until it is read.
+func (n *running) slowDial() net.Conn {
+	n.t.Helper()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		return errors.Join(c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+		}), err)
+	}}
+	nc, err := d.Dial("tcp", n.addr)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	return nc
+}
+
+// The node gives up a connection behind an answer that its client has not read yet, and bytes
+// lie or arrive there: the answer comes whole, and what came behind it stays unread. With the
+// client's close the connection is over.
+func TestAnswerOutlivesItsConnection(t *testing.T) {
+	text := strings.Repeat("x", maxBody)
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
+	for name, c := range map[string]struct{ ahead, behind string }{
+		"nothing":     {"", ""},
+		"ahead of it": {"GET /", ""},
+		"behind it":   {"", "GET /"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, f, conns := parts(t, b.instance("s-0"))
+			f.draining.Store(true)
+			f.conns.linger = time.Hour
+			nc := n.slowDial()
+			var asked strings.Builder
+			n.request("read").Write(&asked)
+			io.WriteString(nc, asked.String()+c.ahead)
+			in := bufio.NewReader(nc)
+			if _, err := in.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			node := wait(t, conns, "the connection")
+			until(t, "the answer's end", func() bool {
+				f.conns.mu.Lock()
+				defer f.conns.mu.Unlock()
+				return node.last || node.shut
+			})
+			io.WriteString(nc, c.behind)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || !resp.Close {
+				t.Fatalf("%+v, %v", resp, err)
+			}
+			if body, err := io.ReadAll(resp.Body); string(body) != text {
+				t.Errorf("%d bytes, %v", len(body), err)
+			}
+			if nc.Close(); c.behind == "" {
+				f.empty(t)
+			}
+		})
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -19,6 +19,8 @@
 	silentGrace = 20 * time.Millisecond
 	// partGrace is the same for one that has sent a part of a request.
 	partGrace = 150 * time.Millisecond
+	// lingerTime is how long a client may take to close a connection whose last answer is out.
+	lingerTime = 500 * time.Millisecond
 	// maxAhead bounds what is kept of a client that sends on while its request is at
 	// work: one more request of the largest kind. Clients ask one at a time.
 	maxAhead = maxHeader + maxBody
@@ -34,6 +36,7 @@
 // at work it is answered with a refusal, as long as spare descriptors last.
 type clientConns struct {
 	max, spare int
+	linger     time.Duration
 	changed    chan struct{} // poked when one ends or changes its phase
 	ended      chan struct{} // closed with the listener
 	endOnce    sync.Once
@@ -48,7 +51,7 @@
 }
 
 func newClientConns(max, spare int) *clientConns {
-	return &clientConns{max: max, spare: spare, changed: make(chan struct{}, 1), ended: make(chan struct{})}
+	return &clientConns{max: max, spare: spare, linger: lingerTime, changed: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
 // clientConn is a connection that counts. It is in one of the lists, or at work.
@@ -64,6 +67,7 @@
 	since time.Time // in this list
 	ahead []byte    // what came while it was at work
 	ended error     // what reading met when the client left
+	last  bool      // it has had its last answer: nothing is read any more
 	shut  bool
 }
 
@@ -91,7 +95,10 @@
 		return 0, true, net.ErrClosed
 	}
 	if c.in == nil {
-		if !cs.ending {
+		switch {
+		case c.last && peek(c.Conn) == over:
+			return 0, true, io.EOF
+		case !c.last && !cs.ending:
 			c.pull(fd)
 		}
 		return 0, c.ended != nil, c.ended
@@ -184,6 +191,19 @@
 	return nil
 }
 
+// part waits until the client has closed the connection behind its last answer, for a while.
+// A close of ours resets it over bytes that arrive, and what of the answer is on its way is lost.
+func (c *clientConn) part(ctx context.Context) {
+	c.conns.mu.Lock()
+	c.last = true
+	c.conns.mu.Unlock()
+	c.CloseWrite()
+	select {
+	case <-ctx.Done():
+	case <-time.After(c.conns.linger):
+	}
+}
+
 // whole tells that a request has come to its last byte.
 func (c *clientConn) whole() {
 	c.conns.mu.Lock()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -76,10 +76,11 @@
 		return
 	}
 	q.gone = func() bool { return r.Context().Err() != nil }
-	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-		c.whole()
-		q.gone = c.gone
-		if c.over {
+	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	if conn != nil {
+		conn.whole()
+		q.gone = conn.gone
+		if conn.over {
 			w.Header().Set("Connection", "close")
 			f.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: f.cfg.Policy.Limits.MaxRetryAfter})
 			return
@@ -101,6 +102,9 @@
 	}
 	control.SetWriteDeadline(time.Now().Add(q.end - f.loop.clock() + writeTimeout))
 	f.write(w, a)
+	if conn != nil && w.Header().Get("Connection") != "" && control.Flush() == nil {
+		conn.part(r.Context())
+	}
 }
 
 // busySince tells whether the time or a request's arrival is less than
