Count a request's time from its first byte also on an idle connection

Cause: net/http begins a request's read timeout at its fourth byte on a connection that rested. Up to three bytes stood under the idle time instead: they held their connection for up to 10 s, or were read and dropped as that ended right behind them.

Change: a connection that turns from idle to partly read gets the read timeout at once.

Measured: TestFirstByteBeginsARequestsTime failed before (waited 20 s) and passes. New tests that found no fault: bytes as a read time ends, answers that break off for each class at the first and second attempt, byte-by-byte peers, floods. internal/node, policy and cmd pass under -race at a load of 60 on 8 cores (53 s).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -238,6 +238,9 @@
 
 // move puts a connection into a list, or nil for one at work; cs.mu is held.
 func (cs *clientConns) move(c *clientConn, to *list.List) {
+	if c.in == &cs.idle && to == &cs.partial { // net/http waits for four bytes in the idle time
+		c.SetReadDeadline(time.Now().Add(readTimeout))
+	}
 	if c.in != nil {
 		c.in.Remove(c.place)
 	}
