Answer a request at once that has had all of its attempts

Cause: Balancer.retry did not ask for MaxAttempts. A request whose last attempt had failed waited for a further one that maySend ruled out, to the end of its use: with two attempts allowed and two errors within 70 ms it was refused at 600 ms.

Change: request.spent counts the attempts as well, and so retry and shed give it up.

Measured: the new step of TestBackoffGrowsAndFitsTheTimeLeft failed before and passes now.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -292,8 +292,7 @@
 // the end, no attempt too many, nothing to a server that drains or is gone, no
 // effect twice, no cold server pushed over.
 func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
-	if r.done || r.stream || now >= r.end || r.spent(now) ||
-		len(r.attempts) >= b.set.Limits.MaxAttempts || s.State != Ready {
+	if r.done || r.stream || now >= r.end || b.spent(r, now) || s.State != Ready {
 		return false
 	}
 	for i := range r.attempts {
@@ -306,11 +305,11 @@
 	return b.coldBudget(s, now, b.loneLatency(r))
 }
 
-// spent tells whether no attempt may follow at a time: an earlier one may have run, and its
-// repeats are not dropped, or not any more.
-func (r *request) spent(at time.Duration) bool {
+// spent tells whether no attempt may follow at a time: there were as many as may be, or one may
+// have run whose repeats are not dropped, or not any more.
+func (b *Balancer) spent(r *request, at time.Duration) bool {
 	first := slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
-	return first >= 0 && (r.class.Effect == Unsafe ||
+	return len(r.attempts) >= b.set.Limits.MaxAttempts || first >= 0 && (r.class.Effect == Unsafe ||
 		r.class.Effect == Keyed && at-r.attempts[first].sent >= r.class.Window)
 }
 
@@ -582,7 +581,7 @@
 // retry waits for the backoff of a further attempt, or answers now if none fits.
 func (b *Balancer) retry(now time.Duration, r *request) {
 	delay := b.jitter(min(time.Duration(float64(r.class.Aim)*backoffPart)<<(len(r.attempts)-1), backoffMost))
-	if r.spent(now+delay) || now+delay+b.expected(r) > r.lastUse() {
+	if b.spent(r, now+delay) || now+delay+b.expected(r) > r.lastUse() {
 		b.giveUp(r)
 		return
 	}
@@ -645,7 +644,7 @@
 func (b *Balancer) shed(now time.Duration) {
 	b.held = slices.DeleteFunc(b.held, func(r *request) bool {
 		// One that could not be sent by half of its time goes back: its client can ask elsewhere.
-		late := r.spent(now) || now >= r.half && !r.mayHaveRun()
+		late := b.spent(r, now) || now >= r.half && !r.mayHaveRun()
 		if r.done || !late && now+b.mustFit(r) <= b.worthUntil(r) {
 			return false // dispatch drops those that are done
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -380,6 +380,12 @@
 	if _, ok := r.h.refused[late]; !ok {
 		t.Fatal("a retry that cannot be in time must be refused at once")
 	}
+	r.b.set.Limits.MaxAttempts = 1
+	last := r.request(0)
+	r.end(last, Error, ms)
+	if _, ok := r.h.refused[last]; !ok {
+		t.Fatal("a request that has had all of its attempts must be refused at once")
+	}
 }
 
 // Guards against work sent after a notice, also by retries and held requests.
