Test that nine in ten restarted processes are ready within 10 s (red)

The term had no test. Real processes are started at once, lists pushed and asked for, with and without a known list, before a discovery that answers, is down for 3 s or takes calls in turn, those given up included, so that all whole lists take 4 s.

--- /dev/null
+++ b/cmd/yokestall/ready_test.go
@@ -0,0 +1,235 @@
+package main
+
+// Real processes: the program is built as it is and started many times over.
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var processes = flag.Int("processes", 20, "how many processes TestRestartedProcessesAreReady starts at once")
+
+// build makes the program.
+func build(t *testing.T) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "yokestall")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return path
+}
+
+// launch starts a program with a configuration and gives the address that it serves at, once it
+// does. It is killed at the end of the test.
+func launch(t *testing.T, config map[string]any, command ...string) (pid int, addr <-chan string) {
+	t.Helper()
+	config["listen"] = "127.0.0.1:0"
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.CommandContext(t.Context(), command[0], command[1:]...)
+	cmd.Env = []string{"BALANCER_CONFIG=" + path}
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	serving, over := make(chan string, 1), make(chan struct{})
+	go func() {
+		defer close(over)
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			if _, at, ok := strings.Cut(lines.Text(), " addr="); ok {
+				select {
+				case serving <- at:
+				default: // discovery moves are logged like that too
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() { <-over; cmd.Wait() })
+	return cmd.Process.Pid, serving
+}
+
+// bound gives an address that refuses connections until it is told to listen.
+func bound(t *testing.T) (addr string, listen func() (net.Listener, error)) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "discovery")
+	t.Cleanup(func() { file.Close() })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port), func() (net.Listener, error) {
+		if err := syscall.Listen(fd, syscall.SOMAXCONN); err != nil {
+			return nil, err
+		}
+		return net.FileListener(file)
+	}
+}
+
+// stubDiscovery serves a list, down for a while from now on: it refuses connections, or calls with 503.
+// Calls for the whole list are taken in turn, each for so long, those that were given up as well.
+func stubDiscovery(t *testing.T, list any, down time.Duration, refused bool, perCall time.Duration) (addr string) {
+	t.Helper()
+	turns := make(chan chan struct{}, 1<<16)
+	go func() {
+		for {
+			select {
+			case done := <-turns:
+				time.Sleep(perCall) // what is under test
+				close(done)
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	began := time.Now()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !refused && time.Since(began) < down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.Query().Has("after") { // nothing new
+			wait, _ := time.ParseDuration(r.URL.Query().Get("wait_ms") + "ms")
+			select {
+			case <-time.After(wait):
+			case <-r.Context().Done():
+			}
+			io.WriteString(w, `{"generation": 1, "instances": []}`)
+			return
+		}
+		done := make(chan struct{})
+		turns <- done
+		select {
+		case <-done:
+			json.NewEncoder(w).Encode(list)
+		case <-t.Context().Done():
+		}
+	})}
+	t.Cleanup(func() { server.Close() })
+	addr, listen := bound(t)
+	serve := func() {
+		if l, err := listen(); err == nil { // else the test is over, or no process gets ready
+			server.Serve(l)
+		}
+	}
+	if refused {
+		timer := time.AfterFunc(down, serve)
+		t.Cleanup(func() { timer.Stop() })
+	} else {
+		go serve()
+	}
+	return addr
+}
+
+// The operators' term: nine in ten restarted processes are ready within 10 s.
+func TestRestartedProcessesAreReady(t *testing.T) {
+	const term, most = 10 * time.Second, 14 * time.Second
+	program := build(t)
+	var servers []any
+	for i := range 200 {
+		servers = append(servers, map[string]any{
+			"instanceId": fmt.Sprintf("s-%d", i), "hostPort": "127.0.0.1:1", "lifecycle": "Ready", "zone": "a", "weight": 1,
+		})
+	}
+	list := map[string]any{"generation": 1, "reset": true, "instances": servers}
+	overbooked := 4 * time.Second / time.Duration(*processes) // all whole lists take 4 s
+	for _, c := range []struct {
+		name    string
+		known   bool
+		down    time.Duration
+		refused bool
+		perCall time.Duration
+	}{
+		{"known list", true, 0, false, 0},
+		{"known list, discovery down", true, time.Hour, true, 0},
+		{"empty list", false, 0, false, 0},
+		{"empty list, discovery refuses for 3 s", false, 3 * time.Second, true, 0},
+		{"empty list, discovery answers 503 for 3 s", false, 3 * time.Second, false, 0},
+		{"empty list, discovery overbooked", false, 0, false, overbooked},
+	} {
+		for _, mode := range []string{"pushed", "on_request"} {
+			t.Run(mode+", "+c.name, func(t *testing.T) {
+				t.Parallel()
+				discovery := stubDiscovery(t, list, c.down, c.refused, c.perCall)
+				took := make(chan time.Duration, *processes)
+				for i := range *processes {
+					config := map[string]any{
+						"discovery": discovery, "seed": fmt.Sprintf("%016x", i+1),
+						"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
+						"settings": json.RawMessage(fmt.Sprintf(`{"Balancers": 300, "Me": %d, "RegistryMode": %q, "Contract": {"DrainGraceMs": 1000}, %s`, i, mode, settings[1:])),
+					}
+					if c.known {
+						config["known"] = list
+					}
+					began := time.Now()
+					_, addr := launch(t, config, program)
+					go func() { took <- readyIn(addr, began, most) }()
+				}
+				var all []time.Duration
+				for range *processes {
+					all = append(all, <-took)
+				}
+				slices.Sort(all)
+				nine := all[(9*len(all)+9)/10-1]
+				t.Logf("%d processes: median %v, nine in ten %v, worst %v (%v is never)", len(all), all[len(all)/2].Round(time.Millisecond),
+					nine.Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond), most)
+				if nine > term {
+					t.Errorf("nine in ten are ready after %v, want %v", nine, term)
+				}
+			})
+		}
+	}
+}
+
+// readyIn tells how long a process took to answer that it is ready, at most so long.
+func readyIn(addr <-chan string, began time.Time, most time.Duration) time.Duration {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	at := ""
+	for ; time.Since(began) < most; time.Sleep(20 * time.Millisecond) {
+		if at == "" {
+			select {
+			case at = <-addr:
+			default:
+				continue
+			}
+		}
+		resp, err := client.Get("http://" + at + "/health/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return time.Since(began)
+		}
+	}
+	return most
+}
