--- a/cmd/yokestall/ready_test.go
+++ b/cmd/yokestall/ready_test.go
@@ -94,9 +94,9 @@
 	}
 }
 
-// stubDiscovery serves a list, down for a while from now on: it refuses connections, or calls with 503.
-// Calls for the whole list are taken in turn, each for so long, those that were given up as well.
-func stubDiscovery(t *testing.T, list any, down time.Duration, refused bool, perCall time.Duration) (addr string) {
+// stubDiscovery serves a list once it is back; until then it refuses connections, or calls with
+// 503. It takes calls for the whole list in turn, each for so long, those given up included.
+func stubDiscovery(t *testing.T, list any, back <-chan struct{}, refused bool, perCall time.Duration) (addr string) {
 	t.Helper()
 	turns := make(chan chan struct{}, 1<<16)
 	go func() {
@@ -110,19 +110,20 @@
 			}
 		}
 	}()
-	began := time.Now()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !refused && time.Since(began) < down {
+		select {
+		case <-back:
+		default:
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
-		if r.URL.Query().Has("after") { // nothing new
+		if r.URL.Query().Get("after") == "2" { // nothing new
 			wait, _ := time.ParseDuration(r.URL.Query().Get("wait_ms") + "ms")
 			select {
 			case <-time.After(wait):
 			case <-r.Context().Done():
 			}
-			io.WriteString(w, `{"generation": 1, "instances": []}`)
+			io.WriteString(w, `{"generation": 2, "instances": []}`)
 			return
 		}
 		done := make(chan struct{})
@@ -136,30 +137,42 @@
 	t.Cleanup(func() { server.Close() })
 	addr, listen := bound(t)
 	serve := func() {
-		if l, err := listen(); err == nil { // else the test is over, or no process gets ready
-			server.Serve(l)
+		if l, err := listen(); err != nil {
+			t.Error(err)
+		} else {
+			go server.Serve(l)
 		}
 	}
-	if refused {
-		timer := time.AfterFunc(down, serve)
-		t.Cleanup(func() { timer.Stop() })
-	} else {
-		go serve()
+	if !refused {
+		serve()
+		return addr
 	}
+	go func() {
+		select {
+		case <-back:
+			serve()
+		case <-t.Context().Done():
+		}
+	}()
 	return addr
 }
 
-// The operators' term: nine in ten restarted processes are ready within 10 s.
-func TestRestartedProcessesAreReady(t *testing.T) {
-	const term, most = 10 * time.Second, 14 * time.Second
-	program := build(t)
+// listOf makes a list of servers as discovery gives it.
+func listOf(generation int, addrs ...string) map[string]any {
 	var servers []any
-	for i := range 200 {
+	for i, addr := range addrs {
 		servers = append(servers, map[string]any{
-			"instanceId": fmt.Sprintf("s-%d", i), "hostPort": "127.0.0.1:1", "lifecycle": "Ready", "zone": "a", "weight": 1,
+			"instanceId": fmt.Sprintf("s-%d-%d", generation, i), "hostPort": addr, "lifecycle": "Ready", "zone": "a", "weight": 1,
 		})
 	}
-	list := map[string]any{"generation": 1, "reset": true, "instances": servers}
+	return map[string]any{"generation": generation, "reset": true, "instances": servers}
+}
+
+// The operators' term: nine in ten restarted processes are ready within 10 s.
+func TestRestartedProcessesAreReady(t *testing.T) {
+	const term, most = 10 * time.Second, 14 * time.Second
+	program := build(t)
+	list := listOf(2, slices.Repeat([]string{"127.0.0.1:1"}, 200)...)
 	overbooked := 4 * time.Second / time.Duration(*processes) // all whole lists take 4 s
 	for _, c := range []struct {
 		name    string
@@ -174,11 +187,14 @@
 		{"empty list, discovery refuses for 3 s", false, 3 * time.Second, true, 0},
 		{"empty list, discovery answers 503 for 3 s", false, 3 * time.Second, false, 0},
 		{"empty list, discovery overbooked", false, 0, false, overbooked},
+		{"empty list, discovery overbooked after 3 s", false, 3 * time.Second, false, overbooked},
 	} {
 		for _, mode := range []string{"pushed", "on_request"} {
 			t.Run(mode+", "+c.name, func(t *testing.T) {
 				t.Parallel()
-				discovery := stubDiscovery(t, list, c.down, c.refused, c.perCall)
+				back := make(chan struct{})
+				discovery := stubDiscovery(t, list, back, c.refused, c.perCall)
+				defer time.AfterFunc(c.down, func() { close(back) }).Stop()
 				took := make(chan time.Duration, *processes)
 				for i := range *processes {
 					config := map[string]any{
