Keep to the descriptors that the system grants

A node took limits.sockets (1,024 where it is absent) on trust. Where the system grants fewer, idle clients took them all long before the node had any make room: accepting, calls to discovery and connections to servers failed alike with EMFILE until clients were shut for their age; net/http's accept loop then waits for up to 1 s.

The configuration now takes the lesser of the two.

--- a/cmd/yokestall/ready_test.go
+++ b/cmd/yokestall/ready_test.go
@@ -10,10 +10,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -249,3 +251,99 @@
 	}
 	return most
 }
+
+// A process has as many descriptors as its configuration says, or fewer than that, and idle
+// clients take what they can get while discovery is down: it stays within them, follows
+// discovery once that is back, and serves who asks.
+func TestIdleClientsAndDescriptors(t *testing.T) {
+	program := build(t)
+	for _, c := range []struct {
+		name           string
+		sockets, limit int
+		refused        bool
+	}{
+		{"the smallest limits, 503", 64, 64, false},
+		{"the smallest limits, refused", 64, 64, true},
+		{"256, refused", 256, 256, true},
+		{"fewer than told", 256, 64, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			server := func(name string) string {
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) }))
+				t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+				return s.Listener.Addr().String()
+			}
+			back := make(chan struct{})
+			servers := slices.Repeat([]string{server("new")}, 40) // more than there are connections for
+			pid, serving := launch(t, map[string]any{
+				"discovery": stubDiscovery(t, listOf(2, servers...), back, c.refused, 0),
+				"known":     listOf(1, slices.Repeat([]string{server("old")}, 40)...),
+				"limits":    map[string]any{"sockets": c.sockets}, "settings": json.RawMessage(settings),
+			}, "sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", c.limit, program))
+			addr := <-serving
+			peak := 0
+			count := func() {
+				open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+				if err != nil {
+					t.Error(err)
+				}
+				peak = max(peak, len(slices.DeleteFunc(open, func(e os.DirEntry) bool {
+					fd, err := strconv.Atoi(e.Name())
+					return err != nil || fd >= c.limit // from whoever runs the tests
+				})))
+			}
+			asked := 0
+			ask := func(nc net.Conn) (string, error) {
+				nc.SetDeadline(time.Now().Add(10 * time.Second)) // over the class's deadline
+				asked++
+				fmt.Fprintf(nc, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: a%d\r\nX-Timeout-Ms: 8000\r\nContent-Length: 0\r\n\r\n", asked)
+				resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+				if err != nil {
+					return "", err
+				}
+				body, err := io.ReadAll(resp.Body)
+				return string(body), err
+			}
+			dial := func() net.Conn {
+				nc, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { nc.Close() })
+				return nc
+			}
+			for i := range 2 * c.sockets {
+				if nc := dial(); i%2 == 0 {
+					ask(nc)
+				}
+				count()
+			}
+			usual := func() string {
+				nc := dial()
+				defer nc.Close()
+				body, err := ask(nc)
+				if count(); err != nil {
+					return err.Error()
+				}
+				return body
+			}
+			close(back)
+			returned := time.Now()
+			for body := usual(); body != "new"; body = usual() {
+				if time.Since(returned) > 6*time.Second { // then news count as told
+					t.Fatalf("discovery is not followed: %q", body)
+				}
+			}
+			for range 20 {
+				if body := usual(); body != "new" {
+					t.Fatalf("answered %q", body)
+				}
+			}
+			t.Logf("%d descriptors at the peak", peak)
+			if peak >= c.limit {
+				t.Errorf("%d descriptors at the peak: none is left", peak)
+			}
+		})
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"yokestall/internal/wire"
@@ -136,6 +137,12 @@
 	if c.Limits.Sockets == 0 {
 		c.Limits.Sockets = 1024
 	}
+	// Over what the system grants, accepting, discovery and servers would fail alike, and no
+	// idle client be asked to make room.
+	var granted syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &granted); err == nil {
+		c.Limits.Sockets = int(min(uint64(c.Limits.Sockets), granted.Cur))
+	}
 	if c.Limits.Sockets < 64 {
 		return nil, fmt.Errorf("limits: %d sockets are too few", c.Limits.Sockets)
 	}
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -95,6 +95,7 @@
 				if status, err := n.try(); err != nil || status != http.StatusOK {
 					t.Errorf("while discovery is down: status %d, %v", status, err)
 				}
+				n.waitReady(http.StatusOK)
 				open := 0
 				for _, nc := range idle {
 					if peek(nc) != over {
