--- a/cmd/yokestall/ready_test.go
+++ b/cmd/yokestall/ready_test.go
@@ -189,6 +189,7 @@
 		{"empty list", false, 0, false, 0},
 		{"empty list, discovery refuses for 3 s", false, 3 * time.Second, true, 0},
 		{"empty list, discovery answers 503 for 3 s", false, 3 * time.Second, false, 0},
+		{"empty list, discovery answers 503 for 5 s", false, 5 * time.Second, false, 0},
 		{"empty list, discovery overbooked", false, 0, false, overbooked},
 		{"empty list, discovery overbooked after 3 s", false, 3 * time.Second, false, overbooked},
 	} {
