Leave the next request unread at the last look of an attempt that is over

The last look before a first byte, clientConn.gone, reads what its client sent ahead, also when its own request had its answer meanwhile (a hedged copy whose connection comes up just then) and after clientConns.end, which bars all reading. What it took then was the client's next request: shutIdle and oldest, which look into the socket, saw none and shut the connection as idle, and in the end of a stop a request was read that nobody answers. Both count as lost. Now gone reads only for a request at work, and in the end of a stop it looks without reading. Test: TestLastLookLeavesTheNextRequestAlone, whose both rows fail without the mend; go test -race ./internal/node passes with it.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -152,12 +152,18 @@
 }
 
 // gone tells whether the client of the request at work has left, by what its socket
-// says this moment, however busy the node is and whatever bytes lie ahead.
+// says this moment, however busy the node is and whatever bytes lie ahead. Nothing is read
+// that may be a request to come once this one has its answer, or in the end of a stop.
 func (c *clientConn) gone() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if c.shut {
+	switch {
+	case c.shut || c.ended != nil:
 		return true
+	case c.in != nil:
+		return false // its attempts are revoked
+	case c.conns.ending:
+		return peek(c.Conn) == over
 	}
 	if err := c.raw.Control(func(fd uintptr) { c.pull(int(fd)) }); err != nil {
 		return true
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -156,3 +156,40 @@
 		t.Error("the client is not seen to be gone")
 	}
 }
+
+// The last look of an attempt that lost its race (its request has an answer: a hedged copy
+// whose connection comes up just then) or that comes in the end of a stop leaves what the
+// client sends next alone, and still sees that it left.
+func TestLastLookLeavesTheNextRequestAlone(t *testing.T) {
+	for name, state := range map[string]func(cs *clientConns, c *clientConn){
+		"between two requests": func(cs *clientConns, c *clientConn) { cs.state(c, http.StateIdle) },
+		"as the node ends":     func(cs *clientConns, _ *clientConn) { cs.end() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cs := newClientConns(5, 0)
+			client, c := accepted(t, cs)
+			c.whole()
+			state(cs, c)
+			if c.gone() {
+				t.Error("a silent client is taken for gone")
+			}
+			io.WriteString(client, "GET")
+			sees(t, c.Conn, unread)
+			if c.gone() || peek(c.Conn) != unread {
+				t.Error("the next request was read, or its client is taken for gone")
+			}
+			if cs.drain(ended()); c.shut {
+				t.Error("the connection was shut as idle with a request on it")
+			}
+		})
+	}
+	cs := newClientConns(5, 0)
+	client, c := accepted(t, cs)
+	c.whole()
+	cs.end()
+	client.Close()
+	sees(t, c.Conn, over)
+	if !c.gone() {
+		t.Error("in the end of a stop a client that left is not seen to be gone")
+	}
+}
