Keep net/http's watch for a client's leaving from bytes sent behind the request

Cause: net/http watches by reading one byte from the request's last byte on, which may come before ServeHTTP calls whole; clientConn.receive handed it a byte of what lay there, which ends the watch for good. Now single bytes are handed on only while a head is read, which ConnState tells: a body is read in larger pieces. Test: TestWatchForTheClientIsHandedNothing, which fails without.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -65,6 +65,7 @@
 	ahead []byte    // what came while it was at work
 	ended error     // what reading met when the client left
 	shut  bool
+	head  bool // the head of a request is being read
 }
 
 // Read implements net.Conn. The bytes leave the socket under the same lock as the
@@ -90,7 +91,9 @@
 	if c.shut {
 		return 0, true, net.ErrClosed
 	}
-	if c.in == nil {
+	// By reading a single byte net/http watches for the client's leaving, from a request's last
+	// byte on: a body is read in larger pieces. It may come before whole is called.
+	if c.in == nil || len(p) == 1 && !c.head {
 		if !cs.ending {
 			c.pull(fd)
 		}
@@ -228,6 +231,7 @@
 		c.in.Remove(c.place)
 	}
 	c.in, c.place, c.since = to, nil, time.Now()
+	c.head = to == &cs.partial
 	if to != nil {
 		c.place = to.PushBack(c)
 	}
@@ -237,10 +241,16 @@
 	}
 }
 
-// state follows which connections are between two requests.
+// state follows which connections are between two requests, and whose next head is read.
 func (cs *clientConns) state(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*clientConn)
-	if ok && s == http.StateIdle && cs.rest(c) {
+	switch {
+	case !ok:
+	case s == http.StateActive:
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		c.head = false
+	case s == http.StateIdle && cs.rest(c):
 		c.Conn.Close()
 	}
 }
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -193,3 +193,30 @@
 		t.Error("in the end of a stop a client that left is not seen to be gone")
 	}
 }
+
+// A client sends on right behind its request's last byte and leaves. net/http, which watches
+// for that by reading a single byte, may come before the request is known to be whole: it is
+// handed none, or it would stop watching and an attempt that is out would not be given up.
+func TestWatchForTheClientIsHandedNothing(t *testing.T) {
+	cs := newClientConns(5, 0)
+	client, c := accepted(t, cs)
+	io.WriteString(client, "head")
+	p := make([]byte, 2)
+	for _, want := range []string{"he", "a", "d"} { // of a head any piece is handed on
+		if n, err := c.Read(p[:len(want)]); string(p[:n]) != want || err != nil {
+			t.Fatalf("read %q, %v", p[:n], err)
+		}
+	}
+	cs.state(c, http.StateActive)
+	io.WriteString(client, "body and more")
+	if n, err := c.Read(make([]byte, 4)); n != 4 || err != nil {
+		t.Fatalf("read %d bytes of the body, %v", n, err)
+	}
+	client.Close()
+	if n, err := c.Read(p[:1]); n != 0 || err != io.EOF {
+		t.Errorf("the watch got %d bytes, %v", n, err)
+	}
+	if string(c.ahead) != " and more" {
+		t.Errorf("%q is kept for the next request", c.ahead)
+	}
+}
