Force clients to leave at every point before the loop hears of it

Over a real frontend whose loop the test holds up: clients that close, reset, end their sending only, or do so behind further bytes, while held, between two attempts (the retry falls due in the same moment), as a hedged copy is decided, and as a late connection for a first or second attempt comes up; parts of requests; 300 clients behind a full event queue, and 300 at mixed points.

--- /dev/null
+++ b/internal/node/gone_test.go
@@ -0,0 +1,421 @@
+package node
+
+// Clients that leave by every way there is, at every point of a request, over a real frontend
+// before a loop that the test holds up: the socket shows the leaving, the loop has not heard.
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"yokestall/policy"
+)
+
+// served is a frontend on a socket, and the loop behind it.
+type served struct {
+	*running
+	front *frontend
+	loop  *loop
+	conns sync.Map // *clientConn by its client's address
+}
+
+// serve starts one with deadlines so long that no time runs out, and places for 400 clients.
+func serve(t *testing.T, list ...instance) *served {
+	t.Helper()
+	cfg := testConfig(t, newRegistry(t), deadlines(600000))
+	up := newUpstreams(cfg, 400)
+	up.connectTimeout = patience
+	l, err := newLoop(t.Context(), cfg, up)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.run()
+	newDiscovery(cfg, l, nil).tell(policy.ListFull, list)
+	s := &served{loop: l, front: &frontend{
+		cfg: cfg, loop: l, conns: newClientConns(400, 0), open: map[string]struct{}{},
+	}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.running = &running{t: t, addr: listener.Addr().String()}
+	srv := s.front.server()
+	srv.ConnState = func(nc net.Conn, state http.ConnState) {
+		s.conns.Store(nc.RemoteAddr().String(), nc)
+		s.front.conns.state(nc, state)
+	}
+	go srv.Serve(cappedListener{listener, s.front.conns})
+	t.Cleanup(func() { srv.Close() })
+	return s
+}
+
+// asks has a client ask; behind its request come further bytes in the same write.
+func (s *served) asks(class, behind string) *net.TCPConn {
+	s.t.Helper()
+	nc := s.dial().(*net.TCPConn)
+	if _, err := io.WriteString(nc, s.text(class)+behind); err != nil {
+		s.t.Fatal(err)
+	}
+	return nc
+}
+
+// text is a valid request as it goes over the wire.
+func (s *served) text(class string) string {
+	r := s.request(class)
+	r.Header.Set("X-Timeout-Ms", "600000")
+	var b strings.Builder
+	r.Write(&b)
+	return b.String()
+}
+
+// shows waits until the node's end of a connection shows that its client left.
+func (s *served) shows(client *net.TCPConn) {
+	s.t.Helper()
+	c, _ := s.conns.Load(client.LocalAddr().String())
+	sees(s.t, c.(*clientConn).Conn, over)
+}
+
+// forgotten waits until no request is known any more in any part of the node.
+func (s *served) forgotten() {
+	s.t.Helper()
+	s.loop.open(s.t, 0, 0)
+	until(s.t, "the ids to be free", func() bool {
+		s.front.mu.Lock()
+		defer s.front.mu.Unlock()
+		return len(s.front.open) == 0
+	})
+}
+
+// up waits until so many connections to an address have come up, unused.
+func (s *served) up(n int, addr net.Addr) {
+	s.t.Helper()
+	until(s.t, "connections to come up", func() bool {
+		s.loop.up.mu.Lock()
+		defer s.loop.up.mu.Unlock()
+		idle := 0
+		for _, server := range s.loop.up.servers {
+			if server.addr == addr.String() {
+				idle += len(server.idle)
+			}
+		}
+		return idle == n
+	})
+}
+
+func until(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// hold queues an event that holds the loop up once it is reached, until it is released.
+func (l *loop) hold(t *testing.T) (reached <-chan struct{}, release func()) {
+	r, on := make(chan struct{}), make(chan struct{})
+	release = sync.OnceFunc(func() { close(on) })
+	t.Cleanup(release)
+	l.post(func(time.Duration) { close(r); <-on })
+	return r, release
+}
+
+// due moves the clock on past every retry and to where a copy is due, and looks.
+func (l *loop) due(time.Duration) {
+	l.zero = l.zero.Add(-200 * time.Second)
+	l.balancer.Timer(l.clock(), 0)
+}
+
+// begun counts the attempts of which a first byte went out.
+func begun(requests ...*request) (n int) {
+	for _, r := range requests {
+		for _, a := range r.attempts {
+			if a.call.gate.Load() == sending {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A client leaves in the moment in which the module decides the next attempt, whether the
+// loop has heard of it or only the socket shows it: no attempt begins, nothing is kept.
+// One that ends its sending only looks like one that closes, until something is written to
+// it; it is taken for gone, so its connection ends with no answer.
+func TestNoAttemptBeginsOnceAClientLeft(t *testing.T) {
+	for point, p := range map[string]struct {
+		class  string
+		serves http.HandlerFunc
+		others int // requests that take all the room before
+		due    func(s *served) func(time.Duration)
+		begun  int // its attempts before it leaves
+		out    int // and those that are out then
+	}{
+		"held": {"pay", silent(nil), 2, func(s *served) func(time.Duration) {
+			return func(now time.Duration) {
+				for _, r := range s.loop.requests {
+					if r.out > 0 { // one of the others: it makes room
+						s.loop.outcome(now, r, 0, result{status: policy.OK})
+						return
+					}
+				}
+			}
+		}, 0, 0},
+		"waits for a retry": {"read", serverError, 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 0},
+		"a hedged copy":     {"read", silent(nil), 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 1},
+	} {
+		for way, w := range map[string]struct {
+			behind string // its request
+			leave  func(nc *net.TCPConn)
+		}{
+			"closes":              {"", func(nc *net.TCPConn) { nc.Close() }},
+			"resets":              {"", func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() }},
+			"ends its sending":    {"", func(nc *net.TCPConn) { nc.CloseWrite() }},
+			"asks twice, closes":  {"GET /read HTTP/1.1\r\nHost: x\r\nX-Request-ID: 2\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 9\r\n\r\n", func(nc *net.TCPConn) { nc.Close() }},
+			"sends much, closes":  {strings.Repeat("x", 9000), func(nc *net.TCPConn) { nc.Close() }},
+			"sends on, closes":    {"", func(nc *net.TCPConn) { io.WriteString(nc, "GET /read HTTP/1.1\r\nHost: x"); nc.Close() }},
+			"sends on and resets": {"", func(nc *net.TCPConn) { io.WriteString(nc, strings.Repeat("x", 9000)); nc.SetLinger(0); nc.Close() }},
+		} {
+			for _, heard := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/heard=%v", point, way, heard), func(t *testing.T) {
+					t.Parallel()
+					a, b := newBackend(t, p.serves), newBackend(t, p.serves)
+					s := serve(t, a.instance("s-0"), b.instance("s-1"))
+					l := s.loop
+					l.then(t, func() { // a request took half a minute here
+						l.balancer.Request(l.clock(), policy.Request{ID: 1 << 31, Left: time.Hour})
+						l.balancer.Outcome(l.clock(), policy.Outcome{ID: 1 << 31, Ended: true, Latency: 30 * time.Second})
+					})
+					for i := range p.others {
+						s.asks("pay", "")
+						l.open(t, i+1, i+1)
+					}
+					client := s.asks(p.class, w.behind)
+					l.open(t, p.others+1, p.others+p.out)
+					until(t, "the attempts before", func() bool { return len(a.got)+len(b.got) == p.others+p.begun })
+
+					reached, release := l.hold(t)
+					wait(t, reached, "the loop")
+					r, looked := l.requests[l.lastID], make(chan bool, 10)
+					gone, last := r.gone, l.lastID
+					r.gone = func() bool { g := gone(); looked <- g; return g }
+					if heard {
+						release()
+						w.leave(client)
+						l.open(t, p.others, p.others)
+						l.post(p.due(s))
+					} else {
+						l.post(p.due(s))
+						behind, on := l.hold(t)
+						w.leave(client)
+						s.shows(client)
+						release()
+						if !wait(t, looked, "the last look") {
+							t.Error("the last look misses that the client left")
+						}
+						wait(t, behind, "the loop")
+						on()
+					}
+					if p.others > 0 {
+						l.open(t, p.others-1, p.others-1)
+					} else {
+						s.forgotten()
+					}
+					l.then(t, func() {
+						if n := begun(r); n != p.begun || l.lastID != last {
+							t.Errorf("%d attempts began, want %d; requests %d, want %d", n, p.begun, l.lastID, last)
+						}
+					})
+					if text, err := io.ReadAll(client); len(text) > 0 || isTimeout(err) {
+						t.Errorf("the client was told %q, %v", text, err)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A client leaves while a connection for its first or its second attempt is being opened,
+// which comes up before the loop has heard: nothing is written on it.
+func TestClientLeavesBeforeALateConnection(t *testing.T) {
+	for name, attempt := range map[string]int{"first attempt": 0, "second attempt": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			far, bad := newStuck(t), newBackend(t, serverError)
+			s := serve(t, []instance{far.instance("s-0"), bad.instance("s-1")}[attempt])
+			l := s.loop
+			client := s.asks("read", "")
+			if attempt > 0 {
+				wait(t, bad.got, "the first attempt")
+				l.open(t, 1, 0)
+				(&discovery{loop: l}).tell(policy.ListDelta, []instance{far.instance("s-0")})
+				l.post(l.due)
+			}
+			l.open(t, 1, 1)
+			reached, release := l.hold(t)
+			wait(t, reached, "the loop")
+			r := l.requests[l.lastID]
+			client.Close()
+			s.shows(client)
+			said := far.letIn()
+			s.up(1, far.Addr())
+			release()
+			s.forgotten()
+			if n := begun(r); len(r.attempts) != attempt+1 || n != attempt || len(said) > 0 {
+				t.Errorf("%d of %d attempts began, want %d", n, len(r.attempts), attempt)
+			}
+		})
+	}
+}
+
+// A client leaves with a part of its request sent: there never is a request.
+func TestPartsOfARequestAreNeverSent(t *testing.T) {
+	b := newBackend(t, ok)
+	s := serve(t, b.instance("s-0"))
+	whole := s.text("pay")
+	for name, part := range map[string]string{
+		"nothing": "", "half of the head": whole[:len(whole)/2], "the head": whole[:strings.Index(whole, "{")],
+		"half of the body": whole[:len(whole)-3],
+	} {
+		for way, leave := range map[string]func(nc *net.TCPConn){
+			"closes": func(nc *net.TCPConn) { nc.Close() }, "resets": func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
+			"ends its sending": func(nc *net.TCPConn) { nc.CloseWrite() },
+		} {
+			client := s.dial().(*net.TCPConn)
+			io.WriteString(client, part)
+			leave(client)
+			until(t, "the end of the connection", func() bool {
+				c, known := s.conns.Load(client.LocalAddr().String())
+				s.front.conns.mu.Lock()
+				defer s.front.conns.mu.Unlock()
+				return known && c.(*clientConn).shut
+			})
+			if len(b.got) > 0 || s.loop.lastID > 0 {
+				t.Errorf("%s, %s: taken for a request", name, way)
+			}
+		}
+	}
+}
+
+// crowd is how many clients leave together: more than a loop's event queue has room left.
+const crowd = 300
+
+// Hundreds ask a node whose loop is held up and leave again, until its queue is full and the
+// rest of the news waits outside: none of them is sent on, all are forgotten.
+func TestCrowdLeavesBehindAFullQueue(t *testing.T) {
+	b := newBackend(t, ok)
+	s := serve(t, b.instance("s-0"), b.instance("s-1"), b.instance("s-2"), b.instance("s-3"))
+	l := s.loop
+	l.open(t, 0, 0) // the list is known
+	reached, release := l.hold(t)
+	wait(t, reached, "the loop")
+	var clients []*net.TCPConn
+	for range crowd {
+		clients = append(clients, s.asks([]string{"read", "push", "pay"}[len(clients)%3], ""))
+	}
+	until(t, "the requests", func() bool { return len(l.events) == crowd })
+	var all []*request
+	l.post(func(time.Duration) {
+		for _, r := range l.requests {
+			all = append(all, r)
+		}
+	})
+	for len(l.events) < cap(l.events)-crowd/3 {
+		l.post(func(time.Duration) {})
+	}
+	for i, leave := 0, []func(*net.TCPConn){
+		func(nc *net.TCPConn) { nc.Close() }, func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
+	}; i < crowd; i++ {
+		leave[i%2](clients[i])
+	}
+	for _, client := range clients {
+		s.shows(client)
+	}
+	until(t, "a full queue", func() bool { return len(l.events) == cap(l.events) })
+	release()
+	s.forgotten()
+	if n := begun(all...); len(all) != crowd || n > 0 || len(b.got) > 0 {
+		t.Errorf("%d of %d attempts began, %d arrived", n, len(all), len(b.got))
+	}
+}
+
+// Hundreds leave at once from mixed points: held, out, waiting for a retry or with a
+// connection being opened, which then comes up, while the module has all retries fall due
+// and room falls free, before the loop hears of the first: none of their attempts begins.
+func TestCrowdLeavesAtMixedPoints(t *testing.T) {
+	t.Parallel()
+	far, bad, mute := newStuck(t), newBackend(t, serverError), newBackend(t, silent(nil))
+	var list []instance
+	for i := range 90 {
+		list = append(list, []func(string) instance{far.instance, bad.instance, mute.instance}[i%3](fmt.Sprintf("s-%d", i)))
+	}
+	s := serve(t, list...)
+	l := s.loop
+	var clients []*net.TCPConn
+	for range crowd {
+		clients = append(clients, s.asks([]string{"read", "push"}[len(clients)%2], ""))
+	}
+	// Held up once nothing is on its way: each attempt is out, or waits for its connection.
+	points := map[string]int{}
+	var all []*request
+	var release func()
+	until(t, "all requests at rest", func() bool {
+		reached, on := l.hold(t)
+		wait(t, reached, "the loop")
+		clear(points)
+		all = all[:0]
+		for _, r := range l.requests {
+			all = append(all, r)
+			point := "held"
+			for _, a := range r.attempts {
+				switch addr := l.up.servers[a.server].addr; {
+				case a.told:
+					point = "between"
+				case addr == far.Addr().String():
+					point = "dialling"
+				case addr == mute.Listener.Addr().String() && a.call.gate.Load() == sending:
+					point = "out"
+				default:
+					point = "moving"
+				}
+			}
+			points[point]++
+		}
+		release = on
+		if len(all) == crowd && points["moving"] == 0 {
+			return true
+		}
+		on()
+		return false
+	})
+	l.post(l.due)
+	for _, client := range clients {
+		client.Close()
+	}
+	for _, client := range clients {
+		s.shows(client)
+	}
+	decided, before := 0, begun(all...)
+	for _, r := range all {
+		decided -= len(r.attempts)
+	}
+	far.letIn()
+	s.up(points["dialling"], far.Addr())
+	release()
+	s.forgotten()
+	l.then(t, func() {
+		for _, r := range all {
+			decided += len(r.attempts)
+		}
+		late := begun(all...) - before
+		t.Logf("%v; %d attempts began before their clients were gone; then %d were decided, %d began", points, before, decided, late)
+		if late > 0 || len(points) != 4 {
+			t.Error("late attempts, or not all points were met")
+		}
+	})
+}
