--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -69,6 +69,7 @@
 	ended error     // what reading met when the client left
 	last  bool      // it has had its last answer: nothing is read any more
 	shut  bool
+	head  bool // the head of a request is being read
 }
 
 // Read implements net.Conn. The bytes leave the socket under the same lock as the
@@ -94,7 +95,9 @@
 	if c.shut {
 		return 0, true, net.ErrClosed
 	}
-	if c.in == nil {
+	// By reading a single byte net/http watches for the client's leaving, from a request's last
+	// byte on: a body is read in larger pieces. It may come before whole is called.
+	if c.in == nil || len(p) == 1 && !c.head {
 		switch {
 		case c.last && peek(c.Conn) == over:
 			return 0, true, io.EOF
@@ -159,12 +162,18 @@
 }
 
 // gone tells whether the client of the request at work has left, by what its socket
-// says this moment, however busy the node is and whatever bytes lie ahead.
+// says this moment, however busy the node is and whatever bytes lie ahead. Nothing is read
+// that may be a request to come once this one has its answer, or in the end of a stop.
 func (c *clientConn) gone() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if c.shut {
+	switch {
+	case c.shut || c.ended != nil:
 		return true
+	case c.in != nil:
+		return false // its attempts are revoked
+	case c.conns.ending:
+		return peek(c.Conn) == over
 	}
 	if err := c.raw.Control(func(fd uintptr) { c.pull(int(fd)) }); err != nil {
 		return true
@@ -245,6 +254,7 @@
 		c.in.Remove(c.place)
 	}
 	c.in, c.place, c.since = to, nil, time.Now()
+	c.head = to == &cs.partial
 	if to != nil {
 		c.place = to.PushBack(c)
 	}
@@ -254,10 +264,16 @@
 	}
 }
 
-// state follows which connections are between two requests.
+// state follows which connections are between two requests, and whose next head is read.
 func (cs *clientConns) state(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*clientConn)
-	if ok && s == http.StateIdle && cs.rest(c) {
+	switch {
+	case !ok:
+	case s == http.StateActive:
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		c.head = false
+	case s == http.StateIdle && cs.rest(c):
 		c.Conn.Close()
 	}
 }
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -156,3 +156,67 @@
 		t.Error("the client is not seen to be gone")
 	}
 }
+
+// The last look of an attempt that lost its race (its request has an answer: a hedged copy
+// whose connection comes up just then) or that comes in the end of a stop leaves what the
+// client sends next alone, and still sees that it left.
+func TestLastLookLeavesTheNextRequestAlone(t *testing.T) {
+	for name, state := range map[string]func(cs *clientConns, c *clientConn){
+		"between two requests": func(cs *clientConns, c *clientConn) { cs.state(c, http.StateIdle) },
+		"as the node ends":     func(cs *clientConns, _ *clientConn) { cs.end() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cs := newClientConns(5, 0)
+			client, c := accepted(t, cs)
+			c.whole()
+			state(cs, c)
+			if c.gone() {
+				t.Error("a silent client is taken for gone")
+			}
+			io.WriteString(client, "GET")
+			sees(t, c.Conn, unread)
+			if c.gone() || peek(c.Conn) != unread {
+				t.Error("the next request was read, or its client is taken for gone")
+			}
+			if cs.drain(ended()); c.shut {
+				t.Error("the connection was shut as idle with a request on it")
+			}
+		})
+	}
+	cs := newClientConns(5, 0)
+	client, c := accepted(t, cs)
+	c.whole()
+	cs.end()
+	client.Close()
+	sees(t, c.Conn, over)
+	if !c.gone() {
+		t.Error("in the end of a stop a client that left is not seen to be gone")
+	}
+}
+
+// A client sends on right behind its request's last byte and leaves. net/http, which watches
+// for that by reading a single byte, may come before the request is known to be whole: it is
+// handed none, or it would stop watching and an attempt that is out would not be given up.
+func TestWatchForTheClientIsHandedNothing(t *testing.T) {
+	cs := newClientConns(5, 0)
+	client, c := accepted(t, cs)
+	io.WriteString(client, "head")
+	p := make([]byte, 2)
+	for _, want := range []string{"he", "a", "d"} { // of a head any piece is handed on
+		if n, err := c.Read(p[:len(want)]); string(p[:n]) != want || err != nil {
+			t.Fatalf("read %q, %v", p[:n], err)
+		}
+	}
+	cs.state(c, http.StateActive)
+	io.WriteString(client, "body and more")
+	if n, err := c.Read(make([]byte, 4)); n != 4 || err != nil {
+		t.Fatalf("read %d bytes of the body, %v", n, err)
+	}
+	client.Close()
+	if n, err := c.Read(p[:1]); n != 0 || err != io.EOF {
+		t.Errorf("the watch got %d bytes, %v", n, err)
+	}
+	if string(c.ahead) != " and more" {
+		t.Errorf("%q is kept for the next request", c.ahead)
+	}
+}
