Share one harness between the tests of clients that leave and of bytes at a close

The crowd's keyed class gets a window longer than its retry delay: a shorter one is answered at once now, and would not be between two attempts.

--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -19,16 +19,6 @@
 	"yokestall/policy"
 )
 
-// until waits for a state.
-func until(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
-}
-
 // Connections come up when a keyed request's window for repeats has passed, or before. Of its
 // attempts none is written then, the first one itself included, if another may have run.
 func TestRepeatsStayInsideTheirWindow(t *testing.T) {
@@ -126,38 +116,6 @@
 	}
 }
 
-// tapped shows the connections that come in.
-type tapped struct {
-	net.Listener
-	conns chan *clientConn
-}
-
-func (l tapped) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if c, ok := nc.(*clientConn); ok {
-		l.conns <- c
-	}
-	return nc, err
-}
-
-// parts starts the parts of a node that take requests, for a look inside.
-func parts(t *testing.T, list ...instance) (*running, *frontend, <-chan *clientConn) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &frontend{
-		cfg: testConfig(t, newRegistry(t), nil), loop: loopOf(t, list...),
-		conns: newClientConns(200, 2), open: map[string]struct{}{},
-	}
-	srv := f.server()
-	conns := make(chan *clientConn, 1000)
-	go srv.Serve(tapped{cappedListener{l, f.conns}, conns})
-	t.Cleanup(func() { srv.Close() })
-	return &running{t: t, addr: l.Addr().String()}, f, conns
-}
-
 // empty waits until nothing is open but idle connections to servers.
 func (f *frontend) empty(t *testing.T) {
 	t.Helper()
@@ -204,7 +162,8 @@
 		"behind it":   {"", "GET /"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			n, f, conns := parts(t, b.instance("s-0"))
+			s := serve(t, b.instance("s-0"))
+			n, f := s.running, s.front
 			f.draining.Store(true)
 			f.conns.linger = time.Hour
 			nc := n.slowDial()
@@ -215,7 +174,7 @@
 			if _, err := in.Peek(1); err != nil {
 				t.Fatal(err)
 			}
-			node := wait(t, conns, "the connection")
+			node := s.conn(nc)
 			until(t, "the answer's end", func() bool {
 				f.conns.mu.Lock()
 				defer f.conns.mu.Unlock()
@@ -396,7 +355,8 @@
 func TestClientByteByByte(t *testing.T) {
 	text := strings.Repeat("x", maxBody)
 	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
-	n, f, _ := parts(t, b.instance("s-0"))
+	s := serve(t, b.instance("s-0"))
+	n, f := s.running, s.front
 	slow, other := n.slowDial(), n.dial()
 	var asked strings.Builder
 	n.request("pay").Write(&asked)
@@ -421,7 +381,8 @@
 // Clients in a crowd send noise, half a request or hundreds at once, and go or stay: others are
 // served between them, and nothing stays behind.
 func TestFloodLeavesNothingBehind(t *testing.T) {
-	n, f, _ := parts(t, newBackend(t, ok).instance("s-0"))
+	s := serve(t, newBackend(t, ok).instance("s-0"))
+	n, f := s.running, s.front
 	var one strings.Builder
 	n.request("read").Write(&one)
 	var open []net.Conn
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -179,16 +179,10 @@
 				further := make(chan answer, 1)
 				go func() { x, _ := l.do(t.Context(), last); further <- x }()
 				if freed {
-					for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-						tries := 0
-						l.then(t, func() { tries = len(last.attempts) })
-						if tries > 0 {
-							break
-						}
-						if time.Now().After(end) {
-							t.Fatal("never tried")
-						}
-					}
+					until(t, "a try", func() (tried bool) {
+						l.then(t, func() { tried = len(last.attempts) > 0 })
+						return tried
+					})
 					close(release)
 				}
 				want := http.StatusServiceUnavailable
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -28,6 +28,7 @@
 func serve(t *testing.T, list ...instance) *served {
 	t.Helper()
 	cfg := testConfig(t, newRegistry(t), deadlines(600000))
+	cfg.Policy.Classes[1].Window = 10 * time.Minute
 	up := newUpstreams(cfg, 400)
 	up.connectTimeout = patience
 	l, err := newLoop(t.Context(), cfg, up)
@@ -73,11 +74,17 @@
 	return b.String()
 }
 
+// conn is the node's end of a client's connection; nil before it is accepted.
+func (s *served) conn(client net.Conn) *clientConn {
+	c, _ := s.conns.Load(client.LocalAddr().String())
+	conn, _ := c.(*clientConn)
+	return conn
+}
+
 // shows waits until the node's end of a connection shows that its client left.
 func (s *served) shows(client *net.TCPConn) {
 	s.t.Helper()
-	c, _ := s.conns.Load(client.LocalAddr().String())
-	sees(s.t, c.(*clientConn).Conn, over)
+	sees(s.t, s.conn(client).Conn, over)
 }
 
 // forgotten waits until no request is known any more in any part of the node.
@@ -107,15 +114,6 @@
 	})
 }
 
-func until(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !cond(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
-}
-
 // hold queues an event that holds the loop up once it is reached, until it is released.
 func (l *loop) hold(t *testing.T) (reached <-chan struct{}, release func()) {
 	r, on := make(chan struct{}), make(chan struct{})
@@ -290,10 +288,10 @@
 			io.WriteString(client, part)
 			leave(client)
 			until(t, "the end of the connection", func() bool {
-				c, known := s.conns.Load(client.LocalAddr().String())
+				c := s.conn(client)
 				s.front.conns.mu.Lock()
 				defer s.front.conns.mu.Unlock()
-				return known && c.(*clientConn).shut
+				return c != nil && c.shut
 			})
 			if len(b.got) > 0 || s.loop.lastID > 0 {
 				t.Errorf("%s, %s: taken for a request", name, way)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -299,3 +299,13 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// until waits for a state.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
