Test the ramp of cold servers against the sum of what whole fleets send

No test saw more than one node at a cold server, though the rule counts all nodes together. A deterministic model plays real Balancers (2, 8, 20, 30 and 300) on one virtual clock over hollow servers: one restart, six in ten replaced, a zone lost and back, a burst, others that fail or hang, starts that a third of the nodes hears late, and nodes restarted themselves.

--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,443 @@
+package policy
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// event is something that happens in a hollowFleet; those of one moment in the order they were set.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// scenario is a run of real Balancers over hollow servers on one virtual clock.
+type scenario struct {
+	nodes, servers int
+	rules          Rules
+	load           float64       // offered work as a share of what all servers can do when warm
+	cold           float64       // share of the servers that start anew,
+	over           time.Duration // one after another in so long,
+	lost           time.Duration // each after being away for so long,
+	replaced       bool          // under a new id instead of the old one
+	burst          float64       // factor on the arrivals once the first is back
+	bad            bool          // a third of the other servers fails or hangs by then
+	late           bool          // a third of the nodes learns of a start 1 to 5 s late
+	fresh          time.Duration // if set: all nodes are restarted so long after the first server stops
+	warmUp         time.Duration
+}
+
+// hollowFleet plays a scenario and keeps what the cold servers were sent.
+type hollowFleet struct {
+	scenario
+	t       *testing.T
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	seq     int
+	events  events
+	nodes   []*hollowNode
+	weights []float64 // of the nodes in the traffic, summed up
+	servers []*hollowServer
+	factor  float64 // on the arrivals
+	news    []Entry // changes that no node has heard of yet
+	next    RequestID
+
+	told, drawn float64 // the worst window of FallFor over its limit, of sends by nodes that knew: by mean work; by drawn work
+	broken      int     // sends over the limit with over two thirds of its window from such nodes
+	sent, able  float64 // work sent to cold servers once listed, and what they could do meanwhile
+}
+
+// hollowServer works at one request after another.
+type hollowServer struct {
+	Entry
+	speed      float64 // work a second when warm
+	bad, hangs bool
+	queue      []*job
+	busy       *job
+	sends      []coldSend // within FallFor
+}
+
+type coldSend struct {
+	at          time.Duration
+	mean, drawn float64 // work, in requests of mean work
+	told        bool
+}
+
+// job is an attempt at a server.
+type job struct {
+	n     *hollowNode
+	q     *query
+	index int
+	s     *hollowServer
+	sent  time.Duration
+	over  bool
+}
+
+// query is a client's try.
+type query struct {
+	id         RequestID
+	class, try int
+	work       float64 // seconds
+	jobs       []*job
+	done       bool
+}
+
+// hollowNode is the Host of one Balancer.
+type hollowNode struct {
+	f       *hollowFleet
+	b       *Balancer
+	queries map[RequestID]*query
+	dead    bool
+}
+
+const meanWork = 0.04 // seconds
+
+var classWork = []float64{1.1 * meanWork, 0.6 * meanWork, 0.8 * meanWork} // six, one and one in eight
+
+func (f *hollowFleet) at(at time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{at, f.seq, do})
+}
+
+func (f *hollowFleet) after(mean time.Duration, do func()) {
+	f.at(f.now+time.Duration(f.rng.ExpFloat64()*float64(mean)), do)
+}
+
+// share is the present capacity as the settings give it, 1 when warm.
+func (f *hollowFleet) share(s *hollowServer) float64 {
+	if age := f.now - s.Started; s.Started > 0 && age < f.rules.ColdFor {
+		return f.rules.ColdFrom + (1-f.rules.ColdFrom)*age.Seconds()/f.rules.ColdFor.Seconds()
+	}
+	return 1
+}
+
+// count takes a send to a cold server into its window.
+func (f *hollowFleet) count(s *hollowServer, x coldSend) {
+	s.sends = append(slices.DeleteFunc(s.sends, func(x coldSend) bool { return f.now-x.at >= f.rules.FallFor }), x)
+	all, told, drawn := 0.0, 0.0, 0.0
+	for _, x := range s.sends {
+		all += x.mean
+		if x.told {
+			told += x.mean
+			drawn += x.drawn
+		}
+	}
+	n := f.rules.FallMultiple * s.speed * f.share(s) * f.rules.FallFor.Seconds() / meanWork
+	limit := n + 2*math.Sqrt(n) + 2
+	f.told = max(f.told, told/limit)
+	if n >= 10 { // below, a few heavy requests are the limit by chance, and no node is told their work
+		f.drawn = max(f.drawn, drawn/limit)
+	}
+	if all > limit && told > all*2/3 {
+		f.broken++
+	}
+}
+
+func (n *hollowNode) Send(id RequestID, server ServerID, _ time.Duration) {
+	f, q := n.f, n.queries[id]
+	s := f.servers[slices.IndexFunc(f.servers, func(s *hollowServer) bool { return s.Server == server })]
+	j := &job{n: n, q: q, index: len(q.jobs), s: s, sent: f.now}
+	q.jobs = append(q.jobs, j)
+	if s.State == Ready && f.share(s) < 1 {
+		if f.now >= s.Started+listedAfter {
+			f.sent += q.work
+		}
+		told := n.b.servers[server].Started == s.Started
+		f.count(s, coldSend{f.now, classWork[q.class] / meanWork, q.work / meanWork, told})
+	}
+	switch {
+	case s.State != Ready:
+		f.at(f.now+150*ms, func() { f.end(j, ConnectFailed) })
+	case s.bad:
+		f.at(f.now+2*ms, func() { f.end(j, Error) })
+	default:
+		s.queue = append(s.queue, j)
+		f.serve(s)
+	}
+}
+
+func (n *hollowNode) Cancel(id RequestID, attempt int) {
+	j := n.queries[id].jobs[attempt]
+	n.f.at(n.f.now, func() { n.f.end(j, Cancelled) })
+}
+
+func (n *hollowNode) Refuse(id RequestID, after time.Duration) { n.turnAway(id, after) }
+func (n *hollowNode) Fail(id RequestID)                        { n.turnAway(id, 0) }
+func (n *hollowNode) WatchList()                               {}
+
+func (n *hollowNode) SetTimer(at time.Duration, token uint64) {
+	n.f.at(max(at, n.f.now), func() {
+		if !n.dead {
+			n.b.Timer(n.f.now, token)
+		}
+	})
+}
+
+// turnAway ends a query unserved; two in three clients come again, twice at most, at any node.
+func (n *hollowNode) turnAway(id RequestID, wait time.Duration) {
+	q := n.queries[id]
+	q.done = true
+	if again := *q; q.try < 2 && n.f.rng.IntN(3) > 0 {
+		n.f.at(n.f.now+wait, func() { n.f.after(50*ms, func() { n.f.ask(again.class, again.try+1, again.work) }) })
+	}
+}
+
+// serve has a server begin what is next in its queue.
+func (f *hollowFleet) serve(s *hollowServer) {
+	for s.busy == nil && len(s.queue) > 0 && !s.hangs && s.State == Ready {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		if j.over {
+			continue
+		}
+		s.busy = j
+		f.at(f.now+time.Duration(j.q.work/(s.speed*f.share(s))*float64(time.Second)), func() {
+			if s.busy == j {
+				s.busy = nil
+				f.end(j, OK)
+				f.serve(s)
+			}
+		})
+	}
+}
+
+// end tells a node the outcome of an attempt.
+func (f *hollowFleet) end(j *job, status Status) {
+	if j.over || j.n.dead {
+		return
+	}
+	j.over = true
+	j.q.done = j.q.done || status == OK || status == Timeout
+	j.n.b.Outcome(f.now, Outcome{ID: j.q.id, Attempt: j.index, Server: j.s.Server, Status: status,
+		Ended: j.q.done, Latency: f.now - j.sent})
+}
+
+// ask has a client ask a node, and give up when its time is over.
+func (f *hollowFleet) ask(class, try int, work float64) {
+	i, _ := slices.BinarySearch(f.weights, f.rng.Float64()*f.weights[len(f.weights)-1])
+	n := f.nodes[i]
+	f.next++
+	q := &query{id: f.next, class: class, try: try, work: work}
+	n.queries[q.id] = q
+	left := f.set.Classes[class].Deadline
+	n.b.Request(f.now, Request{ID: q.id, Class: class, Left: left})
+	f.at(f.now+left, func() {
+		for _, j := range q.jobs {
+			f.end(j, Timeout)
+		}
+		f.at(f.now+time.Second, func() { delete(n.queries, q.id) })
+	})
+}
+
+// arrive has clients ask in an open loop.
+func (f *hollowFleet) arrive() {
+	class := max(0, f.rng.IntN(8)-5)
+	f.ask(class, 0, classWork[class]*f.rng.ExpFloat64())
+	rate := f.load * float64(f.scenario.servers) / meanWork * f.factor
+	f.after(time.Duration(float64(time.Second)/rate), f.arrive)
+}
+
+// boot starts the process of a node, which learns all that is ready from a list.
+func (f *hollowFleet) boot(i int) {
+	if f.nodes[i] != nil {
+		f.nodes[i].dead = true
+	}
+	n := &hollowNode{f: f, queries: map[RequestID]*query{}}
+	set := f.set
+	set.Node = i
+	b, err := New(set, f.rng.Uint64(), n)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.b, f.nodes[i] = b, n
+	var entries []Entry
+	for _, s := range f.servers {
+		if s.State == Ready {
+			entries = append(entries, s.Entry)
+		}
+	}
+	b.Members(f.now, ListFull, entries)
+}
+
+const listedAfter = 300 * ms // from a change until some node may hear of it, with others of that time
+
+// tell has all nodes hear of a change.
+func (f *hollowFleet) tell(e Entry) {
+	if f.news = append(f.news, e); len(f.news) > 1 {
+		return
+	}
+	f.at(f.now+listedAfter, func() {
+		news := f.news
+		f.news = nil
+		for i := range f.nodes {
+			hear := func() { f.nodes[i].b.Members(f.now, ListDelta, news) }
+			if f.late && i%3 == 0 {
+				f.at(f.now+time.Second+time.Duration(f.rng.Float64()*float64(4*time.Second)), hear)
+			} else {
+				f.after(100*ms, hear)
+			}
+		}
+	})
+}
+
+// restart ends a server and has it, or another one in its place, come back cold.
+func (f *hollowFleet) restart(s *hollowServer) {
+	s.State = Gone
+	if s.busy != nil {
+		s.queue = append(s.queue, s.busy)
+	}
+	for _, j := range s.queue {
+		f.end(j, Reset)
+	}
+	s.queue, s.busy = nil, nil
+	if f.lost > 0 || f.replaced {
+		f.tell(s.Entry)
+	}
+	f.at(f.now+f.lost, func() {
+		if f.replaced {
+			s = &hollowServer{Entry: s.Entry, speed: s.speed}
+			s.Server += 1000
+			f.servers = append(f.servers, s)
+		}
+		s.State, s.Started, s.sends = Ready, f.now, nil
+		f.tell(s.Entry)
+	})
+}
+
+// look adds up what the cold servers could do.
+func (f *hollowFleet) look() {
+	const step = 20 * ms
+	for _, s := range f.servers {
+		if share := f.share(s); s.State == Ready && share < 1 && f.now >= s.Started+listedAfter {
+			f.able += s.speed * share * step.Seconds()
+		}
+	}
+	f.at(f.now+step, f.look)
+}
+
+func (c scenario) play(t *testing.T, seed uint64) *hollowFleet {
+	f := &hollowFleet{scenario: c, t: t, set: testSettings(), rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, factor: 1}
+	f.set.Nodes, f.set.Rules = c.nodes, c.rules
+	f.set.Classes = []Class{
+		{Deadline: 600 * ms, Aim: 300 * ms, Worth: 1, LateWorth: 0.25},
+		{Deadline: 1500 * ms, Aim: 500 * ms, Worth: 1, LateWorth: 0.25, Effect: Keyed, Window: 5 * time.Second},
+		{Deadline: time.Second, Aim: 300 * ms, Worth: 10, LateWorth: 0.5, Effect: Unsafe},
+	}
+	for i, e := range ready(1, c.servers) {
+		f.servers = append(f.servers, &hollowServer{Entry: e, speed: []float64{1.5, 1.5, 0.9, 0.55, 0.55}[i%5]})
+	}
+	f.rng.Shuffle(c.servers, func(i, j int) { f.servers[i], f.servers[j] = f.servers[j], f.servers[i] })
+	f.nodes = make([]*hollowNode, c.nodes)
+	sum := 0.0
+	for i := range f.nodes {
+		f.boot(i)
+		sum += 0.3 + 0.7*f.rng.ExpFloat64() // some nodes get several times the mean
+		f.weights = append(f.weights, sum)
+	}
+	f.arrive()
+	began := f.now + c.warmUp
+	k := max(1, int(c.cold*float64(c.servers)))
+	for i, s := range f.servers[:k] {
+		f.at(began+c.over*time.Duration(i)/time.Duration(k), func() { f.restart(s) })
+	}
+	others := f.servers[k:]
+	f.at(began+c.lost, func() {
+		f.factor = max(1, c.burst)
+		for i := 0; c.bad && i < len(others)/3; i++ {
+			others[i].bad, others[i].hangs = i%2 == 0, i%2 == 1
+		}
+	})
+	if c.fresh > 0 {
+		f.at(began+c.fresh, func() {
+			for i := range f.nodes {
+				f.boot(i)
+			}
+		})
+	}
+	f.at(began, f.look)
+	for end := began + c.over + c.lost + c.rules.ColdFor; f.now < end; {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	return f
+}
+
+// Guards against cold servers that fall under the sum of what many nodes send, none of which
+// sees the others, and against a ramp that keeps them idle. A server that is sent more than
+// N + 2 x root of N + 2 requests of mean work in FallFor falls, N being FallMultiple x its present
+// capacity. The floors are two thirds of the least of five seeds, or lower.
+func TestRampHoldsForTheFleet(t *testing.T) {
+	usual := Rules{ColdFrom: 0.3, ColdFor: 9 * time.Second, FallMultiple: 4, FallFor: time.Second, MustAsk: 10 * time.Second}
+	tight := Rules{ColdFrom: 0.2, ColdFor: 6 * time.Second, FallMultiple: 2, FallFor: 500 * ms, MustAsk: 10 * time.Second}
+	short := usual
+	short.ColdFor = 2500 * ms
+	const s = time.Second
+	for _, tc := range []struct {
+		name string
+		c    scenario
+		used float64 // of what the cold servers can do: the least that has to be sent
+	}{
+		{"one restarts under two nodes", scenario{nodes: 2, cold: 0.05}, 0.05},
+		{"one restarts in a calm fleet", scenario{nodes: 20, cold: 0.05}, 0.05},
+		{"one restarts, tight rules", scenario{nodes: 20, cold: 0.05, rules: tight}, 0.05},
+		{"half as much again comes in the ramp", scenario{nodes: 20, cold: 0.2, burst: 1.5}, 0.25},
+		{"six in ten are replaced under 8 nodes", scenario{nodes: 8, cold: 0.6, over: 7 * s, replaced: true}, 0.25},
+		{"six in ten are replaced under 30 nodes", scenario{nodes: 30, cold: 0.6, over: 7 * s, replaced: true}, 0.25},
+		{"six in ten are replaced, tight rules", scenario{nodes: 30, cold: 0.6, over: 7 * s, replaced: true, rules: tight}, 0.15},
+		{"a zone returns under 2 nodes", scenario{nodes: 2, load: 0.75, cold: 0.5, lost: 5 * s}, 0.4},
+		{"a zone returns under 30 nodes", scenario{nodes: 30, load: 0.75, cold: 0.5, lost: 5 * s}, 0.35},
+		{"a zone returns, tight rules", scenario{nodes: 20, load: 0.75, cold: 0.5, lost: 5 * s, rules: tight}, 0.25},
+		{"others fail or hang", scenario{nodes: 20, cold: 0.2, bad: true}, 0.25},
+		{"a third hears late of starts", scenario{nodes: 20, cold: 0.2, late: true}, 0.2},
+		{"a third hears late of a zone", scenario{nodes: 30, load: 0.75, cold: 0.5, lost: 5 * s, late: true}, 0.35},
+		{"nodes restart in a calm fleet", scenario{nodes: 20, cold: 0.2, fresh: s}, 0},
+		{"nodes restart among replaced servers", scenario{nodes: 30, cold: 0.6, over: 7 * s, replaced: true, fresh: 3 * s}, 0},
+		{"all restart, 2 nodes", scenario{nodes: 2, cold: 1, fresh: s}, 0},
+		{"all restart, 30 nodes", scenario{nodes: 30, cold: 1, fresh: s}, 0},
+		{"300 nodes, six in ten replaced", scenario{nodes: 300, servers: 200, cold: 0.6, over: 2 * s, replaced: true, rules: short, warmUp: 2 * s}, 0.1},
+		{"300 nodes, a zone returns", scenario{nodes: 300, servers: 200, load: 0.75, cold: 0.5, lost: 2 * s, rules: short, warmUp: 2 * s}, 0.25},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := tc.c
+			if c.load == 0 {
+				c.load = 0.5
+			}
+			if c.servers == 0 {
+				c.servers, c.warmUp = 20, 10*s
+			}
+			if c.rules == (Rules{}) {
+				c.rules = usual
+			}
+			f := c.play(t, 1)
+			t.Logf("worst window %.2f of the limit (drawn work: %.2f), used %.2f", f.told, f.drawn, f.sent/f.able)
+			if f.told > 1 || f.drawn > 1 || f.broken > 0 {
+				t.Errorf("nodes that knew sent %.2f of the limit (drawn work: %.2f), and let it fall %d times", f.told, f.drawn, f.broken)
+			}
+			if f.sent < tc.used*f.able {
+				t.Errorf("cold servers were sent %.2f of what they could do, want %.2f", f.sent/f.able, tc.used)
+			}
+		})
+	}
+}
