Let a new node that knows no warm server send cold ones its part of what it is asked

A node's budget for a cold server is a multiple of what servers got while most of them were warm. A node that starts when fewer are knows nothing of that: its budget stayed at nothing until three quarters were warm again, up to the whole time that the settings give for it, while it refused requests and cold servers stood idle.

Such a node now takes its own arrivals, spread over its servers, in place of the unknown, without the multiple of what makes a server fall. Nothing changes for a node that knows warm servers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -146,7 +146,11 @@
 	if s.coldAt == 0 {
 		s.coldAt, s.coldLeft = now, -work*b.rng.Float64()
 	}
-	rate := b.warmPart / b.sharers * b.set.Rules.FallMultiple * share * coldSafety
+	rate := b.warmPart / b.sharers * b.set.Rules.FallMultiple
+	if b.warmPart == 0 { // a new node among cold servers knows only what it is asked itself
+		rate = b.arrivals.perSecond(now) * work / float64(len(b.mine))
+	}
+	rate *= share * coldSafety
 	s.coldLeft = min(s.coldLeft+rate*(now-s.coldAt).Seconds(), rate*b.set.Rules.FallFor.Seconds()/4)
 	s.coldAt = now
 	return s.coldLeft > 0
