--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -31,12 +31,12 @@
 		late  int // the attempt whose connection comes up late
 		sent  bool
 	}{
-		"a repeat in time":                   {keyed, policy.Error, false, 1, true},
-		"a repeat too late":                  {keyed, policy.Error, true, 1, false},
-		"a second copy too late":             {keyed, policy.Cancelled, true, 1, false},
-		"the first one, too late for a copy": {keyed, policy.Cancelled, true, 0, false},
-		"behind one that never ran":          {keyed, policy.Full, true, 1, true},
-		"of a safe class":                    {safe, policy.Error, true, 1, true},
+		"a repeat in time":                    {keyed, policy.Error, false, 1, true},
+		"a repeat too late":                   {keyed, policy.Error, true, 1, false},
+		"a hedged request too late":           {keyed, policy.Cancelled, true, 1, false},
+		"the first one, too late for a hedge": {keyed, policy.Cancelled, true, 0, false},
+		"behind one that never ran":           {keyed, policy.Rejected, true, 1, true},
+		"of a safe class":                     {safe, policy.Error, true, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -103,7 +103,7 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	if res := wait(t, ended, "the end of the attempt"); res.status != policy.ConnectFailed && res.status != policy.Moot {
+	if res := wait(t, ended, "the end of the attempt"); res.status != policy.ConnectFailed && res.status != policy.NotSent {
 		t.Errorf("status %d", res.status)
 	}
 	nc.SetDeadline(time.Now().Add(patience))
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -92,7 +92,7 @@
 	}
 	go l.run()
 	d := newDiscovery(cfg, l, nil)
-	d.tell(policy.ListFull, list)
+	d.notify(policy.ListSnapshot, list)
 	return l
 }
 
@@ -219,7 +219,7 @@
 	})
 	answered := make(chan answer, 1)
 	go func() { x, _ := l.do(t.Context(), l.ofClass(2, present)); answered <- x }()
-	(&discovery{loop: l}).tell(policy.ListDelta, []instance{b.instance("s-1")}) // another one could take it
+	(&discovery{loop: l}).notify(policy.ListDelta, []instance{b.instance("s-1")}) // another one could take it
 	if x := wait(t, answered, "an answer"); x.status != http.StatusBadGateway {
 		t.Errorf("status %d", x.status)
 	}
@@ -251,11 +251,11 @@
 	}
 }
 
-// An answer has half of its class's aim from its first byte to its last: a spoilt one on a
+// An answer has half of its class's objective from its first byte to its last: a spoilt one on a
 // deployment with short times would else take the time of the next attempt.
 func TestSpoiltAnswerLeavesTimeForAnother(t *testing.T) {
-	for aim, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: answerSpan} {
-		cfg := testConfig(t, newRegistry(t), deadlines(aim*4/3))
+	for objective, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: answerSpan} {
+		cfg := testConfig(t, newRegistry(t), deadlines(objective*4/3))
 		f := &frontend{cfg: cfg, loop: loopOf(t)}
 		n := &running{t: t, addr: "x"}
 		q, err := f.parse(nil, n.request("read"))
@@ -263,7 +263,7 @@
 			t.Fatal(err)
 		}
 		if q.span != want {
-			t.Errorf("aim %d ms: %v, want %v", aim, q.span, want)
+			t.Errorf("objective %d ms: %v, want %v", objective, q.span, want)
 		}
 	}
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -114,10 +114,10 @@
 	d.generation = known.Generation
 	d.listed = len(known.Instances) > 0
 	if d.listed {
-		d.tell(policy.ListCached, known.Instances)
+		d.notify(policy.ListCached, known.Instances)
 		ready()
 	} else if d.asked {
-		d.tell(policy.ListCached, nil) // has the module ask for the list
+		d.notify(policy.ListCached, nil) // has the module ask for the list
 	}
 	watching := !d.asked
 	for ctx.Err() == nil {
@@ -160,9 +160,9 @@
 			d.listed, d.generation = true, list.Generation
 			switch {
 			case list.Reset:
-				d.tell(policy.ListFull, list.Instances)
+				d.notify(policy.ListSnapshot, list.Instances)
 			case len(list.Instances) > 0:
-				d.tell(policy.ListDelta, list.Instances)
+				d.notify(policy.ListDelta, list.Instances)
 			}
 			ready()
 			if d.loop.clock()-began < watchPause {
@@ -260,8 +260,8 @@
 	return list, nil
 }
 
-// tell hands the loop a list. Lines with no id, or no address where one is needed, are left out.
-func (d *discovery) tell(kind policy.ListKind, list []instance) {
+// notify hands the loop a list. Lines with no id, or no address where one is needed, are left out.
+func (d *discovery) notify(kind policy.ListKind, list []instance) {
 	var usable []instance
 	var entries []policy.Entry
 	for _, in := range list {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -236,14 +236,14 @@
 		return nil, err
 	}
 	hint, _ := strconv.ParseUint(one(r.Header["X-Cost"]), 10, 31) // a guess only: 0 is none
-	aim := c.Aim
-	if aim == 0 {
-		aim = c.Deadline
+	objective := c.Objective
+	if objective == 0 {
+		objective = c.Deadline
 	}
 	return &request{
 		outgoing: outgoing{
 			method: r.Method, host: r.Host, header: endToEnd(r.Header), body: body,
-			span: min(answerSpan, aim/2), // a spoilt answer leaves time for another attempt
+			span: min(answerSpan, objective/2), // a spoilt answer leaves time for another attempt
 			url: &url.URL{
 				Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 			},
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	go l.run()
-	newDiscovery(cfg, l, nil).tell(policy.ListFull, list)
+	newDiscovery(cfg, l, nil).notify(policy.ListSnapshot, list)
 	s := &served{loop: l, front: &frontend{
 		cfg: cfg, loop: l, conns: newClientConns(400, 0), open: map[string]struct{}{},
 	}}
@@ -251,7 +251,7 @@
 			if attempt > 0 {
 				wait(t, bad.got, "the first attempt")
 				l.open(t, 1, 0)
-				(&discovery{loop: l}).tell(policy.ListDelta, []instance{far.instance("s-0")})
+				(&discovery{loop: l}).notify(policy.ListDelta, []instance{far.instance("s-0")})
 				l.post(l.due)
 			}
 			l.open(t, 1, 1)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -181,7 +181,7 @@
 		return
 	}
 	a.told = true
-	a.neverRan = res.status == policy.Full || res.status == policy.ConnectFailed || res.status == policy.Moot
+	a.neverRan = res.status == policy.Rejected || res.status == policy.ConnectFailed || res.status == policy.NotSent
 	r.out--
 	a.call.stop()
 	if a.timer != nil {
@@ -231,7 +231,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if r.ended || index >= l.maxTries || now >= r.end {
-		l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, result{status: policy.Moot}) })
+		l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, result{status: policy.NotSent}) })
 		return
 	}
 	if timeout > 0 && now+timeout < r.end {
@@ -264,7 +264,7 @@
 		a.timer = time.AfterFunc(time.Until(end), func() {
 			l.post(func(now time.Duration) {
 				if a.call.revoke() {
-					l.outcome(now, r, index, result{status: policy.Moot})
+					l.outcome(now, r, index, result{status: policy.NotSent})
 				}
 			})
 		})
@@ -312,7 +312,7 @@
 		barred := l.bar(l.up.update(kind != policy.ListDelta, list))
 		l.balancer.Members(now, kind, entries)
 		for _, b := range barred {
-			l.outcome(now, b.request, b.index, result{status: policy.Moot})
+			l.outcome(now, b.request, b.index, result{status: policy.NotSent})
 		}
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -125,9 +125,9 @@
 	}
 }
 
-// When a server falls silent a second copy goes elsewhere; once that is served
+// When a server falls silent a hedged request goes elsewhere; once that is served
 // the first attempt is cancelled, which closes its connection.
-func TestSecondCopyPastASilentServer(t *testing.T) {
+func TestHedgedRequestPastASilentServer(t *testing.T) {
 	left := make(chan struct{}, 1)
 	var quiet atomic.Bool // the next request met stays without an answer
 	handle := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -250,7 +250,7 @@
 		u.shut(c)
 	}
 	if u.open >= u.maxOpen && !u.evict() {
-		return nil, nil, policy.Moot // nobody's fault, and nothing was sent
+		return nil, nil, policy.NotSent // nobody's fault, and nothing was sent
 	}
 	u.open++
 	return nil, s, policy.OK
@@ -316,7 +316,7 @@
 		var message bytes.Buffer
 		if err := req.Write(&message); err != nil {
 			u.put(conn, true)
-			return result{status: policy.Moot}
+			return result{status: policy.NotSent}
 		}
 		if peek(conn.Conn) != nothing { // closed, or out of step
 			u.put(conn, false)
@@ -330,12 +330,12 @@
 		// still wait in a queue, the loop may have barred the call, or be too late to do so.
 		if c.left() {
 			u.put(conn, unhook())
-			return result{status: policy.Moot, left: true}
+			return result{status: policy.NotSent, left: true}
 		}
 		latest := c.latest()
 		if !latest.IsZero() && !time.Now().Before(latest) || !c.gate.CompareAndSwap(unsent, sending) {
 			u.put(conn, unhook())
-			return result{status: policy.Moot}
+			return result{status: policy.NotSent}
 		}
 		conn.Conn.SetWriteDeadline(latest) // a server begins a request with its last byte
 		conn.span = o.span
@@ -400,7 +400,7 @@
 		return result{status: policy.OK, header: endToEnd(resp.Header), body: body}, keep
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
-		return result{status: policy.Full}, keep
+		return result{status: policy.Rejected}, keep
 	}
 	return result{status: policy.Error}, keep
 }
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -81,8 +81,8 @@
 		"more than the answer":  {good + "rest", false, policy.OK, 2},
 		"error":                 {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false, policy.Error, 1},
 		"another status":        {"HTTP/1.1 404 Where\r\nContent-Length: 0\r\n\r\n", false, policy.Error, 1},
-		"turned away, 503":      {"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Full, 1},
-		"turned away, 504":      {"HTTP/1.1 504 Over\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Full, 1},
+		"turned away, 503":      {"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Rejected, 1},
+		"turned away, 504":      {"HTTP/1.1 504 Over\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Rejected, 1},
 		"503 that promises not": {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", false, policy.Error, 1},
 		"reset":                 {"", true, policy.Reset, 2},
 		"half a head":           {"HTTP/1.1 200 OK\r\nContent-Le", true, policy.Reset, 2},
@@ -145,7 +145,7 @@
 	u, id := upstreamsTo(b.Listener.Addr().String())
 	c := newCall(context.Background(), present)
 	c.revoke()
-	if res := u.send(c, id, anyRequest(), time.Minute); res.status != policy.Moot {
+	if res := u.send(c, id, anyRequest(), time.Minute); res.status != policy.NotSent {
 		t.Errorf("status %d", res.status)
 	}
 	u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute)
@@ -182,7 +182,7 @@
 	u, id := upstreamsTo(b.Listener.Addr().String())
 	u.maxOpen = 1
 	u.open = 1 // one is in use
-	if res := u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute); res.status != policy.Moot {
+	if res := u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute); res.status != policy.NotSent {
 		t.Errorf("status %d at the cap", res.status)
 	}
 	u.open = 0
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -82,14 +82,14 @@
 		return s, fmt.Errorf("settings: %w", err)
 	}
 	set(&s.Nodes, j.Balancers)
-	set(&s.OverShareWorth, j.OverShareWorth)
+	set(&s.OverQuotaValue, j.OverShareWorth)
 	set(&s.Limits.MaxAttempts, j.Limits.MaxAttempts)
 	set(&s.Rules.ColdFrom, j.Contract.ColdFrom)
 	set(&s.Rules.FallMultiple, j.Contract.FallMultiple)
 	s.Node = j.Me
 	s.Zone = j.Locality
-	s.WorthByWork = j.CountedBy == "work"
-	s.Limits.Cancel, s.Limits.SecondCopies = j.Limits.Cancel, j.Limits.SecondCopies
+	s.ValueByWork = j.CountedBy == "work"
+	s.Limits.Cancel, s.Limits.Hedging = j.Limits.Cancel, j.Limits.SecondCopies
 	if j.Limits.RetryAfter {
 		s.Limits.MaxRetryAfter = j.Limits.MaxRetryAfterMs.or(0)
 	}
@@ -104,10 +104,10 @@
 	}
 	for i, c := range j.Classes {
 		p := policy.Class{
-			Deadline: c.DeadlineMs.or(0), Aim: c.PromiseMs.or(c.DeadlineMs.or(0)), AimStretch: c.AimStretch,
-			LateWorth: c.LateWorth, Worth: 1, Window: c.KeyTtlMs.or(0), Stream: c.Streaming,
+			Deadline: c.DeadlineMs.or(0), Objective: c.PromiseMs.or(c.DeadlineMs.or(0)), ObjectiveStretch: c.AimStretch,
+			LateValue: c.LateWorth, Value: 1, Window: c.KeyTtlMs.or(0), Stream: c.Streaming,
 		}
-		set(&p.Worth, c.Importance)
+		set(&p.Value, c.Importance)
 		if p.Effect, ok = word(c.Effect, effects); !ok {
 			return s, fmt.Errorf("settings: Classes[%d].Effect: unknown word %q", i, c.Effect)
 		}
@@ -119,7 +119,7 @@
 	for _, t := range j.Accounts {
 		s.Tenants = append(s.Tenants, policy.Tenant{QuotaPerS: t.QuotaPerS})
 	}
-	if math.IsNaN(s.OverShareWorth) {
+	if math.IsNaN(s.OverQuotaValue) {
 		return s, fmt.Errorf("settings: OverShareWorth: not a number")
 	}
 	return s, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -146,8 +146,8 @@
 }
 
 var statuses = map[uint16]policy.Status{
-	200: policy.OK, 502: policy.Error, 429: policy.Full, 408: policy.Timeout,
-	521: policy.ConnectFailed, 520: policy.Reset, 444: policy.Cancelled, 409: policy.Moot,
+	200: policy.OK, 502: policy.Error, 429: policy.Rejected, 408: policy.Timeout,
+	521: policy.ConnectFailed, 520: policy.Reset, 444: policy.Cancelled, 409: policy.NotSent,
 }
 
 // Event decodes record i of the batch into e.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -217,19 +217,19 @@
 		t.Fatal(err)
 	}
 	c := s.Classes[0]
-	if s.Nodes != 2 || s.Zone != 1 || !s.WorthByWork || !s.ListAsked ||
-		s.OverShareWorth != 0.05 ||
+	if s.Nodes != 2 || s.Zone != 1 || !s.ValueByWork || !s.ListAsked ||
+		s.OverQuotaValue != 0.05 ||
 		s.Tenants[0].QuotaPerS != 84 || c.Effect != policy.Keyed || c.Scope != policy.ScopeZone ||
-		c.Window != 5*time.Second || c.Aim != 580*time.Millisecond || c.LateWorth != 0.5 ||
-		!c.Stream || c.AimStretch != 4 ||
+		c.Window != 5*time.Second || c.Objective != 580*time.Millisecond || c.LateValue != 0.5 ||
+		!c.Stream || c.ObjectiveStretch != 4 ||
 		s.Limits != (policy.Limits{
-			MaxAttempts: 4, SecondCopies: true, Cancel: true, MaxRetryAfter: 600 * time.Millisecond}) ||
+			MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: 600 * time.Millisecond}) ||
 		s.Rules.FallMultiple != 3 || s.Rules.ColdFor != 8800*time.Millisecond ||
 		s.Rules.MustAsk != 9*time.Second {
 		t.Errorf("settings %+v", s)
 	}
 	if d := s.Classes[1]; d.Effect != policy.Unsafe || d.Scope != policy.ScopeCell ||
-		d.Aim != d.Deadline || d.Worth != 1 {
+		d.Objective != d.Deadline || d.Value != 1 {
 		t.Errorf("class without most keys %+v: not the safe defaults", d)
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -38,15 +38,15 @@
 
 // Class is a class of requests.
 type Class struct {
-	Deadline   time.Duration // a client's whole patience, over all of its tries
-	Aim        time.Duration // an answer inside it earns its full worth; 0: the deadline
-	AimStretch float64       // if set, this multiple of the request's own work is added to the aim
-	LateWorth  float64       // share of the worth that a later answer earns
-	Worth      float64       // worth of one request, or of one unit of work
-	Effect     Effect
-	Scope      Scope         // for Keyed
-	Window     time.Duration // for Keyed: how long repeats are dropped, from the first send
-	Stream     bool          // the answer is a stream; see Balancer.Started
+	Deadline         time.Duration // a client's whole patience, over all of its tries
+	Objective        time.Duration // an answer inside it earns its full value; 0: the deadline
+	ObjectiveStretch float64       // if set, this multiple of the request's own work is added to the objective
+	LateValue        float64       // share of the value that a later answer earns
+	Value            float64       // value of one request, or of one unit of work
+	Effect           Effect
+	Scope            Scope         // for Keyed
+	Window           time.Duration // for Keyed: how long repeats are dropped, from the first send
+	Stream           bool          // the answer is a stream; see Balancer.Started
 }
 
 // Tenant is a party with a share in the fleet.
@@ -57,7 +57,7 @@
 // Limits is what a site permits.
 type Limits struct {
 	MaxAttempts   int           // attempts for one request
-	SecondCopies  bool          // two attempts of a request may be out together
+	Hedging       bool          // two attempts of a request may be out together
 	Cancel        bool          // Host.Cancel may be used
 	MaxRetryAfter time.Duration // the longest wait that clients heed; 0: they heed none
 }
@@ -79,8 +79,8 @@
 	Zone           int // where this node stands
 	Classes        []Class
 	Tenants        []Tenant
-	OverShareWorth float64       // worth of a request beyond its tenant's share, as a share of its class's
-	WorthByWork    bool          // worth counts for each unit of work instead of for each request
+	OverQuotaValue float64       // value of a request beyond its tenant's quota, as a share of its class's
+	ValueByWork    bool          // value counts for each unit of work instead of for each request
 	ListAsked      bool          // the server list comes only to those who watch it; else it is pushed
 	Tick           time.Duration // the longest that an event may wait for the next batch
 	Limits         Limits
@@ -116,9 +116,9 @@
 
 // The kinds of a list event.
 const (
-	ListDelta  ListKind = iota // changed entries only
-	ListFull                   // all servers
-	ListCached                 // all servers as known some time ago
+	ListDelta    ListKind = iota // changed entries only
+	ListSnapshot                 // all servers
+	ListCached                   // all servers as known some time ago
 )
 
 // Request is a client's request as it comes in.
@@ -137,12 +137,12 @@
 const (
 	OK            Status = iota // served
 	Error                       // the server answered with an error; may have run
-	Full                        // turned away unseen; has not run
+	Rejected                    // turned away unseen; has not run
 	Timeout                     // no answer in time; may have run or run still
 	ConnectFailed               // no connection; has not run
 	Reset                       // the connection dropped; may have run
 	Cancelled                   // cancelled; may have run
-	Moot                        // never sent; has not run
+	NotSent                     // never sent; has not run
 )
 
 // Outcome reports the end of one attempt. Each Host.Send is followed by one.
--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// steerFor steers the bound for a while at a steady crowding.
-func steerFor(b *Balancer, from, d time.Duration, crowding float64) {
+// adjustFor steers the bound for a while at a steady crowding.
+func adjustFor(b *Balancer, from, d time.Duration, crowding float64) {
 	for t := from; t < from+d; t += 10 * ms {
 		b.crowding = crowding
-		b.steer(t)
+		b.adjustLimit(t)
 	}
 }
 
 func newSteered(t *testing.T) (*rig, *Balancer) {
 	r := newRig(t, testSettings(), 4)
-	r.b.typical, r.b.steered = 0.1, r.now
+	r.b.typical, r.b.adjustedAt = 0.1, r.now
 	r.b.held = append(r.b.held, &request{done: true}) // someone waits
 	return r, r.b
 }
@@ -26,12 +26,12 @@
 	before := b.limit
 	waiting := b.held
 	b.held = nil
-	steerFor(b, r.now, time.Second, 0)
+	adjustFor(b, r.now, time.Second, 0)
 	if b.limit != before {
 		t.Fatalf("bound went from %v to %v though nothing waits", before, b.limit)
 	}
 	b.held = waiting
-	steerFor(b, r.now+time.Second, time.Second, 0)
+	adjustFor(b, r.now+time.Second, time.Second, 0)
 	if b.limit <= before {
 		t.Fatal("bound did not grow while requests wait and servers are not crowded")
 	}
@@ -42,22 +42,22 @@
 func TestBoundShrinksInACrowdButNotFarBelowWhatWasGood(t *testing.T) {
 	r, b := newSteered(t)
 	b.crowded, b.limit, b.limitKnown = true, 8, 4
-	steerFor(b, r.now, 5*time.Second, 1)
+	adjustFor(b, r.now, 5*time.Second, 1)
 	if b.limit >= 8 {
 		t.Fatal("bound did not shrink in a crowd")
 	}
-	steerFor(b, r.now+5*time.Second, 20*time.Second, 1)
+	adjustFor(b, r.now+5*time.Second, 20*time.Second, 1)
 	if b.limit < 2 || b.limit > 4 {
 		t.Fatalf("bound %v after 25 s of slowness, want it near the known 4", b.limit)
 	}
 }
 
-// Guards against a fleet of crowded servers that is kept crowded by many thin nodes,
+// Guards against a fleet of crowded servers that is kept crowded by many sparse nodes,
 // each true to a bound that was good before: the servers could never rest.
 func TestThinNodesLetCrowdedServersRest(t *testing.T) {
 	r, b := newSteered(t)
-	b.crowded, b.limit, b.limitKnown, b.sharers = true, 8, 8, 2*fewSharers
-	steerFor(b, r.now, 10*time.Second, 1)
+	b.crowded, b.limit, b.limitKnown, b.nodesPerServer = true, 8, 8, 2*fewPerServer
+	adjustFor(b, r.now, 10*time.Second, 1)
 	if b.limit > 1 {
 		t.Fatalf("bound %v after 10 s in a crowd, want under one request a server", b.limit)
 	}
@@ -76,7 +76,7 @@
 		r.b.refresh(r.now)
 		id := r.request(0)
 		q := r.b.requests[id]
-		r.end(id, Full, ms) // not run, waits for another server
+		r.end(id, Rejected, ms) // not run, waits for another server
 		r.b.hold(q)
 		q.useful = r.now + 2*r.b.expected(q)
 		r.b.shed(r.now)
@@ -92,7 +92,7 @@
 	set.Nodes = 80
 	r := newRig(t, set, 6)
 	r.b.refresh(r.now)
-	s := r.b.mine[0]
+	s := r.b.subset[0]
 	q := &request{class: &r.b.classes[0]}
 	for range failuresToOpen {
 		a := &attempt{server: s, request: q, sent: r.now}
@@ -114,11 +114,11 @@
 		set.Nodes = tc.nodes
 		r := newRig(t, set, 12)
 		r.b.refresh(r.now)
-		if want := tc.nodes == 80; r.b.thin() != want {
-			t.Fatalf("%d nodes: thin %v, want %v", tc.nodes, r.b.thin(), want)
+		if want := tc.nodes == 80; r.b.sparse() != want {
+			t.Fatalf("%d nodes: sparse %v, want %v", tc.nodes, r.b.sparse(), want)
 		}
 		r.b.meanLatency = 3
-		s := r.b.mine[0]
+		s := r.b.subset[0]
 		q := &request{class: &r.b.classes[0]}
 		waited := time.Duration(2 * silentAfter * r.b.loneLatency(q) * float64(time.Second))
 		for i := range tc.opens {
@@ -141,21 +141,21 @@
 	set.Nodes, set.Node = 100, 37
 	r := newRig(t, set, 40)
 	r.b.refresh(r.now)
-	if n := len(r.b.mine); n != shareLeast {
-		t.Fatalf("a node without traffic uses %d servers, want %d", n, shareLeast)
+	if n := len(r.b.subset); n != subsetLeast {
+		t.Fatalf("a node without traffic uses %d servers, want %d", n, subsetLeast)
 	}
-	r.b.mine[0].breaker = open
-	r.b.mine[1].Started = r.now // cold
-	r.b.shareStale = true
+	r.b.subset[0].breaker = open
+	r.b.subset[1].Started = r.now // cold
+	r.b.subsetStale = true
 	r.now += ms
 	r.b.refresh(r.now)
-	if n := len(r.b.mine); n != shareLeast+2 {
-		t.Fatalf("%d servers with one open and one cold, want %d", n, shareLeast+2)
+	if n := len(r.b.subset); n != subsetLeast+2 {
+		t.Fatalf("%d servers with one open and one cold, want %d", n, subsetLeast+2)
 	}
 	r.b.arrivals.add(r.now, 240)
 	r.now += ms
 	r.b.refresh(r.now)
-	if n := len(r.b.mine); n < 25 {
+	if n := len(r.b.subset); n < 25 {
 		t.Fatalf("a node with 120 requests a second uses %d servers", n)
 	}
 }
@@ -169,7 +169,7 @@
 		set.Nodes, set.Node = nodes, node
 		r := newRig(t, set, servers)
 		r.b.refresh(r.now)
-		for _, s := range r.b.mine {
+		for _, s := range r.b.subset {
 			met[s.Server]++
 		}
 	}
@@ -183,8 +183,8 @@
 // Guards against the overshoot of the start's fast growth, which answers reveal late.
 func TestFirstCrowdTakesTheBoundBackAtOnce(t *testing.T) {
 	r, b := newSteered(t)
-	b.limit, b.sharers = 10, 2*fewSharers
-	steerFor(b, r.now, 10*ms, 1)
+	b.limit, b.nodesPerServer = 10, 2*fewPerServer
+	adjustFor(b, r.now, 10*ms, 1)
 	if b.limit > 7 {
 		t.Fatalf("bound %v after the first sign of a crowd, want well below 10", b.limit)
 	}
@@ -232,7 +232,7 @@
 	set := testSettings()
 	set.Nodes = 7
 	r := newRig(t, set, 7)
-	r.b.limit = 2 * r.b.sharers
+	r.b.limit = 2 * r.b.nodesPerServer
 	r.b.arrivals.add(r.now, 100)
 	lone, sends := 0, 0
 	for range 7 {
@@ -256,7 +256,7 @@
 	}
 	for _, s := range r.b.ready[:2] {
 		for range failuresToOpen {
-			r.b.failed(r.now, &attempt{server: s}, Error)
+			r.b.countFailure(r.now, &attempt{server: s}, Error)
 		}
 	}
 	for _, s := range r.b.ready[2:] {
@@ -291,7 +291,7 @@
 	r.request(0)
 	a, b := r.request(0), r.request(1)
 	if x, y := r.b.requests[a], r.b.requests[b]; x == nil || y == nil || !y.before(x) {
-		t.Fatal("a class that takes longer for the same worth must come second")
+		t.Fatal("a class that takes longer for the same value must come second")
 	}
 }
 
@@ -301,13 +301,13 @@
 	set := testSettings()
 	set.Nodes = 80
 	set.Limits.MaxRetryAfter = 750 * ms
-	class := Class{Deadline: 400 * ms, Aim: 160 * ms, Worth: 1, LateWorth: 0.25}
-	precious := Class{Deadline: 530 * ms, Aim: 160 * ms, Worth: 10, LateWorth: 0.5, Effect: Unsafe}
+	class := Class{Deadline: 400 * ms, Objective: 160 * ms, Value: 1, LateValue: 0.25}
+	precious := Class{Deadline: 530 * ms, Objective: 160 * ms, Value: 10, LateValue: 0.5, Effect: Unsafe}
 	set.Classes = []Class{class, precious}
 	r := newRig(t, set, 60)
 	r.serve(40, 0, 30*ms)
-	if !r.b.thin() {
-		t.Fatal("80 nodes at 60 servers are not thin")
+	if !r.b.sparse() {
+		t.Fatal("80 nodes at 60 servers are not sparse")
 	}
 	return r
 }
@@ -316,12 +316,12 @@
 func (r *rig) fill() {
 	r.b.refresh(r.now)
 	r.b.limit, r.b.limitKnown, r.b.crowded = 1, 1, true
-	r.b.meanOut = 2 * r.b.limit / r.b.sharers * float64(r.b.closed)
+	r.b.meanOut = 2 * r.b.limit / r.b.nodesPerServer * float64(r.b.closed)
 }
 
 // Guards against refusing the most precious requests first: while a zone was lost, 1,991 of
 // 3,092 saves were refused within 20 ms of their arrival, when 13 times as many cheap
-// requests were served. They could not be answered within the aim with a margin to spare.
+// requests were served. They could not be answered within the objective with a margin to spare.
 func TestPreciousRequestGoesOutWhileCheapOnesWaitForTheMean(t *testing.T) {
 	r := thinRig(t)
 	r.fill()
@@ -337,7 +337,7 @@
 func TestPreciousRequestIsHeldBeyondItsAimButNotPastHalfOfItsTime(t *testing.T) {
 	r := thinRig(t)
 	r.b.refresh(r.now)
-	for _, s := range r.b.mine {
+	for _, s := range r.b.subset {
 		r.b.begin(r.now, r.b.newRequest(Request{ID: 1000 + RequestID(s.Server)}, &r.b.classes[0]), s)
 	}
 	began := r.now
@@ -346,7 +346,7 @@
 	r.b.Request(r.now, Request{ID: id, Class: 1, Left: 500 * ms})
 	r.pass(180 * ms)
 	if _, refused := r.h.refused[id]; refused {
-		t.Fatal("refused at its aim, though a late answer earns more than another one in time")
+		t.Fatal("refused at its objective, though a late answer earns more than another one in time")
 	}
 	for _, refused := r.h.refused[id]; !refused; _, refused = r.h.refused[id] {
 		r.pass(ms)
@@ -363,13 +363,13 @@
 }
 
 // Guards against counting every try of a client that is refused: in a storm of retries all
-// of a tenant's requests looked beyond its share, and lost four fifths of their worth.
+// of a tenant's requests looked beyond its share, and lost four fifths of their value.
 func TestRefusedRequestTakesNothingOfTheTenantsShare(t *testing.T) {
 	for _, refused := range []bool{true, false} {
 		set := testSettings()
 		set.Nodes = 80
 		set.Tenants = []Tenant{{QuotaPerS: 800}}
-		set.OverShareWorth = 0.2
+		set.OverQuotaValue = 0.2
 		r := newRig(t, set, 20)
 		for range 30 {
 			if refused {
@@ -399,7 +399,7 @@
 		r := thinRig(t)
 		r.b.crowded, r.b.limit, r.b.limitKnown = true, limit, limit
 		r.b.held = append(r.b.held, &request{})
-		r.b.steered = time.Hour
+		r.b.adjustedAt = time.Hour
 		nodes = append(nodes, r.b)
 	}
 	now := time.Hour
@@ -409,7 +409,7 @@
 			crowding = 1
 		}
 		for _, b := range nodes {
-			steerFor(b, now, 100*ms, crowding)
+			adjustFor(b, now, 100*ms, crowding)
 		}
 		now += 100 * ms
 	}
@@ -429,9 +429,9 @@
 		set.Nodes = tc.nodes
 		r := newRig(t, set, 20)
 		r.b.refresh(r.now)
-		s := r.b.mine[0]
+		s := r.b.subset[0]
 		s.record(r.now, true, 1)
-		r.now += (outcomesThin + outcomesFor) / 2
+		r.now += (outcomesSparse + outcomesFor) / 2
 		r.b.refresh(r.now)
 		if kept := s.kept == 1; kept != tc.keeps {
 			t.Errorf("%d nodes: an outcome of 7 s ago counts: %v, want %v", tc.nodes, kept, tc.keeps)
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -277,7 +277,7 @@
 			entries = append(entries, s.Entry)
 		}
 	}
-	b.Members(f.now, ListFull, entries)
+	b.Members(f.now, ListSnapshot, entries)
 }
 
 const listedAfter = 300 * ms // from a change until some node may hear of it, with others of that time
@@ -340,9 +340,9 @@
 	f := &hollowFleet{scenario: c, t: t, set: testSettings(), rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, factor: 1}
 	f.set.Nodes, f.set.Rules = c.nodes, c.rules
 	f.set.Classes = []Class{
-		{Deadline: 600 * ms, Aim: 300 * ms, Worth: 1, LateWorth: 0.25},
-		{Deadline: 1500 * ms, Aim: 500 * ms, Worth: 1, LateWorth: 0.25, Effect: Keyed, Window: 5 * time.Second},
-		{Deadline: time.Second, Aim: 300 * ms, Worth: 10, LateWorth: 0.5, Effect: Unsafe},
+		{Deadline: 600 * ms, Objective: 300 * ms, Value: 1, LateValue: 0.25},
+		{Deadline: 1500 * ms, Objective: 500 * ms, Value: 1, LateValue: 0.25, Effect: Keyed, Window: 5 * time.Second},
+		{Deadline: time.Second, Objective: 300 * ms, Value: 10, LateValue: 0.5, Effect: Unsafe},
 	}
 	for i, e := range ready(1, c.servers) {
 		f.servers = append(f.servers, &hollowServer{Entry: e, speed: []float64{1.5, 1.5, 0.9, 0.55, 0.55}[i%5]})
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -26,7 +26,7 @@
 func Example() {
 	settings := policy.Defaults()
 	settings.Classes = []policy.Class{{
-		Deadline: 2 * time.Second, Aim: 500 * time.Millisecond, Worth: 1, Effect: policy.Safe,
+		Deadline: 2 * time.Second, Objective: 500 * time.Millisecond, Value: 1, Effect: policy.Safe,
 	}}
 	settings.Limits.MaxAttempts = 3
 	settings.Limits.MaxRetryAfter = time.Second
@@ -37,7 +37,7 @@
 		return
 	}
 	now := time.Second // any monotonic clock
-	b.Members(now, policy.ListFull, []policy.Entry{
+	b.Members(now, policy.ListSnapshot, []policy.Entry{
 		{Server: 1, State: policy.Ready, Weight: 1},
 		{Server: 2, State: policy.Ready, Weight: 1},
 	})
@@ -56,7 +56,7 @@
 		ID: 2, Attempt: 1, Status: policy.OK, Ended: true, Latency: 20 * time.Millisecond,
 	})
 
-	b.Members(now, policy.ListFull, nil) // nobody is left
+	b.Members(now, policy.ListSnapshot, nil) // nobody is left
 	b.Request(now, policy.Request{ID: 3, Left: 2 * time.Second})
 
 	// Output:
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -94,7 +94,7 @@
 // outcome ends attempt i of a request with a random status, or by its deadline.
 func (w *world) outcome(id RequestID, p *played, i int) {
 	a := p.attempts[i]
-	status := []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
+	status := []Status{OK, OK, OK, Error, Rejected, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
 	if w.now >= p.end {
 		status = Timeout
 	}
@@ -102,7 +102,7 @@
 		status = Cancelled
 	}
 	a.out = false
-	a.neverRan = status == Full || status == ConnectFailed
+	a.neverRan = status == Rejected || status == ConnectFailed
 	if status == OK {
 		w.answer(id)
 	}
@@ -140,7 +140,7 @@
 
 func playScript(t *testing.T, seed uint64) []string {
 	set := testSettings()
-	set.Classes[0].LateWorth = 0.5
+	set.Classes[0].LateValue = 0.5
 	set.Tenants = []Tenant{{QuotaPerS: 50}}
 	w := &world{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
 		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Entry{}}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,7 +12,7 @@
 const (
 	outcomesKept   = 100              // outcomes a server is judged by
 	outcomesFor    = 10 * time.Second // and for how long: an avoided server is forgotten, then met again
-	outcomesThin   = 4 * time.Second  // the same where many nodes move a server's load within seconds
+	outcomesSparse = 4 * time.Second  // the same where many nodes move a server's load within seconds
 	priorOutcomes  = 3.0              // weight of the fleet's mean beside a server's own outcomes
 	successPart    = 0.7              // of the score
 	latencyPart    = 0.3              // of the score
@@ -24,24 +24,24 @@
 	failuresFor    = 60 * time.Second // and the window that they must fall in
 	openFirst      = 2 * time.Second  // an open breaker turns half-open after this,
 	openMost       = 30 * time.Second // doubled with each failed trial up to this
-	backoffPart    = 1.0 / 16         // first retry delay as a share of the class's aim; doubles
+	backoffShare   = 1.0 / 16         // first retry delay as a share of the class's objective; doubles
 	backoffMost    = 30 * time.Second
 	slowAfter      = 5.0             // times a lone latency: an answer counts towards opening
 	silentAfter    = 4.0             // times the expected latency: an unanswered attempt counts as a failure
-	crowdingAim    = 0.3             // log of latency over a lone request's that the bound steers to
+	crowdingGoal   = 0.3             // log of latency over a lone request's that the bound steers to
 	limitUp        = 0.025           // growth of the bound in a typical latency, while requests wait for it
 	startFaster    = 6.0             // times that until servers were crowded for the first time
 	limitDown      = 0.1             // its shrinking in a typical latency for each unit of excess
-	restLimit      = 0.5             // requests a server that a thin node's bound may fall to: servers rest
+	restLimit      = 0.5             // requests a server that a sparse node's bound may fall to: servers rest
 	limitFor       = 60.0            // seconds over which a bound that was known to be good is forgotten
-	fewSharers     = 5.0             // nodes at a server up to which each one's own requests tell its load
-	meanOutSpan    = 1.0             // seconds over which a thin node's requests in flight are averaged
-	shedMarginThin = 2.5             // times the expected latency that must fit where others' waits go unseen
-	usualOver      = 100.0           // requests over which the worth for work of arrivals is averaged
-	precious       = 2.0             // times that, from which a request goes before a thin node's mean
-	shareLeast     = 4               // closed servers that a node uses at least
-	shareSpan      = time.Second / 4 // in which each of its servers gets one request
-	coldSafety     = 0.8             // share of a cold server's bearable load that is sent
+	fewPerServer   = 5.0             // nodes at a server up to which each one's own requests tell its load
+	meanOutSpan    = 1.0             // seconds over which a sparse node's requests in flight are averaged
+	shedMargin     = 2.5             // times the expected latency that must fit where others' waits go unseen
+	usualOver      = 100.0           // requests over which the value for work of arrivals is averaged
+	precious       = 2.0             // times that, from which a request goes before a sparse node's mean
+	subsetLeast    = 4               // closed servers that a node uses at least
+	subsetSpan     = time.Second / 4 // in which each of its servers gets one request
+	rampSafety     = 0.8             // share of a cold server's bearable load that is sent
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
 	watchPerNode   = 60 * time.Millisecond   // of the span over which the nodes spread their list calls
@@ -87,42 +87,42 @@
 	b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
 }
 
-// share keeps the node to its own part of the ready servers, so many closed ones that
-// each is met once in shareSpan. A thin node would meet the whole fleet too rarely to
+// renewSubset keeps the node to its own subset of the ready servers, so many closed ones that
+// each is met once in subsetSpan. A sparse node would meet the whole fleet too rarely to
 // judge it, and open a connection each time. The parts cover the ring of servers evenly;
 // more traffic takes a longer part, and a node whose servers fail goes on along the ring.
-func (b *Balancer) share(now time.Duration) {
-	want := max(shareLeast, int(b.arrivals.perSecond(now)*shareSpan.Seconds()+0.5))
-	if !b.shareStale && want <= b.shareSize && now-b.sharedAt < shareSpan {
+func (b *Balancer) renewSubset(now time.Duration) {
+	want := max(subsetLeast, int(b.arrivals.perSecond(now)*subsetSpan.Seconds()+0.5))
+	if !b.subsetStale && want <= b.subsetSize && now-b.subsetAt < subsetSpan {
 		return
 	}
-	b.shareStale, b.shareSize, b.sharedAt = false, want, now
-	b.mine = b.mine[:0]
+	b.subsetStale, b.subsetSize, b.subsetAt = false, want, now
+	b.subset = b.subset[:0]
 	n := len(b.ready)
 	start := int((float64(b.set.Node%b.set.Nodes) + 0.5) / float64(b.set.Nodes) * float64(n))
 	for i, left := 0, float64(want); i < n && left > 0; i++ {
 		s := b.ready[(start+i)%n]
-		b.mine = append(b.mine, s)
+		b.subset = append(b.subset, s)
 		if s.breaker != open {
-			left -= b.coldShare(s, now) // cold ones alone could not carry the node's traffic
+			left -= b.rampShare(s, now) // cold ones alone could not carry the node's traffic
 		}
 	}
-	b.sharers = max(1, float64(b.set.Nodes)*float64(len(b.mine))/float64(max(1, n)))
+	b.nodesPerServer = max(1, float64(b.set.Nodes)*float64(len(b.subset))/float64(max(1, n)))
 }
 
-// thin tells whether so many nodes share a server that this one sees little of its load.
-func (b *Balancer) thin() bool { return b.sharers > fewSharers }
+// sparse tells whether so many nodes share a server that this one sees little of its load.
+func (b *Balancer) sparse() bool { return b.nodesPerServer > fewPerServer }
 
 // memory is how long an outcome counts.
 func (b *Balancer) memory() time.Duration {
-	if b.thin() {
-		return outcomesThin
+	if b.sparse() {
+		return outcomesSparse
 	}
 	return outcomesFor
 }
 
-// coldShare is the share of its capacity that a server has at least.
-func (b *Balancer) coldShare(s *server, now time.Duration) float64 {
+// rampShare is the share of its capacity that a server has at least.
+func (b *Balancer) rampShare(s *server, now time.Duration) float64 {
 	age := now - s.Started
 	if s.Started <= 0 || age >= b.set.Rules.ColdFor {
 		return 1
@@ -130,26 +130,26 @@
 	return b.set.Rules.ColdFrom + (1-b.set.Rules.ColdFrom)*max(0, age).Seconds()/b.set.Rules.ColdFor.Seconds()
 }
 
-// coldBudget tells whether a cold server can bear this work too. This node cannot see
+// rampAllows tells whether a cold server can bear this work too. This node cannot see
 // the others, so it keeps to its own part of what makes the server fall over: a bucket
 // fills by what a server got while most were warm. It starts with a debt drawn by chance
 // up to a request: one send from each node at once could push the server over.
-func (b *Balancer) coldBudget(s *server, now time.Duration, work float64) bool {
-	share := b.coldShare(s, now)
+func (b *Balancer) rampAllows(s *server, now time.Duration, work float64) bool {
+	share := b.rampShare(s, now)
 	if share >= 1 {
 		return true
 	}
-	if s.coldAt == 0 {
-		s.coldAt, s.coldLeft = now, -work*b.rng.Float64()
+	if s.rampAt == 0 {
+		s.rampAt, s.rampLeft = now, -work*b.rng.Float64()
 	}
-	rate := b.warmPart / b.sharers * b.set.Rules.FallMultiple
+	rate := b.warmPart / b.nodesPerServer * b.set.Rules.FallMultiple
 	if b.warmPart == 0 { // a new node among cold servers knows only what it is asked itself
-		rate = b.arrivals.perSecond(now) * work / float64(len(b.mine))
+		rate = b.arrivals.perSecond(now) * work / float64(len(b.subset))
 	}
-	rate *= share * coldSafety
-	s.coldLeft = min(s.coldLeft+rate*(now-s.coldAt).Seconds(), rate*b.set.Rules.FallFor.Seconds()/4)
-	s.coldAt = now
-	return s.coldLeft > 0
+	rate *= share * rampSafety
+	s.rampLeft = min(s.rampLeft+rate*(now-s.rampAt).Seconds(), rate*b.set.Rules.FallFor.Seconds()/4)
+	s.rampAt = now
+	return s.rampLeft > 0
 }
 
 // ---- health
@@ -161,16 +161,16 @@
 		return
 	}
 	b.refreshed = now
-	b.share(now)
+	b.renewSubset(now)
 	b.tally(now)
-	if 4*b.warm >= 3*len(b.mine) && len(b.ready) > 0 { // else it stays as known before
+	if 4*b.warm >= 3*len(b.subset) && len(b.ready) > 0 { // else it stays as known before
 		got := b.sent.perSecond(now) * float64(b.set.Nodes) / float64(len(b.ready))
 		b.warmPart += (got - b.warmPart) * min(1, (now-b.meanAt).Seconds()/outcomesFor.Seconds())
 	}
 	b.average(now)
 	b.closed, b.awaiting = 0, 0
 	highest := 0.0
-	for _, s := range b.mine {
+	for _, s := range b.subset {
 		s.success = (float64(s.good) + priorOutcomes*b.meanSuccess) / (float64(s.kept) + priorOutcomes)
 		s.latency = (s.latencySum + priorOutcomes*b.meanLatency) / (float64(s.good) + priorOutcomes)
 		if s.breaker == open && now >= s.reopenAt {
@@ -184,49 +184,49 @@
 			b.awaiting++
 		}
 	}
-	for _, s := range b.mine {
+	for _, s := range b.subset {
 		s.score = successPart*s.success + latencyPart*(1-s.latency/max(highest, s.latency, 1e-9))
 	}
 }
 
-// failed counts a failure towards opening the breaker. One for want of an answer may be
+// countFailure counts a failure towards opening the breaker. One for want of an answer may be
 // slowness alone and opens it only while fewer than half of the servers are out:
 // when all are slow together, ejecting them would refuse everything.
-func (b *Balancer) failed(now time.Duration, a *attempt, how Status) {
+func (b *Balancer) countFailure(now time.Duration, a *attempt, how Status) {
 	s := a.server
 	s.failures = append(s.failures, now)
 	s.failures = slices.DeleteFunc(s.failures, func(at time.Duration) bool { return now-at > failuresFor })
 	switch {
 	case s.breaker == halfOpen && s.trial == a:
 		s.openFor = min(2*s.openFor, openMost)
-	case s.breaker != closed || !b.enough(s, how):
+	case s.breaker != closed || !b.trips(s, how):
 		return
-	case how == Timeout && 2*(b.notClosed()+1) > len(b.mine):
+	case how == Timeout && 2*(b.notClosed()+1) > len(b.subset):
 		return
 	}
 	s.breaker, s.trial = open, nil
 	for _, a := range s.out {
 		b.silence(a)
 	}
-	b.shareStale = true
+	b.subsetStale = true
 	s.reopenAt = now + b.jitter(s.openFor)
 }
 
-// enough tells whether the failures in a row open a breaker. A thin node meets a server so
+// trips tells whether the failures in a row open a breaker. A sparse node meets a server so
 // seldom that five would take it seconds, in which all nodes fill the server's queue with work
 // that nobody waits for, or have requests wait for connections to a machine that is gone. To
 // get no answer or no connection at all says more than a quick error.
-func (b *Balancer) enough(s *server, how Status) bool {
-	if b.thin() && (how == Timeout || how == ConnectFailed) {
+func (b *Balancer) trips(s *server, how Status) bool {
+	if b.sparse() && (how == Timeout || how == ConnectFailed) {
 		return len(s.failures) >= fewToOpen
 	}
-	return len(s.failures) >= failuresToOpen && !b.usual(s)
+	return len(s.failures) >= failuresToOpen && !b.failsUsually(s)
 }
 
-// usual tells whether a server fails so often that its present run of failures says
+// failsUsually tells whether a server fails so often that its present run of failures says
 // nothing new. Its score steers requests away from it then; to open its breaker would
 // take what it still serves from a fleet in which, say, connections break everywhere.
-func (b *Balancer) usual(s *server) bool {
+func (b *Balancer) failsUsually(s *server) bool {
 	run := len(s.failures)
 	before := float64(max(0, s.kept-s.good-run)) + priorOutcomes*(1-b.meanSuccess)
 	share := before / (float64(max(0, s.kept-run)) + priorOutcomes)
@@ -254,25 +254,25 @@
 	}
 }
 
-// steer moves the bound on requests in flight. What a server can hold is told nowhere, but
-// crowding shows: requests take longer than lone ones. The bound grows while requests wait
-// for it and no crowd shows, and shrinks in a crowd; but not much below what was good
-// lately, since a fleet that is slow as a whole looks the same.
-func (b *Balancer) steer(now time.Duration) {
-	seconds := min((now - b.steered).Seconds(), 0.1)
+// adjustLimit moves the concurrency limit, the bound on requests in flight. What a server can
+// hold is told nowhere, but crowding shows: requests take longer than lone ones. The limit grows
+// while requests wait for it and no crowd shows, and shrinks in a crowd; but not much below what
+// was good lately, since a fleet that is slow as a whole looks the same.
+func (b *Balancer) adjustLimit(now time.Duration) {
+	seconds := min((now - b.adjustedAt).Seconds(), 0.1)
 	rounds := seconds / b.typical // answers come back once a round; faster steps would swing
-	b.steered = now
-	excess := b.crowding - crowdingAim
+	b.adjustedAt = now
+	excess := b.crowding - crowdingGoal
 	switch {
 	case excess > 0 && !b.crowded: // the start's fast growth went too far
 		b.crowded = true
-		if b.thin() {
+		if b.sparse() {
 			b.limit *= 0.6 // and answers tell it late
 		}
 		b.limitKnown = b.limit
 	case excess > 0:
 		least, step := max(1, 0.9*b.limitKnown), 0.2
-		if b.thin() {
+		if b.sparse() {
 			least, step = restLimit, 1
 		}
 		b.limit = max(least, b.limit*(1-limitDown*min(excess, step)*rounds))
@@ -281,7 +281,7 @@
 		if !b.crowded {
 			rounds *= startFaster
 		}
-		if b.thin() { // by steps: nodes that share servers come to equal parts of them
+		if b.sparse() { // by steps: nodes that share servers come to equal parts of them
 			b.limit += limitUp * rounds
 		} else {
 			b.limit *= 1 + limitUp*rounds
@@ -301,12 +301,12 @@
 	}
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		if !a.neverRan && (a.out && !b.set.Limits.SecondCopies ||
+		if !a.neverRan && (a.out && !b.set.Limits.Hedging ||
 			r.class.Effect == Keyed && !r.class.sameGroup(a, s)) {
 			return false
 		}
 	}
-	return b.coldBudget(s, now, b.loneLatency(r))
+	return b.rampAllows(s, now, b.loneLatency(r))
 }
 
 // spent tells whether no attempt may follow at a time: there were as many as may be, or one may
@@ -329,18 +329,18 @@
 
 // room tells whether a server is below the bound on own requests in flight.
 func (b *Balancer) room(s *server, now time.Duration) bool {
-	return float64(len(s.out)+1) <= max(1, math.Round(b.limit/b.sharers)*b.coldShare(s, now))
+	return float64(len(s.out)+1) <= max(1, math.Round(b.limit/b.nodesPerServer)*b.rampShare(s, now))
 }
 
 // mayAdd tells whether the node may have one more request in flight. Where many share
 // the servers, a node's bound is a few requests or less, which its own arrivals overstep
 // by chance: its mean is held to the bound, since the chances of many nodes even out.
 func (b *Balancer) mayAdd(r *request, bound float64) bool {
-	if !b.thin() {
+	if !b.sparse() {
 		return float64(b.out+1) <= max(1, bound)
 	}
 	// What is worth most does not wait for the mean, which makes room at the others' expense.
-	return (b.meanOut < bound || r.worth > precious*b.usualWorth*r.class.work) &&
+	return (b.meanOut < bound || r.value > precious*b.usualValue*r.class.work) &&
 		float64(b.out+1) <= bound+2*math.Sqrt(bound+1)
 }
 
@@ -350,7 +350,7 @@
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	b.refresh(now)
 	b.choices = b.choices[:0]
-	for _, s := range b.mine {
+	for _, s := range b.subset {
 		if s.breaker == open || r.tried(s) || !b.maySend(now, r, s) {
 			continue
 		}
@@ -362,7 +362,7 @@
 		}
 	}
 	n := len(b.choices)
-	if n == 0 || !b.mayAdd(r, b.limit/b.sharers*float64(b.closed)) {
+	if n == 0 || !b.mayAdd(r, b.limit/b.nodesPerServer*float64(b.closed)) {
 		return nil
 	}
 	if len(r.attempts) == 0 && n > 2 {
@@ -397,7 +397,7 @@
 		s.trial = a
 	}
 	b.sent.add(now, b.loneLatency(r))
-	s.coldLeft -= b.loneLatency(r) // counts for a cold server only
+	s.rampLeft -= b.loneLatency(r) // counts for a cold server only
 	b.host.Send(r.ID, s.Server, 0)
 }
 
@@ -416,25 +416,25 @@
 	r := b.newRequest(q, c)
 	r.end = now + max(0, min(q.Left, c.Deadline)-max(0, b.set.Tick-b.set.Rules.AnswerGrace))
 	r.half = now + (r.end-now)/2 - sweepEvery
-	r.useful = min(r.end, now+c.Aim+time.Duration(c.AimStretch*float64(q.Hint)))
-	r.worth = c.Worth
+	r.useful = min(r.end, now+c.Objective+time.Duration(c.ObjectiveStretch*float64(q.Hint)))
+	r.value = c.Value
 	if q.Tenant >= 0 && q.Tenant < len(b.tenants) {
-		r.share = &b.tenants[q.Tenant]
-		if !r.share.take(now) {
-			r.share, r.worth = nil, r.worth*b.set.OverShareWorth
+		r.quota = &b.tenants[q.Tenant]
+		if !r.quota.take(now) {
+			r.quota, r.value = nil, r.value*b.set.OverQuotaValue
 		}
 	}
 	b.usualSeen = min(b.usualSeen+1, usualOver)
-	b.usualWorth += (r.worth/c.work - b.usualWorth) / b.usualSeen
+	b.usualValue += (r.value/c.work - b.usualValue) / b.usualSeen
 	b.arrivals.add(now, 1)
 	b.hold(r)
 	b.dispatch(now)
 	b.sweepBy(min(now+sweepEvery, r.end))
 }
 
-// before orders the held requests: most worth for its work first, then the end of its use.
+// before orders the held requests: most value for its work first, then the end of its use.
 func (r *request) before(o *request) bool {
-	x, y := r.worth/r.class.work, o.worth/o.class.work
+	x, y := r.value/r.class.work, o.value/o.class.work
 	return x > y || (x == y && r.useful < o.useful)
 }
 
@@ -469,13 +469,13 @@
 
 // giveUp ends a request unserved: a refusal where its promise holds, else a failure.
 func (b *Balancer) giveUp(r *request) {
-	// What is not served takes nothing of a share, since its client asks again: a thin node's
+	// What is not served takes nothing of a quota, since its client asks again: a sparse node's
 	// part is a few requests a second, which tries alone would use up.
-	if b.thin() && r.share != nil {
-		r.share.tokens++
+	if b.sparse() && r.quota != nil {
+		r.quota.tokens++
 	}
 	if r.mayRefuse() {
-		b.host.Refuse(r.ID, min(r.class.Aim/2, b.set.Limits.MaxRetryAfter))
+		b.host.Refuse(r.ID, min(r.class.Objective/2, b.set.Limits.MaxRetryAfter))
 	} else {
 		b.host.Fail(r.ID)
 	}
@@ -533,7 +533,7 @@
 		return
 	}
 	b.ended(r, a)
-	a.neverRan = o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
+	a.neverRan = o.Status == Rejected || o.Status == ConnectFailed || o.Status == NotSent
 	b.judge(now, r, a, o)
 	if o.Ended || o.Status == OK {
 		b.finish(r)
@@ -557,24 +557,24 @@
 	switch o.Status {
 	case OK:
 		s.record(now, true, latency)
-		if latency > slowAfter && b.thin() { // it answers, but is crowded for long: it needs rest
-			b.failed(now, a, Timeout)
+		if latency > slowAfter && b.sparse() { // it answers, but is crowded for long: it needs rest
+			b.countFailure(now, a, Timeout)
 		} else {
 			s.succeeded(now, a)
 		}
 		b.measure(a, r, o.Latency.Seconds())
-		b.steer(now)
+		b.adjustLimit(now)
 	case Error, Reset, ConnectFailed:
 		s.record(now, false, latency)
-		b.failed(now, a, o.Status)
+		b.countFailure(now, a, o.Status)
 	case Timeout:
 		// Shorter ones come of impatient clients. The measure is a lone request's latency: the mean
 		// rises with every jammed server, until no client waits long enough to count against one.
 		if !a.silent && latency > silentAfter {
 			s.record(now, false, latency)
-			b.failed(now, a, Timeout)
+			b.countFailure(now, a, Timeout)
 		}
-	case Full: // without a mark on its score a full server would go on being picked
+	case Rejected: // without a mark on its score a full server would go on being picked
 		s.record(now, false, latency)
 	}
 	if s.trial == a {
@@ -584,7 +584,8 @@
 
 // retry waits for the backoff of a further attempt, or answers now if none fits.
 func (b *Balancer) retry(now time.Duration, r *request) {
-	delay := b.jitter(min(time.Duration(float64(r.class.Aim)*backoffPart)<<(len(r.attempts)-1), backoffMost))
+	first := time.Duration(float64(r.class.Objective) * backoffShare)
+	delay := b.jitter(min(first<<(len(r.attempts)-1), backoffMost))
 	if b.spent(r, now+delay) || now+delay+b.expected(r) > r.lastUse() {
 		b.giveUp(r)
 		return
@@ -649,7 +650,7 @@
 	b.held = slices.DeleteFunc(b.held, func(r *request) bool {
 		// One that could not be sent by half of its time goes back: its client can ask elsewhere.
 		late := b.spent(r, now) || now >= r.half && !r.mayHaveRun()
-		if r.done || !late && now+b.mustFit(r) <= b.worthUntil(r) {
+		if r.done || !late && now+b.mustFit(r) <= b.valuableUntil(r) {
 			return false // dispatch drops those that are done
 		}
 		r.held = false
@@ -658,27 +659,27 @@
 	})
 }
 
-// worthUntil is when an answer stops being worth its work. On a thin node a late answer to a
-// request of much worth may still earn more than one in time to another: the node's room for
+// valuableUntil is when an answer stops being worth its work. On a sparse node a late answer to a
+// request of much value may still earn more than one in time to another: the node's room for
 // a request comes seldom, but soon enough.
-func (b *Balancer) worthUntil(r *request) time.Duration {
-	if b.thin() && r.worth*r.class.LateWorth >= b.usualWorth*r.class.work {
+func (b *Balancer) valuableUntil(r *request) time.Duration {
+	if b.sparse() && r.value*r.class.LateValue >= b.usualValue*r.class.work {
 		return r.end
 	}
 	return r.useful
 }
 
 // mustFit is how much time must be left to a held request. Where others' waits go unseen an
-// answer has to fit amply; but one worth waiting for beyond its aim goes before all others.
+// answer has to fit amply; but one worth waiting for beyond its objective goes before all others.
 func (b *Balancer) mustFit(r *request) time.Duration {
-	if b.thin() && b.worthUntil(r) == r.useful {
-		return time.Duration(shedMarginThin * float64(b.expected(r)))
+	if b.sparse() && b.valuableUntil(r) == r.useful {
+		return time.Duration(shedMargin * float64(b.expected(r)))
 	}
 	return b.expected(r)
 }
 
 // watch counts attempts as failures that got no answer, from a server that gave none
-// since. Where allowed a second copy goes elsewhere then: the time-out comes too late.
+// since. Where allowed a hedged request goes elsewhere then: the time-out comes too late.
 func (b *Balancer) watch(now time.Duration, r *request) {
 	expected := b.expected(r)
 	for i := range r.attempts {
@@ -689,8 +690,8 @@
 		}
 		b.silence(a)
 		a.server.record(now, false, 0)
-		b.failed(now, a, Timeout)
-		if r.out == 1 && b.set.Limits.SecondCopies && now+expected <= r.useful {
+		b.countFailure(now, a, Timeout)
+		if r.out == 1 && b.set.Limits.Hedging && now+expected <= r.useful {
 			if s := b.pick(now, r); s != nil {
 				b.send(now, r, s)
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -90,12 +90,12 @@
 // testSettings has a safe, a keyed and an unsafe class, in this order.
 func testSettings() Settings {
 	s := Defaults()
-	class := Class{Deadline: 2 * time.Second, Aim: 800 * ms, Worth: 1}
+	class := Class{Deadline: 2 * time.Second, Objective: 800 * ms, Value: 1}
 	keyed, unsafe := class, class
 	keyed.Effect, keyed.Scope, keyed.Window = Keyed, ScopeCell, time.Second
 	unsafe.Effect = Unsafe
 	s.Classes = []Class{class, keyed, unsafe}
-	s.Limits = Limits{MaxAttempts: 4, SecondCopies: true, Cancel: true, MaxRetryAfter: time.Second}
+	s.Limits = Limits{MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: time.Second}
 	s.Rules = Rules{
 		ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 3, FallFor: time.Second,
 		MustAsk: 10 * time.Second,
@@ -205,7 +205,7 @@
 	r := newRig(t, testSettings(), 4)
 	bad := r.b.ready[0]
 	for range failuresToOpen {
-		r.b.failed(r.now, &attempt{server: bad}, Error)
+		r.b.countFailure(r.now, &attempt{server: bad}, Error)
 	}
 	if bad.breaker != open {
 		t.Fatalf("breaker %v after %d failures, want open", bad.breaker, failuresToOpen)
@@ -242,16 +242,16 @@
 	r := newRig(t, testSettings(), 4)
 	s := r.b.ready[0]
 	for range failuresToOpen - 1 {
-		r.b.failed(r.now, &attempt{server: s}, Error)
+		r.b.countFailure(r.now, &attempt{server: s}, Error)
 	}
 	s.succeeded(r.now, nil)
-	r.b.failed(r.now, &attempt{server: s}, Error)
+	r.b.countFailure(r.now, &attempt{server: s}, Error)
 	if s.breaker != closed {
 		t.Fatal("failures with a success between them opened the breaker")
 	}
 	for range 2 * failuresToOpen {
 		r.now += failuresFor / 3
-		r.b.failed(r.now, &attempt{server: s}, Error)
+		r.b.countFailure(r.now, &attempt{server: s}, Error)
 	}
 	if s.breaker != closed {
 		t.Fatal("failures spread wider than the window opened the breaker")
@@ -265,7 +265,7 @@
 	r.b.refresh(r.now)
 	for _, s := range r.b.ready {
 		for range 2 * failuresToOpen {
-			r.b.failed(r.now, &attempt{server: s}, Timeout)
+			r.b.countFailure(r.now, &attempt{server: s}, Timeout)
 		}
 	}
 	if got := r.breakers(); got[open] != 3 {
@@ -277,7 +277,7 @@
 	r := newRig(t, testSettings(), 3)
 	for _, s := range r.b.ready {
 		for range failuresToOpen {
-			r.b.failed(r.now, &attempt{server: s}, Error)
+			r.b.countFailure(r.now, &attempt{server: s}, Error)
 		}
 	}
 	id := r.request(2)
@@ -301,16 +301,16 @@
 		status Status
 		want   string
 	}{
-		{0, Error, retried}, {0, Full, retried}, {0, Timeout, retried}, {0, ConnectFailed, retried},
-		{0, Reset, retried}, {0, Moot, retried},
-		{1, Error, retried}, {1, Full, retried}, {1, Timeout, retried}, {1, ConnectFailed, retried},
-		{1, Reset, retried}, {1, Moot, retried},
-		{2, Error, failed}, {2, Full, retried}, {2, Timeout, failed}, {2, ConnectFailed, retried},
-		{2, Reset, failed}, {2, Moot, retried},
+		{0, Error, retried}, {0, Rejected, retried}, {0, Timeout, retried}, {0, ConnectFailed, retried},
+		{0, Reset, retried}, {0, NotSent, retried},
+		{1, Error, retried}, {1, Rejected, retried}, {1, Timeout, retried}, {1, ConnectFailed, retried},
+		{1, Reset, retried}, {1, NotSent, retried},
+		{2, Error, failed}, {2, Rejected, retried}, {2, Timeout, failed}, {2, ConnectFailed, retried},
+		{2, Reset, failed}, {2, NotSent, retried},
 	} {
 		t.Run(fmt.Sprintf("class %d status %d", tc.class, tc.status), func(t *testing.T) {
 			set := testSettings()
-			set.Limits.SecondCopies = false
+			set.Limits.Hedging = false
 			r := newRig(t, set, 9)
 			id := r.request(tc.class)
 			r.pass(20 * ms)
@@ -345,7 +345,7 @@
 // Guards against repeating a keyed request that its group has forgotten.
 func TestKeyedWindow(t *testing.T) {
 	set := testSettings()
-	set.Limits.SecondCopies = false
+	set.Limits.Hedging = false
 	set.Classes[1].Window = 100 * ms
 	r := newRig(t, set, 9)
 	id := r.request(1)
@@ -359,7 +359,7 @@
 
 func TestBackoffGrowsAndFitsTheTimeLeft(t *testing.T) {
 	set := testSettings()
-	set.Limits.SecondCopies = false
+	set.Limits.Hedging = false
 	r := newRig(t, set, 9)
 	id := r.request(0)
 	var waits []time.Duration
@@ -404,7 +404,7 @@
 	if len(r.h.sends) != before {
 		t.Fatalf("sent %v after the notices", r.h.sends[before:])
 	}
-	r.list(ListFull, ready(2, 3)...)
+	r.list(ListSnapshot, ready(2, 3)...)
 	if id := r.request(0); len(r.sendsOf(id)) != 1 {
 		t.Fatal("the full list's servers are not used")
 	}
@@ -417,7 +417,7 @@
 	for i := 5; i < 3000; i++ {
 		entries := ready(i-3, i)
 		entries[0].State = Draining
-		r.list(ListFull, entries...)
+		r.list(ListSnapshot, entries...)
 		r.now += ms
 	}
 	if n := len(r.b.servers); n > 4 {
@@ -464,8 +464,8 @@
 			part := r.b.warmPart // what a warm server gets
 			var sends []time.Duration
 			for start := r.now; r.now < start+rules.ColdFor; r.now += ms { // the gate alone
-				if work := c.lone + 0.001; r.b.coldBudget(s, r.now, work) {
-					s.coldLeft -= work
+				if work := c.lone + 0.001; r.b.rampAllows(s, r.now, work) {
+					s.rampLeft -= work
 					sends = append(sends, r.now)
 				}
 				within := 0
@@ -474,7 +474,7 @@
 						within++
 					}
 				}
-				most := part * rules.FallFor.Seconds() * rules.FallMultiple * r.b.coldShare(s, r.now)
+				most := part * rules.FallFor.Seconds() * rules.FallMultiple * r.b.rampShare(s, r.now)
 				if work := float64(within) * c.lone; work > most+c.lone {
 					t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
 				}
@@ -506,7 +506,7 @@
 		b.warmPart = b.classes[0].lone // thin traffic: a lone request a second
 		wait := time.Duration(0)
 		for ; wait < 10*time.Second; wait += 10 * ms {
-			if b.coldBudget(b.servers[1], time.Hour+wait, b.classes[0].lone) {
+			if b.rampAllows(b.servers[1], time.Hour+wait, b.classes[0].lone) {
 				break
 			}
 		}
@@ -557,7 +557,7 @@
 	}
 	for _, a := range silent.out {
 		if len(a.request.attempts) != 2 {
-			t.Fatal("no second copy was sent for a request that got no answer")
+			t.Fatal("no hedged request was sent for a request that got no answer")
 		}
 	}
 }
@@ -569,10 +569,10 @@
 	r.serve(30, 0, 20*ms)
 	id := r.request(0)
 	full := r.sendsOf(id)[0]
-	r.end(id, Full, 0)
+	r.end(id, Rejected, 0)
 	r.pass(ms)
 	r.b.refresh(r.now)
-	for _, s := range r.b.mine {
+	for _, s := range r.b.subset {
 		if s.Server != full && s.score <= r.b.servers[full].score {
 			t.Fatalf("the full server scores %.2f, another %.2f", r.b.servers[full].score, s.score)
 		}
@@ -591,7 +591,7 @@
 	}
 	r.pass(790 * ms)
 	if n := len(r.h.refused); n < 6 {
-		t.Fatalf("%d of the held requests refused before their aim had passed", n)
+		t.Fatalf("%d of the held requests refused before their objective had passed", n)
 	}
 }
 
@@ -599,7 +599,7 @@
 func TestOverShareTrafficWaitsBehindTheRest(t *testing.T) {
 	set := testSettings()
 	set.Tenants = []Tenant{{QuotaPerS: 2}, {QuotaPerS: 100}}
-	set.OverShareWorth = 0.05
+	set.OverQuotaValue = 0.05
 	r := newRig(t, set, 1)
 	ask := func(tenant int) RequestID {
 		r.next++
@@ -704,15 +704,15 @@
 		{"Zone", func(s *Settings) { s.Zone = -1 }},
 		{"Classes", func(s *Settings) { s.Classes = nil }},
 		{"Classes[1].Deadline", func(s *Settings) { s.Classes[1].Deadline = 0 }},
-		{"Classes[0].Aim", func(s *Settings) { s.Classes[0].Aim = -1 }},
-		{"Classes[0].AimStretch", func(s *Settings) { s.Classes[0].AimStretch = nan }},
-		{"Classes[0].LateWorth", func(s *Settings) { s.Classes[0].LateWorth = 1.5 }},
-		{"Classes[0].Worth", func(s *Settings) { s.Classes[0].Worth = nan }},
+		{"Classes[0].Objective", func(s *Settings) { s.Classes[0].Objective = -1 }},
+		{"Classes[0].ObjectiveStretch", func(s *Settings) { s.Classes[0].ObjectiveStretch = nan }},
+		{"Classes[0].LateValue", func(s *Settings) { s.Classes[0].LateValue = 1.5 }},
+		{"Classes[0].Value", func(s *Settings) { s.Classes[0].Value = nan }},
 		{"Classes[0].Effect", func(s *Settings) { s.Classes[0].Effect = 9 }},
 		{"Classes[0].Scope", func(s *Settings) { s.Classes[0].Scope = 9 }},
 		{"Classes[0].Window", func(s *Settings) { s.Classes[0].Window = -1 }},
 		{"Tenants[0].QuotaPerS", func(s *Settings) { s.Tenants = []Tenant{{QuotaPerS: -1}} }},
-		{"OverShareWorth", func(s *Settings) { s.OverShareWorth = nan }},
+		{"OverQuotaValue", func(s *Settings) { s.OverQuotaValue = nan }},
 		{"Limits.MaxAttempts", func(s *Settings) { s.Limits.MaxAttempts = 0 }},
 		{"Limits.MaxRetryAfter", func(s *Settings) { s.Limits.MaxRetryAfter = -1 }},
 		{"Rules.ColdFrom", func(s *Settings) { s.Rules.ColdFrom = 2 }},
@@ -758,7 +758,7 @@
 		set := testSettings()
 		set.Tick, set.Rules.AnswerGrace = tick, 5*ms
 		r := newRig(t, set, 0)
-		r.list(ListFull, ready(1, 1)...)
+		r.list(ListSnapshot, ready(1, 1)...)
 		for range 40 {
 			r.request(0) // far more than there is room for
 		}
@@ -793,7 +793,7 @@
 	r := newRig(t, testSettings(), 1)
 	s := r.b.ready[0]
 	for range failuresToOpen {
-		r.b.failed(r.now, &attempt{server: s}, Error)
+		r.b.countFailure(r.now, &attempt{server: s}, Error)
 	}
 	r.now = s.reopenAt + ms
 	if id := r.request(2); len(r.sendsOf(id)) != 0 {
@@ -834,8 +834,8 @@
 func TestRelistedServerAndStaleEventsKeepTheBooks(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
 	first, second := r.request(0), r.request(2)
-	r.list(ListFull, ready(2, 2)...)
-	r.list(ListFull, ready(1, 2)...)
+	r.list(ListSnapshot, ready(2, 2)...)
+	r.list(ListSnapshot, ready(1, 2)...)
 	if len(r.b.ready) != 2 {
 		t.Fatalf("%d servers ready after one came back, want 2", len(r.b.ready))
 	}
@@ -866,7 +866,7 @@
 				s.succeeded(now, a)
 			} else {
 				s.record(now, false, 1)
-				b.failed(now, a, Error)
+				b.countFailure(now, a, Error)
 			}
 		}
 		b.tally(now)
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -8,12 +8,12 @@
 )
 
 // Defaults gives the settings that hold where a site says nothing: no repeats
-// beyond the first attempt, no copies, no cancels, and the strictest known
+// beyond the first attempt, no hedging, no cancels, and the strictest known
 // figures for drains and cold servers.
 func Defaults() Settings {
 	return Settings{
 		Nodes:          1,
-		OverShareWorth: 1,
+		OverQuotaValue: 1,
 		Tick:           10 * time.Millisecond,
 		Limits:         Limits{MaxAttempts: 1},
 		Rules: Rules{
@@ -33,26 +33,26 @@
 		set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		meanSuccess: 1, meanLatency: 1, refreshed: -1, watchDelay: watchAgain, sweepAt: never,
-		limit: float64(min(3, set.Nodes)), sharers: float64(set.Nodes),
+		limit: float64(min(3, set.Nodes)), nodesPerServer: float64(set.Nodes),
 	}
 	b.set.Limits.MaxAttempts = min(set.Limits.MaxAttempts, 16) // whatever the settings allow
 	for _, c := range set.Classes {
-		if c.Aim == 0 {
-			c.Aim = c.Deadline
+		if c.Objective == 0 {
+			c.Objective = c.Deadline
 		}
 		b.classes = append(b.classes, class{
-			Class: c, lone: c.Aim.Seconds() / 4, loneSeen: 1, work: c.Aim.Seconds() / 4, seen: 1,
+			Class: c, lone: c.Objective.Seconds() / 4, loneSeen: 1, work: c.Objective.Seconds() / 4, seen: 1,
 		})
 	}
 	for i := range b.classes {
-		if set.WorthByWork {
+		if set.ValueByWork {
 			b.classes[i].work = 1
 		}
 	}
 	b.typical = b.classes[0].lone
 	for _, t := range set.Tenants {
 		rate := t.QuotaPerS / float64(set.Nodes)
-		b.tenants = append(b.tenants, bucket{perSecond: rate, tokens: rate})
+		b.tenants = append(b.tenants, tokenBucket{perSecond: rate, tokens: rate})
 	}
 	return b, nil
 }
@@ -72,8 +72,8 @@
 		return bad("Zone", s.Zone)
 	case len(s.Classes) == 0:
 		return bad("Classes", "none given")
-	case !number(s.OverShareWorth, 0):
-		return bad("OverShareWorth", s.OverShareWorth)
+	case !number(s.OverQuotaValue, 0):
+		return bad("OverQuotaValue", s.OverQuotaValue)
 	case s.Limits.MaxAttempts < 1:
 		return bad("Limits.MaxAttempts", s.Limits.MaxAttempts)
 	case s.Limits.MaxRetryAfter < 0:
@@ -98,14 +98,14 @@
 		switch {
 		case c.Deadline <= 0:
 			return bad(field("Deadline"), c.Deadline)
-		case c.Aim < 0:
-			return bad(field("Aim"), c.Aim)
-		case !number(c.AimStretch, 0):
-			return bad(field("AimStretch"), c.AimStretch)
-		case !number(c.LateWorth, 0) || c.LateWorth > 1:
-			return bad(field("LateWorth"), c.LateWorth)
-		case !number(c.Worth, 0):
-			return bad(field("Worth"), c.Worth)
+		case c.Objective < 0:
+			return bad(field("Objective"), c.Objective)
+		case !number(c.ObjectiveStretch, 0):
+			return bad(field("ObjectiveStretch"), c.ObjectiveStretch)
+		case !number(c.LateValue, 0) || c.LateValue > 1:
+			return bad(field("LateValue"), c.LateValue)
+		case !number(c.Value, 0):
+			return bad(field("Value"), c.Value)
 		case c.Effect > Unsafe:
 			return bad(field("Effect"), c.Effect)
 		case c.Scope > ScopeCell:
--- a/policy/state.go
+++ b/policy/state.go
@@ -48,8 +48,8 @@
 	out      []*attempt // own attempts in flight, oldest first
 	lone     float64    // mean latency, as a logarithm over its class's, of attempts sent alone
 	loneSeen float64
-	coldLeft float64       // work that it may be sent while it is cold,
-	coldAt   time.Duration // as of then
+	rampLeft float64       // work that it may be sent while it is cold,
+	rampAt   time.Duration // as of then
 }
 
 // meter is an exponentially decaying rate of work per second.
@@ -87,8 +87,8 @@
 	end      time.Duration // the client gives up
 	useful   time.Duration // an answer after this is worth nothing
 	half     time.Duration // half of the client's time is over
-	worth    float64       // what an answer is worth now
-	share    *bucket       // its tenant's, which it has a token of; nil if it has none
+	value    float64       // what an answer is worth now
+	quota    *tokenBucket  // its tenant's, of which it holds a token; nil if it has none
 	attempts []attempt
 	out      int
 	retryAt  time.Duration // waits for its backoff if not 0
@@ -102,19 +102,19 @@
 	Class
 	lone     float64 // mean latency of a lone request of mean size, seconds
 	loneSeen float64
-	work     float64 // mean latency of all its served requests; 1 where worth counts by work
+	work     float64 // mean latency of all its served requests; 1 where value counts by work
 	seen     float64
 	hint     float64 // mean hint, seconds
 	hinted   float64
 }
 
-// bucket is a token bucket of one second's worth; without a rate it never ends.
-type bucket struct {
+// tokenBucket is a token bucket of one second's worth; without a rate it never ends.
+type tokenBucket struct {
 	perSecond, tokens float64
 	at                time.Duration
 }
 
-func (t *bucket) take(now time.Duration) bool {
+func (t *tokenBucket) take(now time.Duration) bool {
 	t.tokens = min(max(t.perSecond, 1), t.tokens+t.perSecond*(now-t.at).Seconds())
 	t.at = now
 	if t.perSecond > 0 && t.tokens < 1 {
@@ -130,28 +130,28 @@
 	host    Host
 	rng     *rand.Rand
 	classes []class
-	tenants []bucket
+	tenants []tokenBucket
 
-	servers map[ServerID]*server
-	ready   []*server // listed as ready, in the order of the ring
-	mine    []*server // this node's share of them
-	sharers float64   // nodes that a server is shared by, on average
+	servers        map[ServerID]*server
+	ready          []*server // listed as ready, in the order of the ring
+	subset         []*server // those that this node uses
+	nodesPerServer float64   // that share a server, on average
 
-	shareStale bool
-	shareSize  int // closed servers wanted in the share
-	sharedAt   time.Duration
-	arrivals   meter // requests
+	subsetStale bool
+	subsetSize  int // closed servers wanted in it
+	subsetAt    time.Duration
+	arrivals    meter // requests
 
-	closed   int // servers of the share, as of the last refresh
+	closed   int // servers of the subset, as of the last refresh
 	awaiting int // half-open ones that await their trial
 	choices  []*server
 
 	requests map[RequestID]*request
 	open     []*request // those that are not done
-	held     []*request // those that wait for room, the most worth first
+	held     []*request // those that wait for room, the most valuable first
 	pool     []*request
 
-	usualWorth  float64 // mean worth for work of the requests that arrive
+	usualValue  float64 // mean value for work of the requests that arrive
 	usualSeen   float64
 	refreshed   time.Duration
 	meanSuccess float64
@@ -166,7 +166,7 @@
 	crowded     bool
 	limitKnown  float64 // the highest lately without a crowd
 	typical     float64 // mean latency of late, seconds
-	steered     time.Duration
+	adjustedAt  time.Duration
 	crowding    float64 // mean latency over a lone request's at the same server, as a logarithm
 	sweepAt     time.Duration
 	watchDelay  time.Duration
@@ -197,7 +197,7 @@
 func (b *Balancer) tally(now time.Duration) {
 	kept, good, latency := 0, 0, 0.0
 	b.warm = 0
-	for _, s := range b.mine {
+	for _, s := range b.subset {
 		for s.kept > 0 {
 			oldest := &s.ring[(s.head+outcomesKept-s.kept)%outcomesKept]
 			if now-oldest.at < b.memory() {
@@ -205,7 +205,7 @@
 			}
 			s.forget(oldest)
 		}
-		if s.breaker == closed && b.coldShare(s, now) >= 1 {
+		if s.breaker == closed && b.rampShare(s, now) >= 1 {
 			b.warm++
 		}
 		kept += s.kept
@@ -260,7 +260,7 @@
 		}
 	}
 	b.ready = kept
-	b.shareStale = true
+	b.subsetStale = true
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.place, y.place) })
 	for id, s := range b.servers {
 		if s.State == Gone && len(s.out) == 0 {
@@ -270,7 +270,7 @@
 }
 
 // ringPlace orders the servers alike at every node, those of a cell side by side
-// so that a share holds the group that a keyed request is bound to.
+// so that a subset holds the group that a keyed request is bound to.
 func ringPlace(e Entry) uint64 {
 	mix := func(x uint64) uint64 { // the finalizer of splitmix64
 		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -318,7 +318,7 @@
 func (b *Balancer) begin(now time.Duration, r *request, s *server) *attempt {
 	r.attempts = append(r.attempts, attempt{
 		server: s, request: r, zone: s.Zone, cell: s.Cell, sent: now, out: true,
-		lone: len(s.out) == 0 && float64(b.out)*b.sharers <= 3*float64(len(b.mine)),
+		lone: len(s.out) == 0 && float64(b.out)*b.nodesPerServer <= 3*float64(len(b.subset)),
 	})
 	a := &r.attempts[len(r.attempts)-1]
 	r.out++
@@ -392,9 +392,9 @@
 	}
 }
 
-// lastUse is when an answer loses its last worth.
+// lastUse is when an answer loses its last value.
 func (r *request) lastUse() time.Duration {
-	if r.class.LateWorth > 0 {
+	if r.class.LateValue > 0 {
 		return r.end
 	}
 	return r.useful
@@ -419,7 +419,7 @@
 }
 
 func (b *Balancer) notClosed() (count int) {
-	for _, s := range b.mine {
+	for _, s := range b.subset {
 		if s.breaker != closed {
 			count++
 		}
@@ -433,17 +433,17 @@
 	c := r.class
 	b.typical += (latency - b.typical) / 64
 	c.seen = min(c.seen+1, 400)
-	if !b.set.WorthByWork {
+	if !b.set.ValueByWork {
 		c.work += (latency - c.work) / c.seen // by all answers: lone ones are rare in a busy fleet
 	}
-	if a.lone && (c.loneSeen < 12 || b.crowding < crowdingAim/2) {
+	if a.lone && (c.loneSeen < 12 || b.crowding < crowdingGoal/2) {
 		c.loneSeen = min(c.loneSeen+1, 400)
-		c.lone += (min(latency/r.size(), c.Aim.Seconds()/3) - c.lone) / c.loneSeen
+		c.lone += (min(latency/r.size(), c.Objective.Seconds()/3) - c.lone) / c.loneSeen
 	}
 	relative := math.Log(max(latency, 1e-4) / (c.lone * r.size()))
-	if a.lone && b.crowding < crowdingAim {
+	if a.lone && b.crowding < crowdingGoal {
 		a.server.loneSeen = min(a.server.loneSeen+1, 16)
-		a.server.lone += (relative - a.server.lone) / (a.server.loneSeen + b.sharers)
+		a.server.lone += (relative - a.server.lone) / (a.server.loneSeen + b.nodesPerServer)
 	}
 	b.crowding += (relative - a.server.lone - b.crowding) / 32
 }
--- a/policy/window_test.go
+++ b/policy/window_test.go
@@ -37,7 +37,7 @@
 		}, 1, true},
 		"counted from the first that may have run": {100 * ms, func(r *rig, id RequestID) {
 			r.pass(90 * ms)
-			r.end(id, Full, 90*ms)
+			r.end(id, Rejected, 90*ms)
 			r.pass(40 * ms)
 			r.end(id, Error, 5*ms)
 			r.pass(75 * ms)
@@ -46,10 +46,10 @@
 		for _, scope := range []Scope{ScopeAll, ScopeCell} {
 			t.Run(name+map[Scope]string{ScopeAll: ", refused", ScopeCell: ", failed"}[scope], func(t *testing.T) {
 				set := testSettings()
-				set.Limits.SecondCopies = false
-				set.Classes[1].Window, set.Classes[1].Scope, set.Classes[1].Aim = tc.window, scope, 400*ms
+				set.Limits.Hedging = false
+				set.Classes[1].Window, set.Classes[1].Scope, set.Classes[1].Objective = tc.window, scope, 400*ms
 				r := newRig(t, set, 1)
-				r.list(ListFull, Entry{Server: 1, State: Ready}, Entry{Server: 2, State: Ready}, Entry{Server: 3, State: Ready})
+				r.list(ListSnapshot, Entry{Server: 1, State: Ready}, Entry{Server: 2, State: Ready}, Entry{Server: 3, State: Ready})
 				id := r.request(1)
 				tc.play(r, id)
 				_, refused := r.h.refused[id]
