Tell in one place what never ran, and name the lingering close and the full jitter

From reading the whole change again: the module and the node's loop both spelt out which ends of an attempt prove that it never ran; Status.NeverRan says it once. lingeringClose and fullJitter are the field's terms for what was called part and within.

No behaviour changes.

Measured: go test -race ./... passes.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -200,9 +200,9 @@
 	return nil
 }
 
-// part waits until the client has closed the connection behind its last answer, for a while.
-// A close of ours resets it over bytes that arrive, and what of the answer is on its way is lost.
-func (c *clientConn) part(ctx context.Context) {
+// lingeringClose ends the sending behind a last answer and waits for the client's close, for a
+// while. A close of ours over bytes that arrive is a reset: what of the answer is on its way is lost.
+func (c *clientConn) lingeringClose(ctx context.Context) {
 	c.conns.mu.Lock()
 	c.last = true
 	c.conns.mu.Unlock()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -103,7 +103,7 @@
 	control.SetWriteDeadline(time.Now().Add(q.end - f.loop.clock() + writeTimeout))
 	f.write(w, a)
 	if conn != nil && w.Header().Get("Connection") != "" && control.Flush() == nil {
-		conn.part(r.Context())
+		conn.lingeringClose(r.Context())
 	}
 }
 
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -123,7 +123,7 @@
 	return r, release
 }
 
-// due moves the clock on past every retry and to where a copy is due, and looks.
+// due moves the clock on past every retry and to where a hedged request is due, and looks.
 func (l *loop) due(time.Duration) {
 	l.zero = l.zero.Add(-200 * time.Second)
 	l.balancer.Timer(l.clock(), 0)
@@ -165,7 +165,7 @@
 			}
 		}, 0, 0},
 		"waits for a retry": {"read", serverError, 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 0},
-		"a hedged copy":     {"read", silent(nil), 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 1},
+		"a hedged request":  {"read", silent(nil), 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 1},
 	} {
 		for way, w := range map[string]struct {
 			behind string // its request
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// The last look of an attempt that lost its race (its request has an answer: a hedged copy
+// The last look of an attempt that lost its race (its request has an answer: a hedged request
 // whose connection comes up just then) or that comes in the end of a stop leaves what the
 // client sends next alone, and still sees that it left.
 func TestLastLookLeavesTheNextRequestAlone(t *testing.T) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -181,7 +181,7 @@
 		return
 	}
 	a.told = true
-	a.neverRan = res.status == policy.Rejected || res.status == policy.ConnectFailed || res.status == policy.NotSent
+	a.neverRan = res.status.NeverRan()
 	r.out--
 	a.call.stop()
 	if a.timer != nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -145,6 +145,9 @@
 	NotSent                     // never sent; has not run
 )
 
+// NeverRan tells whether an attempt that ended so is known not to have run.
+func (s Status) NeverRan() bool { return s == Rejected || s == ConnectFailed || s == NotSent }
+
 // Outcome reports the end of one attempt. Each Host.Send is followed by one.
 type Outcome struct {
 	ID      RequestID
--- a/policy/leave_test.go
+++ b/policy/leave_test.go
@@ -25,7 +25,7 @@
 			r.now = max(r.now, r.b.requests[id].retryAt)
 			return id
 		}, sweep},
-		"a hedged copy": {func(r *rig) RequestID {
+		"a hedged request": {func(r *rig) RequestID {
 			r.serve(100, 0, 20*ms)
 			r.h.timers = nil // the node is busy: none is handled up to the moment
 			id := r.request(0)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,7 @@
 		// included: at once, most of 80 calls time out, and so do those that come again behind them.
 		span := min(time.Duration(b.set.Nodes)*watchPerNode, b.set.Rules.MustAsk/2, ToldIn-listAnswer)
 		if span > watchAgain && len(entries) > 0 {
-			b.host.SetTimer(now+b.within(span), tokenWatch)
+			b.host.SetTimer(now+b.fullJitter(span), tokenWatch)
 		} else {
 			b.host.WatchList()
 		}
@@ -81,7 +81,7 @@
 	most := min(max(due-now-listAnswer, (due-now)/2, 0), max(b.set.Rules.MustAsk, watchAgain))
 	wait := min(max(b.watchDelay, time.Duration(b.set.Nodes)*watchPerNode), most)
 	if b.watchDelay == watchAgain {
-		wait = b.within(wait)
+		wait = b.fullJitter(wait)
 	}
 	b.host.SetTimer(now+wait, tokenWatch)
 	b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
@@ -533,7 +533,7 @@
 		return
 	}
 	b.ended(r, a)
-	a.neverRan = o.Status == Rejected || o.Status == ConnectFailed || o.Status == NotSent
+	a.neverRan = o.Status.NeverRan()
 	b.judge(now, r, a, o)
 	if o.Ended || o.Status == OK {
 		b.finish(r)
--- a/policy/state.go
+++ b/policy/state.go
@@ -408,8 +408,8 @@
 	return time.Duration(b.loneLatency(r) * b.meanLatency * float64(time.Second))
 }
 
-// within draws a delay up to the given one.
-func (b *Balancer) within(d time.Duration) time.Duration {
+// fullJitter draws a delay up to the given one, which keeps what began in step apart.
+func (b *Balancer) fullJitter(d time.Duration) time.Duration {
 	return time.Duration(b.rng.Float64() * float64(d))
 }
 
