--- a/cmd/yokestall/main.go
+++ b/cmd/balancer/main.go
@@ -1,4 +1,4 @@
-// Command yokestall is one node of the load balancer.
+// Command balancer is one node of the load balancer.
 package main
 
 import (
@@ -12,12 +12,12 @@
 	"runtime/debug"
 	"syscall"
 
-	"yokestall/internal/node"
+	"calicohinge/internal/node"
 )
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "yokestall:", err)
+		fmt.Fprintln(os.Stderr, "balancer:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/yokestall/ready_test.go
+++ b/cmd/balancer/ready_test.go
@@ -27,7 +27,7 @@
 // build makes the program.
 func build(t *testing.T) (path string) {
 	t.Helper()
-	path = filepath.Join(t.TempDir(), "yokestall")
+	path = filepath.Join(t.TempDir(), "balancer")
 	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
--- a/cmd/wirehost/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,4 @@
-// Command wirehost hosts instances of the decision module on the simulator's
+// Command simadapter hosts instances of the decision module on the simulator's
 // wire: batches of events on standard input, one reply each on standard output.
 package main
 
@@ -10,14 +10,14 @@
 	"os"
 	"runtime/debug"
 
-	"yokestall/internal/wire"
-	"yokestall/policy"
+	"calicohinge/internal/simproto"
+	"calicohinge/policy"
 )
 
 func main() {
 	debug.SetGCPercent(800) // the live heap is small; collections are metered
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
@@ -25,10 +25,10 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	h := host{instances: map[uint16]*policy.Balancer{}}
-	reader, writer := wire.NewReader(in), bufio.NewWriterSize(out, 1<<16)
+	reader, writer := simproto.NewReader(in), bufio.NewWriterSize(out, 1<<16)
 	for {
 		batch, err := reader.Read()
-		if errors.Is(err, io.EOF) && !errors.Is(err, wire.ErrFormat) {
+		if errors.Is(err, io.EOF) && !errors.Is(err, simproto.ErrFormat) {
 			return nil
 		}
 		if err != nil {
@@ -49,25 +49,25 @@
 	instances map[uint16]*policy.Balancer
 	current   uint16
 	named     bool
-	reply     wire.Reply
-	event     wire.Event
+	reply     simproto.Reply
+	event     simproto.Event
 }
 
-func (h *host) batch(b *wire.Batch) error {
+func (h *host) batch(b *simproto.Batch) error {
 	h.named = false
 	for i := range b.Count {
 		if err := b.Event(i, &h.event); err != nil {
 			return err
 		}
 		e := &h.event
-		if e.Code == wire.Instance {
+		if e.Code == simproto.Instance {
 			h.current, h.named = e.Instance, true
 			h.reply.For(e.Instance)
 			continue
 		}
-		if !h.named || (e.Code != wire.Open && h.instances[h.current] == nil) {
+		if !h.named || (e.Code != simproto.Open && h.instances[h.current] == nil) {
 			return fmt.Errorf("%w: batch %d, record %d: event %d for an instance never opened",
-				wire.ErrFormat, b.Number, i, e.Code)
+				simproto.ErrFormat, b.Number, i, e.Code)
 		}
 		h.handle(b, e)
 	}
@@ -75,40 +75,40 @@
 }
 
 // handle passes one event on. A panic in the module is reported as fatal.
-func (h *host) handle(b *wire.Batch, e *wire.Event) {
+func (h *host) handle(b *simproto.Batch, e *simproto.Event) {
 	defer func() {
 		if p := recover(); p != nil {
-			fmt.Fprintf(os.Stderr, "wirehost: batch %d: panic: %v\n%s", b.Number, p, debug.Stack())
+			fmt.Fprintf(os.Stderr, "simadapter: batch %d: panic: %v\n%s", b.Number, p, debug.Stack())
 			h.reply.Fatal(fmt.Sprintf("panic: %v", p))
 		}
 	}()
 	inst := h.instances[h.current]
 	switch e.Code {
-	case wire.Open:
+	case simproto.Open:
 		h.open(e)
-	case wire.Stop:
+	case simproto.Stop:
 		delete(h.instances, h.current)
-	case wire.Members:
+	case simproto.Members:
 		if e.Failed {
 			inst.ListFailed(b.Now, b.Now+policy.ToldIn)
 		} else {
 			inst.Members(b.Now, e.Kind, e.Entries)
 		}
-	case wire.Request:
+	case simproto.Request:
 		inst.Request(b.Now, e.Request)
-	case wire.Started:
+	case simproto.Started:
 		inst.Started(b.Now, e.Outcome.ID, e.Outcome.Attempt)
-	case wire.Outcome:
+	case simproto.Outcome:
 		inst.Outcome(b.Now, e.Outcome)
-	case wire.Left:
+	case simproto.Left:
 		inst.Left(b.Now, e.Outcome.ID)
-	case wire.Timer:
+	case simproto.Timer:
 		inst.Timer(b.Now, e.Token)
 	}
 }
 
-func (h *host) open(e *wire.Event) {
-	settings, err := wire.ParseSettings(e.Settings)
+func (h *host) open(e *simproto.Event) {
+	settings, err := simproto.ParseSettings(e.Settings)
 	if err != nil {
 		h.reply.Fatal(err.Error())
 		return
--- a/cmd/wirehost/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"yokestall/internal/wire"
-	"yokestall/policy"
+	"calicohinge/internal/simproto"
+	"calicohinge/policy"
 )
 
 const settings = `{"Classes": [{"DeadlineMs": 1000, "Effect": "pure"}], "Limits": {"MaxAttempts": 2}}`
@@ -104,7 +104,7 @@
 	h := host{instances: map[uint16]*policy.Balancer{4: nil}, current: 4}
 	h.reply.Reset()
 	h.reply.For(4)
-	h.handle(&wire.Batch{Number: 7}, &wire.Event{Code: wire.Request})
+	h.handle(&simproto.Batch{Number: 7}, &simproto.Event{Code: simproto.Request})
 	var out bytes.Buffer
 	if err := h.reply.WriteTo(bufio.NewWriter(&out), 7); err != nil {
 		t.Fatal(err)
--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -16,7 +16,7 @@
 	"testing/iotest"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // Connections come up when a keyed request's window for repeats has passed, or before. Of its
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"yokestall/internal/wire"
-	"yokestall/policy"
+	"calicohinge/internal/simproto"
+	"calicohinge/policy"
 )
 
 // Limits is what the node's machine grants it.
@@ -146,7 +146,7 @@
 	if c.Limits.Sockets < 64 {
 		return nil, fmt.Errorf("limits: %d sockets are too few", c.Limits.Sockets)
 	}
-	if c.Policy, err = wire.ParseSettings(file.Settings); err != nil {
+	if c.Policy, err = simproto.ParseSettings(file.Settings); err != nil {
 		return nil, err
 	}
 	var own nodeSettings
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // deadlines replaces the deadlines of all classes.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 const (
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // A drain, a loss or a restart is told while a connection to the server is being opened,
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // try asks as a client does: once more on a new connection where the first is closed unread.
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 const (
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // served is a frontend on a socket, and the loop behind it.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 const (
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 const (
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // script is a server that reads a request and writes fixed bytes; then it
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // scripted is a discovery whose calls the test answers itself.
--- a/internal/wire/settings.go
+++ b/internal/simproto/settings.go
@@ -1,4 +1,4 @@
-package wire
+package simproto
 
 import (
 	"encoding/json"
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // ms reads a time in milliseconds; it stays at its default where a key is absent.
--- a/internal/wire/wire.go
+++ b/internal/simproto/wire.go
@@ -1,7 +1,7 @@
-// Package wire reads and writes the frames of the simulator's binary wire. It
+// Package simproto reads and writes the frames of the simulator's binary wire. It
 // decides nothing: it turns event records into the types of package policy and
 // actions into records.
-package wire
+package simproto
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"math"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // The sizes of a frame's parts, in bytes.
--- a/internal/wire/wire_test.go
+++ b/internal/simproto/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package simproto
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 func unhex(t testing.TB, text string) []byte {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"yokestall/policy"
+	"calicohinge/policy"
 )
 
 // printer is a Host that only tells what it was asked to do.
