--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -90,18 +90,18 @@
 		delete(h.instances, h.current)
 	case simproto.Members:
 		if e.Failed {
-			inst.ListFailed(b.Now, b.Now+policy.ToldIn)
+			inst.WatchFailed(b.Now, b.Now+policy.NotificationDeadline)
 		} else {
-			inst.Members(b.Now, e.Kind, e.Entries)
+			inst.UpdateEndpoints(b.Now, e.Kind, e.Entries)
 		}
 	case simproto.Request:
 		inst.Request(b.Now, e.Request)
 	case simproto.Started:
-		inst.Started(b.Now, e.Outcome.ID, e.Outcome.Attempt)
+		inst.StreamStarted(b.Now, e.Outcome.ID, e.Outcome.Attempt)
 	case simproto.Outcome:
 		inst.Outcome(b.Now, e.Outcome)
 	case simproto.Left:
-		inst.Left(b.Now, e.Outcome.ID)
+		inst.ClientDisconnected(b.Now, e.Outcome.ID)
 	case simproto.Timer:
 		inst.Timer(b.Now, e.Token)
 	}
--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -31,12 +31,12 @@
 		late  int // the attempt whose connection comes up late
 		sent  bool
 	}{
-		"a repeat in time":                    {keyed, policy.Error, false, 1, true},
-		"a repeat too late":                   {keyed, policy.Error, true, 1, false},
+		"a repeat in time":                    {keyed, policy.ServerError, false, 1, true},
+		"a repeat too late":                   {keyed, policy.ServerError, true, 1, false},
 		"a hedged request too late":           {keyed, policy.Cancelled, true, 1, false},
 		"the first one, too late for a hedge": {keyed, policy.Cancelled, true, 0, false},
 		"behind one that never ran":           {keyed, policy.Rejected, true, 1, true},
-		"of a safe class":                     {safe, policy.Error, true, 1, true},
+		"of a safe class":                     {safe, policy.ServerError, true, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -55,12 +55,12 @@
 					l.outcome(l.clock(), r, 0, result{status: c.first})
 				}
 				if c.over { // by the time that the connection comes up
-					r.attempts[0].sent += 20*time.Millisecond - l.classes[keyed].Window
+					r.attempts[0].sent += 20*time.Millisecond - l.classes[keyed].KeyRetention
 				}
 				l.Send(r.id, servers[1], 0)
 			})
 			until(t, "the window's end", func() bool { // which is under test
-				return !c.over || l.clock() >= r.attempts[0].sent+l.classes[keyed].Window
+				return !c.over || l.clock() >= r.attempts[0].sent+l.classes[keyed].KeyRetention
 			})
 			said := far.letIn()
 			until(t, "the outcome", func() (told bool) {
@@ -326,7 +326,7 @@
 	for name, c := range map[string]struct {
 		span time.Duration
 		want policy.Status
-	}{"in its span": {patience, policy.OK}, "past its span": {50 * time.Millisecond, policy.Error}} {
+	}{"in its span": {patience, policy.OK}, "past its span": {50 * time.Millisecond, policy.ServerError}} {
 		t.Run(name, func(t *testing.T) {
 			over := make(chan struct{})
 			b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -92,7 +92,7 @@
 	}
 	go l.run()
 	d := newDiscovery(cfg, l, nil)
-	d.notify(policy.ListSnapshot, list)
+	d.notify(policy.UpdateSnapshot, list)
 	return l
 }
 
@@ -185,7 +185,7 @@
 				}
 			})
 			u, id := upstreamsTo(b.Listener.Addr().String())
-			if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.Error {
+			if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.ServerError {
 				t.Errorf("status %d", res.status)
 			}
 			if u.open != 0 {
@@ -219,7 +219,7 @@
 	})
 	answered := make(chan answer, 1)
 	go func() { x, _ := l.do(t.Context(), l.ofClass(2, present)); answered <- x }()
-	(&discovery{loop: l}).notify(policy.ListDelta, []instance{b.instance("s-1")}) // another one could take it
+	(&discovery{loop: l}).notify(policy.UpdateDelta, []instance{b.instance("s-1")}) // another one could take it
 	if x := wait(t, answered, "an answer"); x.status != http.StatusBadGateway {
 		t.Errorf("status %d", x.status)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -21,8 +21,8 @@
 	// it begins. By then the silence has to be noticed and another call answered: half goes to
 	// the watch itself, a quarter to what an answer may be late by, and a quarter is left for
 	// that call.
-	watchWait  = policy.ToldIn / 2 // what a watch asks discovery to wait
-	watchSlack = policy.ToldIn / 4 // and how much longer the answer may take
+	watchWait  = policy.NotificationDeadline / 2 // what a watch asks discovery to wait
+	watchSlack = policy.NotificationDeadline / 4 // and how much longer the answer may take
 	// movedTold is when all that the new discovery has counts as told, from SIGHUP.
 	movedTold  = 4 * time.Second
 	watchPause = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
@@ -59,7 +59,7 @@
 }
 
 // state takes a word that it doesn't know for one that allows nothing new.
-func (in *instance) state() policy.State {
+func (in *instance) state() policy.EndpointState {
 	switch in.Lifecycle {
 	case "Ready":
 		return policy.Ready
@@ -92,7 +92,7 @@
 	d := &discovery{
 		url: listURL(cfg.Discovery), loop: l, zones: cfg.Zones, moved: moved,
 		backoff: min(backoffMost, max(backoffFirst, cfg.DrainGrace/2)),
-		asked:   cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
+		asked:   cfg.Policy.PollEndpoints, wanted: make(chan struct{}, 1),
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
 		unixZero: l.zero.Round(0),
 	}
@@ -114,10 +114,10 @@
 	d.generation = known.Generation
 	d.listed = len(known.Instances) > 0
 	if d.listed {
-		d.notify(policy.ListCached, known.Instances)
+		d.notify(policy.UpdateCached, known.Instances)
 		ready()
 	} else if d.asked {
-		d.notify(policy.ListCached, nil) // has the module ask for the list
+		d.notify(policy.UpdateCached, nil) // has the module ask for the list
 	}
 	watching := !d.asked
 	for ctx.Err() == nil {
@@ -160,9 +160,9 @@
 			d.listed, d.generation = true, list.Generation
 			switch {
 			case list.Reset:
-				d.notify(policy.ListSnapshot, list.Instances)
+				d.notify(policy.UpdateSnapshot, list.Instances)
 			case len(list.Instances) > 0:
-				d.notify(policy.ListDelta, list.Instances)
+				d.notify(policy.UpdateDelta, list.Instances)
 			}
 			ready()
 			if d.loop.clock()-began < watchPause {
@@ -177,12 +177,12 @@
 		slog.Warn("discovery failed", "err", err)
 		if d.asked {
 			watching = false
-			due := began + policy.ToldIn
+			due := began + policy.NotificationDeadline
 			if d.moving() {
 				due = min(due, d.due)
 			}
 			d.forgetWanted()
-			d.loop.post(func(now time.Duration) { d.loop.balancer.ListFailed(now, due) })
+			d.loop.post(func(now time.Duration) { d.loop.balancer.WatchFailed(now, due) })
 			continue
 		}
 		// There is no time to back off in after a silent watch, nor before the first list
@@ -261,9 +261,9 @@
 }
 
 // notify hands the loop a list. Lines with no id, or no address where one is needed, are left out.
-func (d *discovery) notify(kind policy.ListKind, list []instance) {
+func (d *discovery) notify(kind policy.UpdateKind, list []instance) {
 	var usable []instance
-	var entries []policy.Entry
+	var entries []policy.Endpoint
 	for _, in := range list {
 		state := in.state()
 		if in.InstanceID == "" || (in.HostPort == "" && state == policy.Ready) {
@@ -274,9 +274,9 @@
 			zone = len(d.zones) // no zone of ours
 		}
 		usable = append(usable, in)
-		entries = append(entries, policy.Entry{
+		entries = append(entries, policy.Endpoint{
 			Server: in.id(), Zone: zone, Cell: in.Cell, State: state,
-			Weight: max(0, in.Weight), Started: d.started(in.StartedAtMs),
+			Weight: max(0, in.Weight), StartedAt: d.started(in.StartedAtMs),
 		})
 	}
 	d.loop.members(kind, usable, entries)
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -27,7 +27,7 @@
 			l.open(t, 1, 1)
 			b := newBackend(t, ok)
 			list := change([]instance{far.instance("s-0"), b.instance("s-1")})
-			d.notify(policy.ListSnapshot, list)
+			d.notify(policy.UpdateSnapshot, list)
 			l.then(t, func() {
 				for _, r := range l.requests {
 					if a := r.attempts[0]; !a.told || a.call.gate.Load() != revoked {
@@ -56,9 +56,9 @@
 	wait(t, a.got, "the first attempt")
 	l.open(t, 1, 0)
 	drains := b.instance("s-1")
-	d.notify(policy.ListDelta, []instance{drains})
+	d.notify(policy.UpdateDelta, []instance{drains})
 	drains.Lifecycle = "Terminating"
-	d.notify(policy.ListDelta, []instance{drains, c.instance("s-2")})
+	d.notify(policy.UpdateDelta, []instance{drains, c.instance("s-2")})
 	if x := wait(t, answered, "an answer"); x.status != http.StatusOK || len(b.got) > 0 {
 		t.Errorf("status %d, %d sends to the server that drains", x.status, len(b.got))
 	}
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -133,7 +133,7 @@
 				if q := wait(t, calls, "the next watch").URL.RawQuery; !strings.HasPrefix(q, "after=2&") {
 					t.Errorf("asks for %q", q)
 				}
-				if took := time.Since(began); took > policy.ToldIn {
+				if took := time.Since(began); took > policy.NotificationDeadline {
 					t.Errorf("follows after %v", took)
 				}
 				crowd.Wait()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -216,7 +216,7 @@
 	}
 	c := &f.cfg.Policy.Classes[class]
 	method := http.MethodPost
-	if c.Effect == policy.Safe {
+	if c.Idempotency == policy.Idempotent {
 		method = http.MethodGet
 	}
 	keys := r.Header["Idempotency-Key"]
@@ -224,11 +224,11 @@
 	case r.Method != method:
 		w.Header().Set("Allow", method)
 		return nil, &badRequest{http.StatusMethodNotAllowed, "the class wants " + method}
-	case c.Effect == policy.Keyed && one(keys) == "":
+	case c.Idempotency == policy.IdempotentWithKey && one(keys) == "":
 		return nil, bad("Idempotency-Key is missing")
-	case c.Effect == policy.Unsafe && len(keys) > 0:
+	case c.Idempotency == policy.NotIdempotent && len(keys) > 0:
 		return nil, bad("the class takes no Idempotency-Key")
-	case c.Effect == policy.Safe && r.ContentLength != 0:
+	case c.Idempotency == policy.Idempotent && r.ContentLength != 0:
 		return nil, bad("the class takes no body")
 	}
 	body, err := readBody(r)
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -28,7 +28,7 @@
 func serve(t *testing.T, list ...instance) *served {
 	t.Helper()
 	cfg := testConfig(t, newRegistry(t), deadlines(600000))
-	cfg.Policy.Classes[1].Window = 10 * time.Minute
+	cfg.Policy.Classes[1].KeyRetention = 10 * time.Minute
 	up := newUpstreams(cfg, 400)
 	up.connectTimeout = patience
 	l, err := newLoop(t.Context(), cfg, up)
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	go l.run()
-	newDiscovery(cfg, l, nil).notify(policy.ListSnapshot, list)
+	newDiscovery(cfg, l, nil).notify(policy.UpdateSnapshot, list)
 	s := &served{loop: l, front: &frontend{
 		cfg: cfg, loop: l, conns: newClientConns(400, 0), open: map[string]struct{}{},
 	}}
@@ -186,8 +186,8 @@
 					s := serve(t, a.instance("s-0"), b.instance("s-1"))
 					l := s.loop
 					l.then(t, func() { // a request took half a minute here
-						l.balancer.Request(l.clock(), policy.Request{ID: 1 << 31, Left: time.Hour})
-						l.balancer.Outcome(l.clock(), policy.Outcome{ID: 1 << 31, Ended: true, Latency: 30 * time.Second})
+						l.balancer.Request(l.clock(), policy.Request{ID: 1 << 31, Timeout: time.Hour})
+						l.balancer.Outcome(l.clock(), policy.Outcome{ID: 1 << 31, RequestEnded: true, Latency: 30 * time.Second})
 					})
 					for i := range p.others {
 						s.asks("pay", "")
@@ -251,7 +251,7 @@
 			if attempt > 0 {
 				wait(t, bad.got, "the first attempt")
 				l.open(t, 1, 0)
-				(&discovery{loop: l}).notify(policy.ListDelta, []instance{far.instance("s-0")})
+				(&discovery{loop: l}).notify(policy.UpdateDelta, []instance{far.instance("s-0")})
 				l.post(l.due)
 			}
 			l.open(t, 1, 1)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -143,7 +143,7 @@
 	l.requests[r.id] = r
 	left := max(0, r.end-now)
 	r.deadline = time.AfterFunc(left, func() { l.post(func(now time.Duration) { l.expire(now, r) }) })
-	l.balancer.Request(now, policy.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Left: left, Hint: r.hint})
+	l.balancer.Request(now, policy.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Timeout: left, CostHint: r.hint})
 	l.release(r)
 }
 
@@ -153,7 +153,7 @@
 		return
 	}
 	l.finish(r, answer{}) // nobody reads it, but whoever waits for an answer learns of it
-	l.balancer.Left(now, r.id)
+	l.balancer.ClientDisconnected(now, r.id)
 	l.release(r)
 }
 
@@ -170,7 +170,7 @@
 func (l *loop) abandon() {
 	l.post(func(now time.Duration) {
 		l.stopped = true
-		l.balancer.Stop(now)
+		l.balancer.TerminateAll(now)
 	})
 }
 
@@ -191,7 +191,7 @@
 		l.finish(r, answer{status: http.StatusOK, header: res.header, body: res.body})
 	}
 	l.balancer.Outcome(now, policy.Outcome{
-		ID: r.id, Attempt: index, Server: a.server, Status: res.status, Ended: r.ended, Latency: now - a.sent,
+		ID: r.id, Attempt: index, Server: a.server, Status: res.status, RequestEnded: r.ended, Latency: now - a.sent,
 	})
 	l.release(r)
 }
@@ -256,8 +256,8 @@
 // connection first is open, so each keeps to the same end.
 func (l *loop) keepWindow(r *request, a *attempt, index int) {
 	first := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.neverRan })
-	if c := &l.classes[r.class]; c.Effect == policy.Keyed && first < index {
-		end := l.zero.Add(r.attempts[first].sent + c.Window)
+	if c := &l.classes[r.class]; c.Idempotency == policy.IdempotentWithKey && first < index {
+		end := l.zero.Add(r.attempts[first].sent + c.KeyRetention)
 		for _, a := range r.attempts[first:] {
 			a.call.end.Store(&end)
 		}
@@ -280,8 +280,8 @@
 	l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, result{status: policy.Cancelled}) })
 }
 
-// Refuse implements policy.Host.
-func (l *loop) Refuse(id policy.RequestID, retryAfter time.Duration) {
+// Reject implements policy.Host.
+func (l *loop) Reject(id policy.RequestID, retryAfter time.Duration) {
 	if r := l.requests[id]; r != nil && !r.ended {
 		l.finish(r, answer{status: http.StatusServiceUnavailable, retryAfter: retryAfter})
 		l.after = append(l.after, func(time.Duration) { l.release(r) })
@@ -303,14 +303,14 @@
 	})
 }
 
-// WatchList implements policy.Host.
-func (l *loop) WatchList() { l.watch() }
+// WatchEndpoints implements policy.Host.
+func (l *loop) WatchEndpoints() { l.watch() }
 
 // members takes news of the list: first where servers are, then what the module makes of it.
-func (l *loop) members(kind policy.ListKind, list []instance, entries []policy.Entry) bool {
+func (l *loop) members(kind policy.UpdateKind, list []instance, entries []policy.Endpoint) bool {
 	return l.post(func(now time.Duration) {
-		barred := l.bar(l.up.update(kind != policy.ListDelta, list))
-		l.balancer.Members(now, kind, entries)
+		barred := l.bar(l.up.update(kind != policy.UpdateDelta, list))
+		l.balancer.UpdateEndpoints(now, kind, entries)
 		for _, b := range barred {
 			l.outcome(now, b.request, b.index, result{status: policy.NotSent})
 		}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -372,7 +372,7 @@
 	resp, err := c.answer(req)
 	for n := 0; err == nil && resp.StatusCode/100 == 1; n++ {
 		if resp.StatusCode == http.StatusSwitchingProtocols || n == maxInterim {
-			return result{status: policy.Error}, false
+			return result{status: policy.ServerError}, false
 		}
 		resp, err = c.answer(req)
 	}
@@ -380,7 +380,7 @@
 		return result{status: c.broken()}, false
 	}
 	if resp.ContentLength > maxBody {
-		return result{status: policy.Error}, false // not even looked at: it may have gigabytes
+		return result{status: policy.ServerError}, false // not even looked at: it may have gigabytes
 	}
 	// The body is never closed, which would read it to its end; the connection is,
 	// unless the body was read.
@@ -389,7 +389,7 @@
 	case err != nil:
 		return result{status: c.broken()}, false
 	case len(body) > maxBody:
-		return result{status: policy.Error}, false
+		return result{status: policy.ServerError}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return result{status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
 	}
@@ -402,7 +402,7 @@
 		resp.Header.Get("X-Not-Processed") == "1":
 		return result{status: policy.Rejected}, keep
 	}
-	return result{status: policy.Error}, keep
+	return result{status: policy.ServerError}, keep
 }
 
 // answer reads the head of an answer. A server may think for as long as the
@@ -431,5 +431,5 @@
 	if c.ended != nil && !errors.Is(c.ended, os.ErrDeadlineExceeded) {
 		return policy.Reset
 	}
-	return policy.Error
+	return policy.ServerError
 }
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -57,7 +57,7 @@
 					answers <- how
 				}
 				again := wait(t, calls, "the watch anew")
-				if took := time.Since(began); took >= policy.ToldIn {
+				if took := time.Since(began); took >= policy.NotificationDeadline {
 					t.Errorf("opened anew after %v", took)
 				}
 				if q := again.URL.RawQuery; !strings.HasPrefix(q, "after=3&") {
@@ -81,11 +81,11 @@
 // The budget of a silent watch: its wait, what an answer may be late by and the spread of
 // the calls anew leave an eighth of the time for the answer.
 func TestSilentWatchIsNoticedInTime(t *testing.T) {
-	if left := policy.ToldIn - watchWait - watchSlack - time.Second*3/4; left < policy.ToldIn/8 {
+	if left := policy.NotificationDeadline - watchWait - watchSlack - time.Second*3/4; left < policy.NotificationDeadline/8 {
 		t.Errorf("%v are left for the call anew", left)
 	}
 	// For a call that may wait, 2 s behind its wait count too, if that is later.
-	if watchWait+2*time.Second > policy.ToldIn {
+	if watchWait+2*time.Second > policy.NotificationDeadline {
 		t.Errorf("a wait of %v moves the time", watchWait)
 	}
 }
@@ -280,7 +280,7 @@
 				began := time.Now()
 				fail(n, answers)
 				wait(t, calls, "a call after a failed one")
-				if took := time.Since(began); took >= policy.ToldIn {
+				if took := time.Since(began); took >= policy.NotificationDeadline {
 					t.Errorf("called again after %v", took)
 				}
 			}
@@ -311,7 +311,7 @@
 			t.Fatal(err)
 		}
 		nc.Close()
-		if took := time.Since(began); took >= policy.ToldIn {
+		if took := time.Since(began); took >= policy.NotificationDeadline {
 			t.Errorf("called again after %v", took)
 		}
 	})
--- a/internal/simproto/settings.go
+++ b/internal/simproto/settings.go
@@ -82,36 +82,36 @@
 		return s, fmt.Errorf("settings: %w", err)
 	}
 	set(&s.Nodes, j.Balancers)
-	set(&s.OverQuotaValue, j.OverShareWorth)
+	set(&s.OverQuotaFraction, j.OverShareWorth)
 	set(&s.Limits.MaxAttempts, j.Limits.MaxAttempts)
-	set(&s.Rules.ColdFrom, j.Contract.ColdFrom)
-	set(&s.Rules.FallMultiple, j.Contract.FallMultiple)
+	set(&s.Rules.SlowStartShare, j.Contract.ColdFrom)
+	set(&s.Rules.OverloadMultiple, j.Contract.FallMultiple)
 	s.Node = j.Me
 	s.Zone = j.Locality
-	s.ValueByWork = j.CountedBy == "work"
+	s.WeightByWork = j.CountedBy == "work"
 	s.Limits.Cancel, s.Limits.Hedging = j.Limits.Cancel, j.Limits.SecondCopies
 	if j.Limits.RetryAfter {
 		s.Limits.MaxRetryAfter = j.Limits.MaxRetryAfterMs.or(0)
 	}
-	s.Rules.ColdFor = j.Contract.ColdMs.or(s.Rules.ColdFor)
-	s.Rules.FallFor = j.Contract.FallMs.or(s.Rules.FallFor)
+	s.Rules.SlowStartDuration = j.Contract.ColdMs.or(s.Rules.SlowStartDuration)
+	s.Rules.OverloadWindow = j.Contract.FallMs.or(s.Rules.OverloadWindow)
 	s.Rules.AnswerGrace = j.Contract.GraceToAnswerMs.or(s.Rules.AnswerGrace)
 	s.Tick = j.TickMs.or(s.Tick)
-	s.Rules.MustAsk = j.Contract.MustAskInMs.or(s.Rules.MustAsk)
+	s.Rules.MaxPollInterval = j.Contract.MustAskInMs.or(s.Rules.MaxPollInterval)
 	var ok bool
-	if s.ListAsked, ok = word(j.RegistryMode, registries); !ok {
+	if s.PollEndpoints, ok = word(j.RegistryMode, registries); !ok {
 		return s, fmt.Errorf("settings: RegistryMode: unknown word %q", j.RegistryMode)
 	}
 	for i, c := range j.Classes {
 		p := policy.Class{
-			Deadline: c.DeadlineMs.or(0), Objective: c.PromiseMs.or(c.DeadlineMs.or(0)), ObjectiveStretch: c.AimStretch,
-			LateValue: c.LateWorth, Value: 1, Window: c.KeyTtlMs.or(0), Stream: c.Streaming,
+			Deadline: c.DeadlineMs.or(0), Objective: c.PromiseMs.or(c.DeadlineMs.or(0)), ObjectivePerWork: c.AimStretch,
+			LateFraction: c.LateWorth, PriorityWeight: 1, KeyRetention: c.KeyTtlMs.or(0), Streaming: c.Streaming,
 		}
-		set(&p.Value, c.Importance)
-		if p.Effect, ok = word(c.Effect, effects); !ok {
+		set(&p.PriorityWeight, c.Importance)
+		if p.Idempotency, ok = word(c.Effect, effects); !ok {
 			return s, fmt.Errorf("settings: Classes[%d].Effect: unknown word %q", i, c.Effect)
 		}
-		if p.Scope, ok = word(c.DedupScope, scopes); !ok {
+		if p.KeyScope, ok = word(c.DedupScope, scopes); !ok {
 			return s, fmt.Errorf("settings: Classes[%d].DedupScope: unknown word %q", i, c.DedupScope)
 		}
 		s.Classes = append(s.Classes, p)
@@ -119,21 +119,21 @@
 	for _, t := range j.Accounts {
 		s.Tenants = append(s.Tenants, policy.Tenant{QuotaPerS: t.QuotaPerS})
 	}
-	if math.IsNaN(s.OverQuotaValue) {
+	if math.IsNaN(s.OverQuotaFraction) {
 		return s, fmt.Errorf("settings: OverShareWorth: not a number")
 	}
 	return s, nil
 }
 
-var effects = map[string]policy.Effect{
-	"pure": policy.Safe, "token": policy.Keyed, "side_effect": policy.Unsafe, "": policy.Unsafe,
+var effects = map[string]policy.Idempotency{
+	"pure": policy.Idempotent, "token": policy.IdempotentWithKey, "side_effect": policy.NotIdempotent, "": policy.NotIdempotent,
 }
 
 var registries = map[string]bool{"": false, "pushed": false, "on_request": true}
 
 // An absent scope is the narrowest.
-var scopes = map[string]policy.Scope{
-	"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell, "": policy.ScopeCell,
+var scopes = map[string]policy.KeyScope{
+	"all": policy.KeyScopeAll, "zone": policy.KeyScopeZone, "cell": policy.KeyScopeCell, "": policy.KeyScopeCell,
 }
 
 func word[T any](w string, words map[string]T) (T, bool) {
--- a/internal/simproto/wire.go
+++ b/internal/simproto/wire.go
@@ -137,16 +137,16 @@
 	Instance uint16 // Instance
 	Seed     uint64 // Open
 	Settings []byte // Open: JSON
-	Kind     policy.ListKind
-	Failed   bool           // Members: a call for the list failed, there is none
-	Entries  []policy.Entry // Members; valid until the next Event
+	Kind     policy.UpdateKind
+	Failed   bool              // Members: a call for the list failed, there is none
+	Entries  []policy.Endpoint // Members; valid until the next Event
 	Request  policy.Request
 	Outcome  policy.Outcome // Outcome, Started (ID, Attempt), Left (ID)
 	Token    uint64         // Timer
 }
 
 var statuses = map[uint16]policy.Status{
-	200: policy.OK, 502: policy.Error, 429: policy.Rejected, 408: policy.Timeout,
+	200: policy.OK, 502: policy.ServerError, 429: policy.Rejected, 408: policy.Timeout,
 	521: policy.ConnectFailed, 520: policy.Reset, 444: policy.Cancelled, 409: policy.NotSent,
 }
 
@@ -172,8 +172,8 @@
 		}
 		e.Settings = text
 	case Members:
-		e.Kind, e.Failed = policy.ListKind(rec[1]), rec[1] == listFailed
-		if e.Kind > policy.ListCached && !e.Failed {
+		e.Kind, e.Failed = policy.UpdateKind(rec[1]), rec[1] == listFailed
+		if e.Kind > policy.UpdateCached && !e.Failed {
 			return fail("list kind", rec[1])
 		}
 		raw, ok := b.slice(u32(10), u32(14), entrySize)
@@ -192,7 +192,7 @@
 		}
 		e.Request = policy.Request{
 			ID: policy.RequestID(u32(1)), Class: int(rec[5]), Tenant: int(u16(6)),
-			Left: left, Hint: hint,
+			Timeout: left, CostHint: hint,
 		}
 	case Started:
 		e.Outcome = policy.Outcome{
@@ -208,7 +208,7 @@
 			return fail("latency", f64(16))
 		}
 		e.Outcome = policy.Outcome{
-			ID: policy.RequestID(u32(1)), Status: status, Ended: rec[7] != 0,
+			ID: policy.RequestID(u32(1)), Status: status, RequestEnded: rec[7] != 0,
 			Server: serverID(rec[8:]), Attempt: int(u16(14)), Latency: latency,
 		}
 	case Left:
@@ -237,10 +237,10 @@
 		if !ok || !(weight >= 0) || math.IsInf(weight, 1) {
 			return fail("server weight or start:", weight)
 		}
-		e.Entries = append(e.Entries, policy.Entry{
+		e.Entries = append(e.Entries, policy.Endpoint{
 			Server: serverID(raw), Zone: int(binary.BigEndian.Uint16(raw[6:])),
-			Cell: int(binary.BigEndian.Uint16(raw[10:])), State: policy.State(raw[12]),
-			Weight: weight, Started: started,
+			Cell: int(binary.BigEndian.Uint16(raw[10:])), State: policy.EndpointState(raw[12]),
+			Weight: weight, StartedAt: started,
 		})
 	}
 	return nil
@@ -331,8 +331,8 @@
 	binary.BigEndian.PutUint16(r.forRequest(actCancel, id)[5:], uint16(attempt))
 }
 
-// Refuse implements policy.Host.
-func (r *Reply) Refuse(id policy.RequestID, retryAfter time.Duration) {
+// Reject implements policy.Host.
+func (r *Reply) Reject(id policy.RequestID, retryAfter time.Duration) {
 	putMs(r.forRequest(actRefuse, id)[5:], retryAfter)
 }
 
@@ -346,8 +346,8 @@
 	binary.BigEndian.PutUint64(rec[9:], token)
 }
 
-// WatchList implements policy.Host.
-func (r *Reply) WatchList() { r.record(actWatch)[1] = 1 }
+// WatchEndpoints implements policy.Host.
+func (r *Reply) WatchEndpoints() { r.record(actWatch)[1] = 1 }
 
 // Fatal says that the decision code has failed.
 func (r *Reply) Fatal(text string) {
--- a/internal/simproto/wire_test.go
+++ b/internal/simproto/wire_test.go
@@ -80,21 +80,21 @@
 		t.Fatalf("instance %d, token %d, last code %d", events[0].Instance, events[2].Token, events[7].Code)
 	}
 	wantRequest := policy.Request{ID: 0x5d3a91c4, Tenant: 1,
-		Left: 240 * time.Millisecond, Hint: 12 * time.Millisecond}
+		Timeout: 240 * time.Millisecond, CostHint: 12 * time.Millisecond}
 	if events[1].Request != wantRequest {
 		t.Errorf("request %+v, want %+v", events[1].Request, wantRequest)
 	}
 	const server = policy.ServerID(0x0a124a071f93)
 	list := events[3]
-	want := []policy.Entry{
+	want := []policy.Endpoint{
 		{Server: server, Zone: 1, Cell: 2, State: policy.Ready, Weight: 1},
-		{Server: 0x0a9011f21fbc, State: policy.Draining, Weight: 1.5, Started: 6100 * time.Millisecond},
+		{Server: 0x0a9011f21fbc, State: policy.Draining, Weight: 1.5, StartedAt: 6100 * time.Millisecond},
 	}
-	if list.Kind != policy.ListCached || len(list.Entries) != 2 ||
+	if list.Kind != policy.UpdateCached || len(list.Entries) != 2 ||
 		list.Entries[0] != want[0] || list.Entries[1] != want[1] {
 		t.Errorf("list %d %+v, want %+v", list.Kind, list.Entries, want)
 	}
-	wantOutcome := policy.Outcome{ID: 0x5d3a91c4, Server: server, Status: policy.OK, Ended: true,
+	wantOutcome := policy.Outcome{ID: 0x5d3a91c4, Server: server, Status: policy.OK, RequestEnded: true,
 		Latency: 18500 * time.Microsecond}
 	if events[4].Outcome != wantOutcome {
 		t.Errorf("outcome %+v, want %+v", events[4].Outcome, wantOutcome)
@@ -114,9 +114,9 @@
 	r.SetTimer(8400*time.Millisecond, 0x4d)
 	r.Cancel(0x5d3a91c4, 1)
 	r.For(5)
-	r.Refuse(0x0e6f2b19, 250*time.Millisecond)
+	r.Reject(0x0e6f2b19, 250*time.Millisecond)
 	r.Fail(7)
-	r.WatchList()
+	r.WatchEndpoints()
 	r.Fatal("broken")
 	var out bytes.Buffer
 	if err := r.WriteTo(bufio.NewWriter(&out), 12); err != nil {
@@ -217,19 +217,19 @@
 		t.Fatal(err)
 	}
 	c := s.Classes[0]
-	if s.Nodes != 2 || s.Zone != 1 || !s.ValueByWork || !s.ListAsked ||
-		s.OverQuotaValue != 0.05 ||
-		s.Tenants[0].QuotaPerS != 84 || c.Effect != policy.Keyed || c.Scope != policy.ScopeZone ||
-		c.Window != 5*time.Second || c.Objective != 580*time.Millisecond || c.LateValue != 0.5 ||
-		!c.Stream || c.ObjectiveStretch != 4 ||
+	if s.Nodes != 2 || s.Zone != 1 || !s.WeightByWork || !s.PollEndpoints ||
+		s.OverQuotaFraction != 0.05 ||
+		s.Tenants[0].QuotaPerS != 84 || c.Idempotency != policy.IdempotentWithKey || c.KeyScope != policy.KeyScopeZone ||
+		c.KeyRetention != 5*time.Second || c.Objective != 580*time.Millisecond || c.LateFraction != 0.5 ||
+		!c.Streaming || c.ObjectivePerWork != 4 ||
 		s.Limits != (policy.Limits{
 			MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: 600 * time.Millisecond}) ||
-		s.Rules.FallMultiple != 3 || s.Rules.ColdFor != 8800*time.Millisecond ||
-		s.Rules.MustAsk != 9*time.Second {
+		s.Rules.OverloadMultiple != 3 || s.Rules.SlowStartDuration != 8800*time.Millisecond ||
+		s.Rules.MaxPollInterval != 9*time.Second {
 		t.Errorf("settings %+v", s)
 	}
-	if d := s.Classes[1]; d.Effect != policy.Unsafe || d.Scope != policy.ScopeCell ||
-		d.Objective != d.Deadline || d.Value != 1 {
+	if d := s.Classes[1]; d.Idempotency != policy.NotIdempotent || d.KeyScope != policy.KeyScopeCell ||
+		d.Objective != d.Deadline || d.PriorityWeight != 1 {
 		t.Errorf("class without most keys %+v: not the safe defaults", d)
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -16,37 +16,37 @@
 // ServerID names a server. It is opaque: equal ids mean the same server.
 type ServerID uint64
 
-// Effect tells what a repeat of a request would do.
-type Effect uint8
+// Idempotency tells what a repeat of a request would do.
+type Idempotency uint8
 
 // The effects of a class.
 const (
-	Safe   Effect = iota // may be repeated freely
-	Keyed                // repeats are dropped inside Class.Scope for Class.Window
-	Unsafe               // must never run twice
+	Idempotent        Idempotency = iota // may be repeated freely
+	IdempotentWithKey                    // repeats are dropped inside Class.Scope for Class.Window
+	NotIdempotent                        // must never run twice
 )
 
-// Scope is the group of servers that drops the repeats of a keyed request.
-type Scope uint8
+// KeyScope is the group of servers that drops the repeats of a keyed request.
+type KeyScope uint8
 
 // The scopes of a keyed class.
 const (
-	ScopeAll  Scope = iota // every server
-	ScopeZone              // the servers of one zone
-	ScopeCell              // the servers of one cell
+	KeyScopeAll  KeyScope = iota // every server
+	KeyScopeZone                 // the servers of one zone
+	KeyScopeCell                 // the servers of one cell
 )
 
 // Class is a class of requests.
 type Class struct {
 	Deadline         time.Duration // a client's whole patience, over all of its tries
 	Objective        time.Duration // an answer inside it earns its full value; 0: the deadline
-	ObjectiveStretch float64       // if set, this multiple of the request's own work is added to the objective
-	LateValue        float64       // share of the value that a later answer earns
-	Value            float64       // value of one request, or of one unit of work
-	Effect           Effect
-	Scope            Scope         // for Keyed
-	Window           time.Duration // for Keyed: how long repeats are dropped, from the first send
-	Stream           bool          // the answer is a stream; see Balancer.Started
+	ObjectivePerWork float64       // if set, this multiple of the request's own work is added to the objective
+	LateFraction     float64       // share of the value that a later answer earns
+	PriorityWeight   float64       // value of one request, or of one unit of work
+	Idempotency      Idempotency
+	KeyScope         KeyScope      // for Keyed
+	KeyRetention     time.Duration // for Keyed: how long repeats are dropped, from the first send
+	Streaming        bool          // the answer is a stream; see Balancer.Started
 }
 
 // Tenant is a party with a share in the fleet.
@@ -64,70 +64,70 @@
 
 // Rules holds the figures of the rules that a node keeps on its own.
 type Rules struct {
-	ColdFrom     float64       // a server starts at this share of its capacity or above
-	ColdFor      time.Duration // and is warm after this at most
-	FallMultiple float64       // a cold server sent more than this multiple of its present capacity
-	FallFor      time.Duration // for this long falls over
-	MustAsk      time.Duration // with ListAsked: the longest time without asking
-	AnswerGrace  time.Duration // a final answer still counts so long after the client's time is up
+	SlowStartShare    float64       // a server starts at this share of its capacity or above
+	SlowStartDuration time.Duration // and is warm after this at most
+	OverloadMultiple  float64       // a cold server sent more than this multiple of its present capacity
+	OverloadWindow    time.Duration // for this long falls over
+	MaxPollInterval   time.Duration // with ListAsked: the longest time without asking
+	AnswerGrace       time.Duration // a final answer still counts so long after the client's time is up
 }
 
 // Settings is what an instance is told at its start.
 type Settings struct {
-	Nodes          int // nodes of this tier, this one included
-	Node           int // the number of this one among them, from 0
-	Zone           int // where this node stands
-	Classes        []Class
-	Tenants        []Tenant
-	OverQuotaValue float64       // value of a request beyond its tenant's quota, as a share of its class's
-	ValueByWork    bool          // value counts for each unit of work instead of for each request
-	ListAsked      bool          // the server list comes only to those who watch it; else it is pushed
-	Tick           time.Duration // the longest that an event may wait for the next batch
-	Limits         Limits
-	Rules          Rules
+	Nodes             int // nodes of this tier, this one included
+	Node              int // the number of this one among them, from 0
+	Zone              int // where this node stands
+	Classes           []Class
+	Tenants           []Tenant
+	OverQuotaFraction float64       // value of a request beyond its tenant's quota, as a share of its class's
+	WeightByWork      bool          // value counts for each unit of work instead of for each request
+	PollEndpoints     bool          // the server list comes only to those who watch it; else it is pushed
+	Tick              time.Duration // the longest that an event may wait for the next batch
+	Limits            Limits
+	Rules             Rules
 }
 
-// State is what the list says of a server.
-type State uint8
+// EndpointState is what the list says of a server.
+type EndpointState uint8
 
 // The states of a listed server.
 const (
-	Gone State = iota
+	Gone EndpointState = iota
 	Ready
 	Draining
 )
 
-// Entry is a line of the server list.
-type Entry struct {
-	Server  ServerID
-	Zone    int
-	Cell    int
-	State   State
-	Weight  float64       // rough size, comparable across servers; 0: unknown
-	Started time.Duration // time of its latest start; 0: long past
+// Endpoint is a line of the server list.
+type Endpoint struct {
+	Server    ServerID
+	Zone      int
+	Cell      int
+	State     EndpointState
+	Weight    float64       // rough size, comparable across servers; 0: unknown
+	StartedAt time.Duration // time of its latest start; 0: long past
 }
 
-// ToldIn is when the news of discovery count as told at the latest, from when it had them and
+// NotificationDeadline is when the news of discovery count as told at the latest, from when it had them and
 // could be reached, whatever became of the calls until then.
-const ToldIn = 6 * time.Second
+const NotificationDeadline = 6 * time.Second
 
-// ListKind tells how to read a Members event.
-type ListKind uint8
+// UpdateKind tells how to read a Members event.
+type UpdateKind uint8
 
 // The kinds of a list event.
 const (
-	ListDelta    ListKind = iota // changed entries only
-	ListSnapshot                 // all servers
-	ListCached                   // all servers as known some time ago
+	UpdateDelta    UpdateKind = iota // changed entries only
+	UpdateSnapshot                   // all servers
+	UpdateCached                     // all servers as known some time ago
 )
 
 // Request is a client's request as it comes in.
 type Request struct {
-	ID     RequestID
-	Class  int
-	Tenant int
-	Left   time.Duration // the client gives this try up after so long
-	Hint   time.Duration // rough cost in work; 0: unknown
+	ID       RequestID
+	Class    int
+	Tenant   int
+	Timeout  time.Duration // the client gives this try up after so long
+	CostHint time.Duration // rough cost in work; 0: unknown
 }
 
 // Status tells how an attempt ended.
@@ -136,7 +136,7 @@
 // The ends of an attempt.
 const (
 	OK            Status = iota // served
-	Error                       // the server answered with an error; may have run
+	ServerError                 // the server answered with an error; may have run
 	Rejected                    // turned away unseen; has not run
 	Timeout                     // no answer in time; may have run or run still
 	ConnectFailed               // no connection; has not run
@@ -150,12 +150,12 @@
 
 // Outcome reports the end of one attempt. Each Host.Send is followed by one.
 type Outcome struct {
-	ID      RequestID
-	Attempt int // 0, 1, 2 ... in the order of the sends for this request
-	Server  ServerID
-	Status  Status
-	Ended   bool          // the request has its final answer, by this outcome or before
-	Latency time.Duration // time since the send
+	ID           RequestID
+	Attempt      int // 0, 1, 2 ... in the order of the sends for this request
+	Server       ServerID
+	Status       Status
+	RequestEnded bool          // the request has its final answer, by this outcome or before
+	Latency      time.Duration // time since the send
 }
 
 // Host carries out the actions of a Balancer. Calls come from within the
@@ -165,12 +165,12 @@
 	Send(id RequestID, server ServerID, timeout time.Duration)
 	// Cancel stops waiting for an attempt that is out.
 	Cancel(id RequestID, attempt int)
-	// Refuse is a final answer and a promise: trying again does no harm.
-	Refuse(id RequestID, retryAfter time.Duration)
+	// Reject is a final answer and a promise: trying again does no harm.
+	Reject(id RequestID, retryAfter time.Duration)
 	// Fail is a final answer that promises nothing.
 	Fail(id RequestID)
 	// SetTimer asks for a Timer event at the given time, after the present event.
 	SetTimer(at time.Duration, token uint64)
-	// WatchList subscribes to changes of the server list (with ListAsked).
-	WatchList()
+	// WatchEndpoints subscribes to changes of the server list (with ListAsked).
+	WatchEndpoints()
 }
--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -145,7 +145,7 @@
 		t.Fatalf("a node without traffic uses %d servers, want %d", n, subsetLeast)
 	}
 	r.b.subset[0].breaker = open
-	r.b.subset[1].Started = r.now // cold
+	r.b.subset[1].StartedAt = r.now // cold
 	r.b.subsetStale = true
 	r.now += ms
 	r.b.refresh(r.now)
@@ -218,7 +218,7 @@
 				continue
 			}
 			for i := range a.attempts {
-				r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: OK, Ended: true, Latency: 500 * ms})
+				r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: OK, RequestEnded: true, Latency: 500 * ms})
 			}
 		}
 	}
@@ -256,7 +256,7 @@
 	}
 	for _, s := range r.b.ready[:2] {
 		for range failuresToOpen {
-			r.b.countFailure(r.now, &attempt{server: s}, Error)
+			r.b.countFailure(r.now, &attempt{server: s}, ServerError)
 		}
 	}
 	for _, s := range r.b.ready[2:] {
@@ -301,8 +301,8 @@
 	set := testSettings()
 	set.Nodes = 80
 	set.Limits.MaxRetryAfter = 750 * ms
-	class := Class{Deadline: 400 * ms, Objective: 160 * ms, Value: 1, LateValue: 0.25}
-	precious := Class{Deadline: 530 * ms, Objective: 160 * ms, Value: 10, LateValue: 0.5, Effect: Unsafe}
+	class := Class{Deadline: 400 * ms, Objective: 160 * ms, PriorityWeight: 1, LateFraction: 0.25}
+	precious := Class{Deadline: 530 * ms, Objective: 160 * ms, PriorityWeight: 10, LateFraction: 0.5, Idempotency: NotIdempotent}
 	set.Classes = []Class{class, precious}
 	r := newRig(t, set, 60)
 	r.serve(40, 0, 30*ms)
@@ -343,7 +343,7 @@
 	began := r.now
 	r.next++
 	id := r.next
-	r.b.Request(r.now, Request{ID: id, Class: 1, Left: 500 * ms})
+	r.b.Request(r.now, Request{ID: id, Class: 1, Timeout: 500 * ms})
 	r.pass(180 * ms)
 	if _, refused := r.h.refused[id]; refused {
 		t.Fatal("refused at its objective, though a late answer earns more than another one in time")
@@ -369,7 +369,7 @@
 		set := testSettings()
 		set.Nodes = 80
 		set.Tenants = []Tenant{{QuotaPerS: 800}}
-		set.OverQuotaValue = 0.2
+		set.OverQuotaFraction = 0.2
 		r := newRig(t, set, 20)
 		for range 30 {
 			if refused {
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -59,8 +59,8 @@
 	nodes   []*hollowNode
 	weights []float64 // of the nodes in the traffic, summed up
 	servers []*hollowServer
-	factor  float64 // on the arrivals
-	news    []Entry // changes that no node has heard of yet
+	factor  float64    // on the arrivals
+	news    []Endpoint // changes that no node has heard of yet
 	next    RequestID
 
 	told, drawn float64 // the worst window of FallFor over its limit, of sends by nodes that knew: by mean work; by drawn work
@@ -70,7 +70,7 @@
 
 // hollowServer works at one request after another.
 type hollowServer struct {
-	Entry
+	Endpoint
 	speed      float64 // work a second when warm
 	bad, hangs bool
 	queue      []*job
@@ -126,15 +126,15 @@
 
 // share is the present capacity as the settings give it, 1 when warm.
 func (f *hollowFleet) share(s *hollowServer) float64 {
-	if age := f.now - s.Started; s.Started > 0 && age < f.rules.ColdFor {
-		return f.rules.ColdFrom + (1-f.rules.ColdFrom)*age.Seconds()/f.rules.ColdFor.Seconds()
+	if age := f.now - s.StartedAt; s.StartedAt > 0 && age < f.rules.SlowStartDuration {
+		return f.rules.SlowStartShare + (1-f.rules.SlowStartShare)*age.Seconds()/f.rules.SlowStartDuration.Seconds()
 	}
 	return 1
 }
 
 // count takes a send to a cold server into its window.
 func (f *hollowFleet) count(s *hollowServer, x coldSend) {
-	s.sends = append(slices.DeleteFunc(s.sends, func(x coldSend) bool { return f.now-x.at >= f.rules.FallFor }), x)
+	s.sends = append(slices.DeleteFunc(s.sends, func(x coldSend) bool { return f.now-x.at >= f.rules.OverloadWindow }), x)
 	all, told, drawn := 0.0, 0.0, 0.0
 	for _, x := range s.sends {
 		all += x.mean
@@ -143,7 +143,7 @@
 			drawn += x.drawn
 		}
 	}
-	n := f.rules.FallMultiple * s.speed * f.share(s) * f.rules.FallFor.Seconds() / meanWork
+	n := f.rules.OverloadMultiple * s.speed * f.share(s) * f.rules.OverloadWindow.Seconds() / meanWork
 	limit := n + 2*math.Sqrt(n) + 2
 	f.told = max(f.told, told/limit)
 	if n >= 10 { // below, a few heavy requests are the limit by chance, and no node is told their work
@@ -160,17 +160,17 @@
 	j := &job{n: n, q: q, index: len(q.jobs), s: s, sent: f.now}
 	q.jobs = append(q.jobs, j)
 	if s.State == Ready && f.share(s) < 1 {
-		if f.now >= s.Started+listedAfter {
+		if f.now >= s.StartedAt+listedAfter {
 			f.sent += q.work
 		}
-		told := n.b.servers[server].Started == s.Started
+		told := n.b.servers[server].StartedAt == s.StartedAt
 		f.count(s, coldSend{f.now, classWork[q.class] / meanWork, q.work / meanWork, told})
 	}
 	switch {
 	case s.State != Ready:
 		f.at(f.now+150*ms, func() { f.end(j, ConnectFailed) })
 	case s.bad:
-		f.at(f.now+2*ms, func() { f.end(j, Error) })
+		f.at(f.now+2*ms, func() { f.end(j, ServerError) })
 	default:
 		s.queue = append(s.queue, j)
 		f.serve(s)
@@ -182,9 +182,9 @@
 	n.f.at(n.f.now, func() { n.f.end(j, Cancelled) })
 }
 
-func (n *hollowNode) Refuse(id RequestID, after time.Duration) { n.turnAway(id, after) }
+func (n *hollowNode) Reject(id RequestID, after time.Duration) { n.turnAway(id, after) }
 func (n *hollowNode) Fail(id RequestID)                        { n.turnAway(id, 0) }
-func (n *hollowNode) WatchList()                               {}
+func (n *hollowNode) WatchEndpoints()                          {}
 
 func (n *hollowNode) SetTimer(at time.Duration, token uint64) {
 	n.f.at(max(at, n.f.now), func() {
@@ -230,7 +230,7 @@
 	j.over = true
 	j.q.done = j.q.done || status == OK || status == Timeout
 	j.n.b.Outcome(f.now, Outcome{ID: j.q.id, Attempt: j.index, Server: j.s.Server, Status: status,
-		Ended: j.q.done, Latency: f.now - j.sent})
+		RequestEnded: j.q.done, Latency: f.now - j.sent})
 }
 
 // ask has a client ask a node, and give up when its time is over.
@@ -241,7 +241,7 @@
 	q := &query{id: f.next, class: class, try: try, work: work}
 	n.queries[q.id] = q
 	left := f.set.Classes[class].Deadline
-	n.b.Request(f.now, Request{ID: q.id, Class: class, Left: left})
+	n.b.Request(f.now, Request{ID: q.id, Class: class, Timeout: left})
 	f.at(f.now+left, func() {
 		for _, j := range q.jobs {
 			f.end(j, Timeout)
@@ -271,19 +271,19 @@
 		f.t.Fatal(err)
 	}
 	n.b, f.nodes[i] = b, n
-	var entries []Entry
+	var entries []Endpoint
 	for _, s := range f.servers {
 		if s.State == Ready {
-			entries = append(entries, s.Entry)
+			entries = append(entries, s.Endpoint)
 		}
 	}
-	b.Members(f.now, ListSnapshot, entries)
+	b.UpdateEndpoints(f.now, UpdateSnapshot, entries)
 }
 
 const listedAfter = 300 * ms // from a change until some node may hear of it, with others of that time
 
 // tell has all nodes hear of a change.
-func (f *hollowFleet) tell(e Entry) {
+func (f *hollowFleet) tell(e Endpoint) {
 	if f.news = append(f.news, e); len(f.news) > 1 {
 		return
 	}
@@ -291,7 +291,7 @@
 		news := f.news
 		f.news = nil
 		for i := range f.nodes {
-			hear := func() { f.nodes[i].b.Members(f.now, ListDelta, news) }
+			hear := func() { f.nodes[i].b.UpdateEndpoints(f.now, UpdateDelta, news) }
 			if f.late && i%3 == 0 {
 				f.at(f.now+time.Second+time.Duration(f.rng.Float64()*float64(4*time.Second)), hear)
 			} else {
@@ -312,16 +312,16 @@
 	}
 	s.queue, s.busy = nil, nil
 	if f.lost > 0 || f.replaced {
-		f.tell(s.Entry)
+		f.tell(s.Endpoint)
 	}
 	f.at(f.now+f.lost, func() {
 		if f.replaced {
-			s = &hollowServer{Entry: s.Entry, speed: s.speed}
+			s = &hollowServer{Endpoint: s.Endpoint, speed: s.speed}
 			s.Server += 1000
 			f.servers = append(f.servers, s)
 		}
-		s.State, s.Started, s.sends = Ready, f.now, nil
-		f.tell(s.Entry)
+		s.State, s.StartedAt, s.sends = Ready, f.now, nil
+		f.tell(s.Endpoint)
 	})
 }
 
@@ -329,7 +329,7 @@
 func (f *hollowFleet) look() {
 	const step = 20 * ms
 	for _, s := range f.servers {
-		if share := f.share(s); s.State == Ready && share < 1 && f.now >= s.Started+listedAfter {
+		if share := f.share(s); s.State == Ready && share < 1 && f.now >= s.StartedAt+listedAfter {
 			f.able += s.speed * share * step.Seconds()
 		}
 	}
@@ -340,12 +340,12 @@
 	f := &hollowFleet{scenario: c, t: t, set: testSettings(), rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, factor: 1}
 	f.set.Nodes, f.set.Rules = c.nodes, c.rules
 	f.set.Classes = []Class{
-		{Deadline: 600 * ms, Objective: 300 * ms, Value: 1, LateValue: 0.25},
-		{Deadline: 1500 * ms, Objective: 500 * ms, Value: 1, LateValue: 0.25, Effect: Keyed, Window: 5 * time.Second},
-		{Deadline: time.Second, Objective: 300 * ms, Value: 10, LateValue: 0.5, Effect: Unsafe},
+		{Deadline: 600 * ms, Objective: 300 * ms, PriorityWeight: 1, LateFraction: 0.25},
+		{Deadline: 1500 * ms, Objective: 500 * ms, PriorityWeight: 1, LateFraction: 0.25, Idempotency: IdempotentWithKey, KeyRetention: 5 * time.Second},
+		{Deadline: time.Second, Objective: 300 * ms, PriorityWeight: 10, LateFraction: 0.5, Idempotency: NotIdempotent},
 	}
 	for i, e := range ready(1, c.servers) {
-		f.servers = append(f.servers, &hollowServer{Entry: e, speed: []float64{1.5, 1.5, 0.9, 0.55, 0.55}[i%5]})
+		f.servers = append(f.servers, &hollowServer{Endpoint: e, speed: []float64{1.5, 1.5, 0.9, 0.55, 0.55}[i%5]})
 	}
 	f.rng.Shuffle(c.servers, func(i, j int) { f.servers[i], f.servers[j] = f.servers[j], f.servers[i] })
 	f.nodes = make([]*hollowNode, c.nodes)
@@ -376,7 +376,7 @@
 		})
 	}
 	f.at(began, f.look)
-	for end := began + c.over + c.lost + c.rules.ColdFor; f.now < end; {
+	for end := began + c.over + c.lost + c.rules.SlowStartDuration; f.now < end; {
 		e := heap.Pop(&f.events).(event)
 		f.now = e.at
 		e.do()
@@ -389,10 +389,10 @@
 // N + 2 x root of N + 2 requests of mean work in FallFor falls, N being FallMultiple x its present
 // capacity. The floors are two thirds of the least of five seeds, or lower.
 func TestRampHoldsForTheFleet(t *testing.T) {
-	usual := Rules{ColdFrom: 0.3, ColdFor: 9 * time.Second, FallMultiple: 4, FallFor: time.Second, MustAsk: 10 * time.Second}
-	tight := Rules{ColdFrom: 0.2, ColdFor: 6 * time.Second, FallMultiple: 2, FallFor: 500 * ms, MustAsk: 10 * time.Second}
+	usual := Rules{SlowStartShare: 0.3, SlowStartDuration: 9 * time.Second, OverloadMultiple: 4, OverloadWindow: time.Second, MaxPollInterval: 10 * time.Second}
+	tight := Rules{SlowStartShare: 0.2, SlowStartDuration: 6 * time.Second, OverloadMultiple: 2, OverloadWindow: 500 * ms, MaxPollInterval: 10 * time.Second}
 	short := usual
-	short.ColdFor = 2500 * ms
+	short.SlowStartDuration = 2500 * ms
 	const s = time.Second
 	for _, tc := range []struct {
 		name string
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -80,12 +80,12 @@
 			if m.told == 0 && m.began >= d.up {
 				m.told = now
 			}
-			m.b.Members(now, ListDelta, nil)
+			m.b.UpdateEndpoints(now, UpdateDelta, nil)
 			if m.rewatch {
 				m.watches++
 			}
 		} else {
-			m.b.ListFailed(now, m.began+ToldIn)
+			m.b.WatchFailed(now, m.began+NotificationDeadline)
 		}
 	}
 	if m.watches > m.wanted {
@@ -104,7 +104,7 @@
 	t.Helper()
 	for i := range nodes {
 		set := testSettings()
-		set.Nodes, set.Node, set.ListAsked = nodes, i, true
+		set.Nodes, set.Node, set.PollEndpoints = nodes, i, true
 		if change != nil {
 			change(&set)
 		}
@@ -114,7 +114,7 @@
 			t.Fatal(err)
 		}
 		m.b = b
-		b.Members(time.Hour, ListCached, ready(1, 60))
+		b.UpdateEndpoints(time.Hour, UpdateCached, ready(1, 60))
 		fleet = append(fleet, m)
 	}
 	return fleet
@@ -167,7 +167,7 @@
 					down: time.Hour + 8*time.Second, refusal: away.refusal,
 				}
 				d.up = d.down + away.span
-				fleet := newFleet(t, nodes, func(set *Settings) { set.Rules.MustAsk = 30 * time.Second })
+				fleet := newFleet(t, nodes, func(set *Settings) { set.Rules.MaxPollInterval = 30 * time.Second })
 				for now := time.Hour; now < d.up+8*time.Second; now += 5 * ms {
 					for _, m := range fleet {
 						m.rewatch = true
@@ -185,7 +185,7 @@
 				idle := nodes * int(time.Second) / int(holds)
 				peak, most := d.peak(d.up), 3*max(idle, int(time.Second/watchPerNode))/2
 				t.Logf("lag: median %v, worst %v; peak %d calls for news a second, idle watches %d", lags[nodes/2], lags[nodes-1], peak, idle)
-				if lags[nodes-1] >= ToldIn {
+				if lags[nodes-1] >= NotificationDeadline {
 					t.Errorf("the last node is told %v after the return", lags[nodes-1])
 				}
 				if peak > most {
@@ -199,22 +199,22 @@
 func TestFewNodesAndNodesWithNoListAskAtOnce(t *testing.T) {
 	for _, tc := range []struct {
 		nodes   int
-		entries []Entry
+		entries []Endpoint
 		at      bool
 	}{{3, ready(1, 10), true}, {80, nil, true}, {80, ready(1, 10), false}} {
 		set := testSettings()
-		set.Nodes, set.ListAsked = tc.nodes, true
+		set.Nodes, set.PollEndpoints = tc.nodes, true
 		h := newHost()
 		b, err := New(set, 1, h)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Members(time.Hour, ListCached, tc.entries)
+		b.UpdateEndpoints(time.Hour, UpdateCached, tc.entries)
 		if at := h.watches == 1; at != tc.at {
 			t.Errorf("%d nodes, %d servers known: asks at once: %v, want %v",
 				tc.nodes, len(tc.entries), at, tc.at)
 		}
-		latest := time.Hour + set.Rules.MustAsk/2
+		latest := time.Hour + set.Rules.MaxPollInterval/2
 		if !tc.at && (len(h.timers) != 1 || h.timers[0].at > latest) {
 			t.Errorf("timers %v, want one by %v", h.timers, latest)
 		}
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -19,7 +19,7 @@
 	now      time.Duration
 	open     map[RequestID]*played
 	answered map[RequestID]int
-	state    map[ServerID]Entry
+	state    map[ServerID]Endpoint
 }
 
 type played struct {
@@ -30,7 +30,7 @@
 }
 
 type playedAttempt struct {
-	server   Entry
+	server   Endpoint
 	sent     time.Duration
 	out      bool
 	neverRan bool
@@ -52,10 +52,10 @@
 		if a.neverRan {
 			continue
 		}
-		if p.class.Effect == Unsafe {
+		if p.class.Idempotency == NotIdempotent {
 			w.t.Errorf("%v: unsafe request %d sent again though it may have run", w.now, id)
 		}
-		if p.class.Effect == Keyed && (a.server.Cell != s.Cell || w.now-a.sent >= p.class.Window) {
+		if p.class.Idempotency == IdempotentWithKey && (a.server.Cell != s.Cell || w.now-a.sent >= p.class.KeyRetention) {
 			w.t.Errorf("%v: keyed request %d repeated out of its group or window", w.now, id)
 		}
 	}
@@ -76,11 +76,11 @@
 	return p
 }
 
-func (w *world) Refuse(id RequestID, after time.Duration) {
-	w.fakeHost.Refuse(id, after)
+func (w *world) Reject(id RequestID, after time.Duration) {
+	w.fakeHost.Reject(id, after)
 	p := w.answer(id)
 	for _, a := range p.attempts {
-		if !a.neverRan && p.class.Effect != Safe {
+		if !a.neverRan && p.class.Idempotency != Idempotent {
 			w.t.Errorf("%v: request %d refused though it may have run", w.now, id)
 		}
 	}
@@ -94,7 +94,7 @@
 // outcome ends attempt i of a request with a random status, or by its deadline.
 func (w *world) outcome(id RequestID, p *played, i int) {
 	a := p.attempts[i]
-	status := []Status{OK, OK, OK, Error, Rejected, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
+	status := []Status{OK, OK, OK, ServerError, Rejected, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
 	if w.now >= p.end {
 		status = Timeout
 	}
@@ -107,7 +107,7 @@
 		w.answer(id)
 	}
 	w.b.Outcome(w.now, Outcome{ID: id, Attempt: i, Server: a.server.Server, Status: status,
-		Latency: w.now - a.sent, Ended: p.done})
+		Latency: w.now - a.sent, RequestEnded: p.done})
 }
 
 func (w *world) step(ids []RequestID) {
@@ -121,7 +121,7 @@
 		if !p.done && w.rng.IntN(400) == 0 {
 			p.done = true
 			w.answered[id]++
-			w.b.Left(w.now, id)
+			w.b.ClientDisconnected(w.now, id)
 		}
 	}
 	w.fire(w.b, w.now)
@@ -130,20 +130,20 @@
 // change drains, removes, restarts or adds a server.
 func (w *world) change(start time.Duration) {
 	id := ServerID(1 + w.rng.IntN(12))
-	e := Entry{Server: id, Cell: int(id) / 3, Weight: 1, State: State(w.rng.IntN(3))}
+	e := Endpoint{Server: id, Cell: int(id) / 3, Weight: 1, State: EndpointState(w.rng.IntN(3))}
 	if w.rng.IntN(3) == 0 {
-		e.State, e.Started = Ready, start
+		e.State, e.StartedAt = Ready, start
 	}
 	w.state[id] = e
-	w.b.Members(w.now, ListDelta, []Entry{e})
+	w.b.UpdateEndpoints(w.now, UpdateDelta, []Endpoint{e})
 }
 
 func playScript(t *testing.T, seed uint64) []string {
 	set := testSettings()
-	set.Classes[0].LateValue = 0.5
+	set.Classes[0].LateFraction = 0.5
 	set.Tenants = []Tenant{{QuotaPerS: 50}}
 	w := &world{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
-		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Entry{}}
+		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Endpoint{}}
 	b, err := New(set, seed, w)
 	if err != nil {
 		t.Fatal(err)
@@ -154,7 +154,7 @@
 		entries[i].Cell = int(entries[i].Server) / 3
 		w.state[entries[i].Server] = entries[i]
 	}
-	b.Members(w.now, ListCached, entries)
+	b.UpdateEndpoints(w.now, UpdateCached, entries)
 	var ids []RequestID
 	for step := range 4000 {
 		w.now += 5 * ms
@@ -167,7 +167,7 @@
 			left := time.Duration(300+w.rng.IntN(1700)) * ms
 			ids = append(ids, id)
 			w.open[id] = &played{class: set.Classes[class], end: w.now + left}
-			b.Request(w.now, Request{ID: id, Class: class, Left: left})
+			b.Request(w.now, Request{ID: id, Class: class, Timeout: left})
 		}
 		if w.rng.IntN(60) == 0 {
 			w.change(w.now)
--- a/policy/leave_test.go
+++ b/policy/leave_test.go
@@ -21,7 +21,7 @@
 		}, func(r *rig) { r.end(r.next-1, OK, 20*ms) }},
 		"waits for a retry": {func(r *rig) RequestID {
 			id := r.request(0)
-			r.end(id, Error, 10*ms)
+			r.end(id, ServerError, 10*ms)
 			r.now = max(r.now, r.b.requests[id].retryAt)
 			return id
 		}, sweep},
@@ -41,7 +41,7 @@
 				id := c.before(r)
 				began, cancels := len(r.sendsOf(id)), r.h.cancels
 				if order == "leaves first" {
-					r.b.Left(r.now, id)
+					r.b.ClientDisconnected(r.now, id)
 				}
 				c.due(r)
 				if order != "leaves first" {
@@ -51,7 +51,7 @@
 					if order == "stays" {
 						continue
 					}
-					r.b.Left(r.now, id)
+					r.b.ClientDisconnected(r.now, id)
 				}
 				out := 0
 				if q := r.b.requests[id]; q != nil {
@@ -61,7 +61,7 @@
 					t.Errorf("%s, %s: %d of %d attempts are cancelled", name, order, n, out)
 				}
 				for i := range began + want { // what is out ends in the way that asks for a retry
-					r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: Error})
+					r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: ServerError})
 				}
 				r.pass(10 * time.Second)
 				if n := len(r.sendsOf(id)) - began; n != want || r.b.requests[id] != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,17 +55,18 @@
 
 // ---- the list of servers
 
-// Members follows the list. Where it must be asked for it is watched.
-func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
+// UpdateEndpoints follows the list. Where it must be asked for it is watched.
+func (b *Balancer) UpdateEndpoints(now time.Duration, kind UpdateKind, entries []Endpoint) {
 	b.watchDelay = watchAgain
-	if kind == ListCached && b.set.ListAsked {
+	if kind == UpdateCached && b.set.PollEndpoints {
 		// Nodes of a release start in step. Discovery takes calls in turn, those that were given up
 		// included: at once, most of 80 calls time out, and so do those that come again behind them.
-		span := min(time.Duration(b.set.Nodes)*watchPerNode, b.set.Rules.MustAsk/2, ToldIn-listAnswer)
+		span := min(time.Duration(b.set.Nodes)*watchPerNode, b.set.Rules.MaxPollInterval/2,
+			NotificationDeadline-listAnswer)
 		if span > watchAgain && len(entries) > 0 {
 			b.host.SetTimer(now+b.fullJitter(span), tokenWatch)
 		} else {
-			b.host.WatchList()
+			b.host.WatchEndpoints()
 		}
 	}
 	b.list(kind, entries)
@@ -73,18 +74,18 @@
 	b.dispatch(now)
 }
 
-// ListFailed is told when a call for the list failed, or the watch broke; the list at hand
+// WatchFailed is told when a call for the list failed, or the watch broke; the list at hand
 // stays in force. What that missed counts as told when due, and an answer has to fit before.
 // The nodes that lost discovery together come back apart, each after the same time from then
 // on, so that a discovery that carries their watches carries their return as well.
-func (b *Balancer) ListFailed(now, due time.Duration) {
-	most := min(max(due-now-listAnswer, (due-now)/2, 0), max(b.set.Rules.MustAsk, watchAgain))
+func (b *Balancer) WatchFailed(now, due time.Duration) {
+	most := min(max(due-now-listAnswer, (due-now)/2, 0), max(b.set.Rules.MaxPollInterval, watchAgain))
 	wait := min(max(b.watchDelay, time.Duration(b.set.Nodes)*watchPerNode), most)
 	if b.watchDelay == watchAgain {
 		wait = b.fullJitter(wait)
 	}
 	b.host.SetTimer(now+wait, tokenWatch)
-	b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
+	b.watchDelay = min(2*b.watchDelay, b.set.Rules.MaxPollInterval/4+watchAgain)
 }
 
 // renewSubset keeps the node to its own subset of the ready servers, so many closed ones that
@@ -123,11 +124,13 @@
 
 // rampShare is the share of its capacity that a server has at least.
 func (b *Balancer) rampShare(s *server, now time.Duration) float64 {
-	age := now - s.Started
-	if s.Started <= 0 || age >= b.set.Rules.ColdFor {
+	age := now - s.StartedAt
+	if s.StartedAt <= 0 || age >= b.set.Rules.SlowStartDuration {
 		return 1
 	}
-	return b.set.Rules.ColdFrom + (1-b.set.Rules.ColdFrom)*max(0, age).Seconds()/b.set.Rules.ColdFor.Seconds()
+	rules := &b.set.Rules
+	gained := (1 - rules.SlowStartShare) * max(0, age).Seconds()
+	return rules.SlowStartShare + gained/rules.SlowStartDuration.Seconds()
 }
 
 // rampAllows tells whether a cold server can bear this work too. This node cannot see
@@ -142,12 +145,12 @@
 	if s.rampAt == 0 {
 		s.rampAt, s.rampLeft = now, -work*b.rng.Float64()
 	}
-	rate := b.warmPart / b.nodesPerServer * b.set.Rules.FallMultiple
+	rate := b.warmPart / b.nodesPerServer * b.set.Rules.OverloadMultiple
 	if b.warmPart == 0 { // a new node among cold servers knows only what it is asked itself
 		rate = b.arrivals.perSecond(now) * work / float64(len(b.subset))
 	}
 	rate *= share * rampSafety
-	s.rampLeft = min(s.rampLeft+rate*(now-s.rampAt).Seconds(), rate*b.set.Rules.FallFor.Seconds()/4)
+	s.rampLeft = min(s.rampLeft+rate*(now-s.rampAt).Seconds(), rate*b.set.Rules.OverloadWindow.Seconds()/4)
 	s.rampAt = now
 	return s.rampLeft > 0
 }
@@ -302,7 +305,7 @@
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if !a.neverRan && (a.out && !b.set.Limits.Hedging ||
-			r.class.Effect == Keyed && !r.class.sameGroup(a, s)) {
+			r.class.Idempotency == IdempotentWithKey && !r.class.sameGroup(a, s)) {
 			return false
 		}
 	}
@@ -313,14 +316,16 @@
 // have run whose repeats are not dropped, or not any more.
 func (b *Balancer) spent(r *request, at time.Duration) bool {
 	first := slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
-	return len(r.attempts) >= b.set.Limits.MaxAttempts || first >= 0 && (r.class.Effect == Unsafe ||
-		r.class.Effect == Keyed && at-r.attempts[first].sent >= r.class.Window)
+	return len(r.attempts) >= b.set.Limits.MaxAttempts || first >= 0 &&
+		(r.class.Idempotency == NotIdempotent ||
+			r.class.Idempotency == IdempotentWithKey && at-r.attempts[first].sent >= r.class.KeyRetention)
 }
 
 // mayRefuse tells whether the promise of a refusal holds.
 func (r *request) mayRefuse() bool {
 	c := r.class
-	return c.Effect == Safe || (c.Effect == Keyed && c.Scope == ScopeAll) || !r.mayHaveRun()
+	return c.Idempotency == Idempotent ||
+		(c.Idempotency == IdempotentWithKey && c.KeyScope == KeyScopeAll) || !r.mayHaveRun()
 }
 
 func (r *request) mayHaveRun() bool {
@@ -357,7 +362,8 @@
 		if s.breaker == closed && b.room(s, now) {
 			b.choices = append(b.choices, s)
 		} else if s.breaker == halfOpen && s.trial == nil &&
-			(r.class.Effect != Unsafe || now > s.reopenAt+s.openFor) { // unsafe ones when no other came
+			// One that is not idempotent is the trial only when no other came.
+			(r.class.Idempotency != NotIdempotent || now > s.reopenAt+s.openFor) {
 			return s
 		}
 	}
@@ -409,19 +415,19 @@
 		return
 	}
 	if q.Class < 0 || q.Class >= len(b.classes) {
-		b.host.Refuse(q.ID, 0)
+		b.host.Reject(q.ID, 0)
 		return
 	}
 	c := &b.classes[q.Class]
 	r := b.newRequest(q, c)
-	r.end = now + max(0, min(q.Left, c.Deadline)-max(0, b.set.Tick-b.set.Rules.AnswerGrace))
+	r.end = now + max(0, min(q.Timeout, c.Deadline)-max(0, b.set.Tick-b.set.Rules.AnswerGrace))
 	r.half = now + (r.end-now)/2 - sweepEvery
-	r.useful = min(r.end, now+c.Objective+time.Duration(c.ObjectiveStretch*float64(q.Hint)))
-	r.value = c.Value
+	r.useful = min(r.end, now+c.Objective+time.Duration(c.ObjectivePerWork*float64(q.CostHint)))
+	r.value = c.PriorityWeight
 	if q.Tenant >= 0 && q.Tenant < len(b.tenants) {
 		r.quota = &b.tenants[q.Tenant]
 		if !r.quota.take(now) {
-			r.quota, r.value = nil, r.value*b.set.OverQuotaValue
+			r.quota, r.value = nil, r.value*b.set.OverQuotaFraction
 		}
 	}
 	b.usualSeen = min(b.usualSeen+1, usualOver)
@@ -475,15 +481,15 @@
 		r.quota.tokens++
 	}
 	if r.mayRefuse() {
-		b.host.Refuse(r.ID, min(r.class.Objective/2, b.set.Limits.MaxRetryAfter))
+		b.host.Reject(r.ID, min(r.class.Objective/2, b.set.Limits.MaxRetryAfter))
 	} else {
 		b.host.Fail(r.ID)
 	}
 	b.finish(r)
 }
 
-// Stop ends every request that is open: the node is about to go.
-func (b *Balancer) Stop(now time.Duration) {
+// TerminateAll ends every request that is open: the node is about to go.
+func (b *Balancer) TerminateAll(now time.Duration) {
 	for len(b.open) > 0 {
 		b.giveUp(b.open[len(b.open)-1])
 	}
@@ -498,15 +504,15 @@
 	b.close(r)
 }
 
-// Left is told when a client went away: nothing is owed any more.
-func (b *Balancer) Left(now time.Duration, id RequestID) {
+// ClientDisconnected is told when a client went away: nothing is owed any more.
+func (b *Balancer) ClientDisconnected(now time.Duration, id RequestID) {
 	if r := b.requests[id]; r != nil {
 		b.finish(r)
 	}
 }
 
-// Started is told when the answer's stream began: the attempt is the client's now.
-func (b *Balancer) Started(now time.Duration, id RequestID, index int) {
+// StreamStarted is told when the answer's stream began: the attempt is the client's now.
+func (b *Balancer) StreamStarted(now time.Duration, id RequestID, index int) {
 	r, a := b.find(id, index)
 	if r == nil {
 		return
@@ -535,7 +541,7 @@
 	b.ended(r, a)
 	a.neverRan = o.Status.NeverRan()
 	b.judge(now, r, a, o)
-	if o.Ended || o.Status == OK {
+	if o.RequestEnded || o.Status == OK {
 		b.finish(r)
 	} else if !r.done && r.out == 0 {
 		b.retry(now, r)
@@ -550,7 +556,7 @@
 // judged by what its former process was sent.
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
 	s := a.server
-	if a.sent < s.Started {
+	if a.sent < s.StartedAt {
 		return
 	}
 	latency := o.Latency.Seconds() / b.loneLatency(r)
@@ -564,7 +570,7 @@
 		}
 		b.measure(a, r, o.Latency.Seconds())
 		b.adjustLimit(now)
-	case Error, Reset, ConnectFailed:
+	case ServerError, Reset, ConnectFailed:
 		s.record(now, false, latency)
 		b.countFailure(now, a, o.Status)
 	case Timeout:
@@ -605,7 +611,7 @@
 			b.sweep(now)
 		}
 	case tokenWatch:
-		b.host.WatchList()
+		b.host.WatchEndpoints()
 	}
 }
 
@@ -663,7 +669,7 @@
 // request of much value may still earn more than one in time to another: the node's room for
 // a request comes seldom, but soon enough.
 func (b *Balancer) valuableUntil(r *request) time.Duration {
-	if b.sparse() && r.value*r.class.LateValue >= b.usualValue*r.class.work {
+	if b.sparse() && r.value*r.class.LateFraction >= b.usualValue*r.class.work {
 		return r.end
 	}
 	return r.useful
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -50,7 +50,7 @@
 	h.cancels++
 }
 
-func (h *fakeHost) Refuse(id RequestID, after time.Duration) {
+func (h *fakeHost) Reject(id RequestID, after time.Duration) {
 	h.note("refuse %d %v", id, after)
 	h.refused[id] = after
 }
@@ -82,7 +82,7 @@
 	}
 }
 
-func (h *fakeHost) WatchList() {
+func (h *fakeHost) WatchEndpoints() {
 	h.note("watch")
 	h.watches++
 }
@@ -90,15 +90,15 @@
 // testSettings has a safe, a keyed and an unsafe class, in this order.
 func testSettings() Settings {
 	s := Defaults()
-	class := Class{Deadline: 2 * time.Second, Objective: 800 * ms, Value: 1}
+	class := Class{Deadline: 2 * time.Second, Objective: 800 * ms, PriorityWeight: 1}
 	keyed, unsafe := class, class
-	keyed.Effect, keyed.Scope, keyed.Window = Keyed, ScopeCell, time.Second
-	unsafe.Effect = Unsafe
+	keyed.Idempotency, keyed.KeyScope, keyed.KeyRetention = IdempotentWithKey, KeyScopeCell, time.Second
+	unsafe.Idempotency = NotIdempotent
 	s.Classes = []Class{class, keyed, unsafe}
 	s.Limits = Limits{MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: time.Second}
 	s.Rules = Rules{
-		ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 3, FallFor: time.Second,
-		MustAsk: 10 * time.Second,
+		SlowStartShare: 0.2, SlowStartDuration: 10 * time.Second, OverloadMultiple: 3, OverloadWindow: time.Second,
+		MaxPollInterval: 10 * time.Second,
 	}
 	return s
 }
@@ -121,26 +121,26 @@
 		t.Fatal(err)
 	}
 	r := &rig{t: t, b: b, h: h, now: time.Hour, done: map[RequestID]int{}}
-	r.list(ListCached, ready(1, servers)...)
+	r.list(UpdateCached, ready(1, servers)...)
 	return r
 }
 
 // ready gives entries for servers first to last, two to a cell, five to a zone.
-func ready(first, last int) []Entry {
-	var entries []Entry
+func ready(first, last int) []Endpoint {
+	var entries []Endpoint
 	for i := first; i <= last; i++ {
-		entries = append(entries, Entry{
+		entries = append(entries, Endpoint{
 			Server: ServerID(i), Cell: i / 2, Zone: i / 5, State: Ready, Weight: 1,
 		})
 	}
 	return entries
 }
 
-func (r *rig) list(kind ListKind, entries ...Entry) { r.b.Members(r.now, kind, entries) }
+func (r *rig) list(kind UpdateKind, entries ...Endpoint) { r.b.UpdateEndpoints(r.now, kind, entries) }
 
 func (r *rig) request(class int) RequestID {
 	r.next++
-	r.b.Request(r.now, Request{ID: r.next, Class: class, Left: 2 * time.Second})
+	r.b.Request(r.now, Request{ID: r.next, Class: class, Timeout: 2 * time.Second})
 	return r.next
 }
 
@@ -160,7 +160,7 @@
 	i := r.done[id]
 	r.done[id]++
 	r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Server: r.sendsOf(id)[i], Status: status, Latency: latency,
-		Ended: status == OK})
+		RequestEnded: status == OK})
 }
 
 // pass lets time go by, firing the timers that fall due.
@@ -205,7 +205,7 @@
 	r := newRig(t, testSettings(), 4)
 	bad := r.b.ready[0]
 	for range failuresToOpen {
-		r.b.countFailure(r.now, &attempt{server: bad}, Error)
+		r.b.countFailure(r.now, &attempt{server: bad}, ServerError)
 	}
 	if bad.breaker != open {
 		t.Fatalf("breaker %v after %d failures, want open", bad.breaker, failuresToOpen)
@@ -225,7 +225,7 @@
 		t.Fatalf("second request went to %v while the trial is out", other)
 	}
 	before := bad.openFor
-	r.end(trial, Error, 5*ms)
+	r.end(trial, ServerError, 5*ms)
 	if bad.breaker != open || bad.openFor != 2*before {
 		t.Fatalf("after a failed trial: breaker %v for %v, want open for %v",
 			bad.breaker, bad.openFor, 2*before)
@@ -242,16 +242,16 @@
 	r := newRig(t, testSettings(), 4)
 	s := r.b.ready[0]
 	for range failuresToOpen - 1 {
-		r.b.countFailure(r.now, &attempt{server: s}, Error)
+		r.b.countFailure(r.now, &attempt{server: s}, ServerError)
 	}
 	s.succeeded(r.now, nil)
-	r.b.countFailure(r.now, &attempt{server: s}, Error)
+	r.b.countFailure(r.now, &attempt{server: s}, ServerError)
 	if s.breaker != closed {
 		t.Fatal("failures with a success between them opened the breaker")
 	}
 	for range 2 * failuresToOpen {
 		r.now += failuresFor / 3
-		r.b.countFailure(r.now, &attempt{server: s}, Error)
+		r.b.countFailure(r.now, &attempt{server: s}, ServerError)
 	}
 	if s.breaker != closed {
 		t.Fatal("failures spread wider than the window opened the breaker")
@@ -277,7 +277,7 @@
 	r := newRig(t, testSettings(), 3)
 	for _, s := range r.b.ready {
 		for range failuresToOpen {
-			r.b.countFailure(r.now, &attempt{server: s}, Error)
+			r.b.countFailure(r.now, &attempt{server: s}, ServerError)
 		}
 	}
 	id := r.request(2)
@@ -301,11 +301,11 @@
 		status Status
 		want   string
 	}{
-		{0, Error, retried}, {0, Rejected, retried}, {0, Timeout, retried}, {0, ConnectFailed, retried},
+		{0, ServerError, retried}, {0, Rejected, retried}, {0, Timeout, retried}, {0, ConnectFailed, retried},
 		{0, Reset, retried}, {0, NotSent, retried},
-		{1, Error, retried}, {1, Rejected, retried}, {1, Timeout, retried}, {1, ConnectFailed, retried},
+		{1, ServerError, retried}, {1, Rejected, retried}, {1, Timeout, retried}, {1, ConnectFailed, retried},
 		{1, Reset, retried}, {1, NotSent, retried},
-		{2, Error, failed}, {2, Rejected, retried}, {2, Timeout, failed}, {2, ConnectFailed, retried},
+		{2, ServerError, failed}, {2, Rejected, retried}, {2, Timeout, failed}, {2, ConnectFailed, retried},
 		{2, Reset, failed}, {2, NotSent, retried},
 	} {
 		t.Run(fmt.Sprintf("class %d status %d", tc.class, tc.status), func(t *testing.T) {
@@ -333,7 +333,7 @@
 				if s[0] == s[1] {
 					t.Fatal("retried at the server that failed")
 				}
-				ran := tc.status == Error || tc.status == Timeout || tc.status == Reset
+				ran := tc.status == ServerError || tc.status == Timeout || tc.status == Reset
 				if tc.class == 1 && ran && s[0]/2 != s[1]/2 {
 					t.Fatalf("keyed request left its cell: %v", s)
 				}
@@ -346,11 +346,11 @@
 func TestKeyedWindow(t *testing.T) {
 	set := testSettings()
 	set.Limits.Hedging = false
-	set.Classes[1].Window = 100 * ms
+	set.Classes[1].KeyRetention = 100 * ms
 	r := newRig(t, set, 9)
 	id := r.request(1)
 	r.pass(150 * ms)
-	r.end(id, Error, 150*ms)
+	r.end(id, ServerError, 150*ms)
 	r.pass(300 * ms)
 	if n := len(r.sendsOf(id)); n != 1 || !r.h.failed[id] {
 		t.Fatalf("%d sends, failed %v; want one send and a failure", n, r.h.failed[id])
@@ -365,7 +365,7 @@
 	var waits []time.Duration
 	for i := range 3 {
 		from := r.now
-		r.end(id, Error, ms)
+		r.end(id, ServerError, ms)
 		for len(r.sendsOf(id)) == i+1 && r.now < from+time.Second {
 			r.pass(ms)
 		}
@@ -376,13 +376,13 @@
 	}
 	late := r.request(0)
 	r.pass(790 * ms)
-	r.end(late, Error, 790*ms)
+	r.end(late, ServerError, 790*ms)
 	if _, ok := r.h.refused[late]; !ok {
 		t.Fatal("a retry that cannot be in time must be refused at once")
 	}
 	r.b.set.Limits.MaxAttempts = 1
 	last := r.request(0)
-	r.end(last, Error, ms)
+	r.end(last, ServerError, ms)
 	if _, ok := r.h.refused[last]; !ok {
 		t.Fatal("a request that has had all of its attempts must be refused at once")
 	}
@@ -396,15 +396,15 @@
 		r.request(i % 3)
 	}
 	first := r.h.sends[0]
-	r.end(first.id, Error, ms) // waits for its backoff
-	r.list(ListDelta, Entry{Server: 1, State: Draining})
-	r.list(ListDelta, Entry{Server: 2, State: Gone})
+	r.end(first.id, ServerError, ms) // waits for its backoff
+	r.list(UpdateDelta, Endpoint{Server: 1, State: Draining})
+	r.list(UpdateDelta, Endpoint{Server: 2, State: Gone})
 	before := len(r.h.sends)
 	r.pass(3 * time.Second)
 	if len(r.h.sends) != before {
 		t.Fatalf("sent %v after the notices", r.h.sends[before:])
 	}
-	r.list(ListSnapshot, ready(2, 3)...)
+	r.list(UpdateSnapshot, ready(2, 3)...)
 	if id := r.request(0); len(r.sendsOf(id)) != 1 {
 		t.Fatal("the full list's servers are not used")
 	}
@@ -417,7 +417,7 @@
 	for i := 5; i < 3000; i++ {
 		entries := ready(i-3, i)
 		entries[0].State = Draining
-		r.list(ListSnapshot, entries...)
+		r.list(UpdateSnapshot, entries...)
 		r.now += ms
 	}
 	if n := len(r.b.servers); n > 4 {
@@ -427,15 +427,15 @@
 
 func TestWatchedListIsWatchedAgainAfterFailures(t *testing.T) {
 	set := testSettings()
-	set.ListAsked = true
+	set.PollEndpoints = true
 	r := newRig(t, set, 3)
 	if r.h.watches != 1 {
 		t.Fatalf("%d calls at the start, want 1", r.h.watches)
 	}
 	for range 2 {
-		r.b.ListFailed(r.now, r.now+ToldIn)
+		r.b.WatchFailed(r.now, r.now+NotificationDeadline)
 	}
-	r.pass(set.Rules.MustAsk / 2)
+	r.pass(set.Rules.MaxPollInterval / 2)
 	if r.h.watches < 2 {
 		t.Fatal("not asked again after a failure")
 	}
@@ -456,25 +456,25 @@
 			r.serve(200, 0, 10*ms)
 			restarted := ready(1, tc.cold)
 			for i := range restarted {
-				restarted[i].Started = r.now
+				restarted[i].StartedAt = r.now
 			}
-			r.list(ListDelta, restarted...)
+			r.list(UpdateDelta, restarted...)
 			s, c, rules := r.b.servers[1], &r.b.classes[0], r.b.set.Rules
 			r.b.refresh(r.now)
 			part := r.b.warmPart // what a warm server gets
 			var sends []time.Duration
-			for start := r.now; r.now < start+rules.ColdFor; r.now += ms { // the gate alone
+			for start := r.now; r.now < start+rules.SlowStartDuration; r.now += ms { // the gate alone
 				if work := c.lone + 0.001; r.b.rampAllows(s, r.now, work) {
 					s.rampLeft -= work
 					sends = append(sends, r.now)
 				}
 				within := 0
 				for _, at := range sends {
-					if r.now-at < rules.FallFor {
+					if r.now-at < rules.OverloadWindow {
 						within++
 					}
 				}
-				most := part * rules.FallFor.Seconds() * rules.FallMultiple * r.b.rampShare(s, r.now)
+				most := part * rules.OverloadWindow.Seconds() * rules.OverloadMultiple * r.b.rampShare(s, r.now)
 				if work := float64(within) * c.lone; work > most+c.lone {
 					t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
 				}
@@ -500,8 +500,8 @@
 			t.Fatal(err)
 		}
 		entries := ready(1, 3)
-		entries[0].Started = time.Hour
-		b.Members(time.Hour, ListCached, entries)
+		entries[0].StartedAt = time.Hour
+		b.UpdateEndpoints(time.Hour, UpdateCached, entries)
 		b.refresh(time.Hour)
 		b.warmPart = b.classes[0].lone // thin traffic: a lone request a second
 		wait := time.Duration(0)
@@ -522,13 +522,13 @@
 // Guards against sends by the gate itself to a server that is not ready.
 func TestGateRefusesServersThatAreNotReady(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
-	q := r.b.newRequest(Request{ID: 9, Left: time.Second}, &r.b.classes[0])
+	q := r.b.newRequest(Request{ID: 9, Timeout: time.Second}, &r.b.classes[0])
 	q.end = r.now + time.Second
 	s := r.b.ready[0]
 	if !r.b.maySend(r.now, q, s) {
 		t.Fatal("a ready server must pass")
 	}
-	for _, state := range []State{Draining, Gone} {
+	for _, state := range []EndpointState{Draining, Gone} {
 		s.State = state
 		if r.b.maySend(r.now, q, s) {
 			t.Errorf("state %d passes the gate", state)
@@ -599,11 +599,11 @@
 func TestOverShareTrafficWaitsBehindTheRest(t *testing.T) {
 	set := testSettings()
 	set.Tenants = []Tenant{{QuotaPerS: 2}, {QuotaPerS: 100}}
-	set.OverQuotaValue = 0.05
+	set.OverQuotaFraction = 0.05
 	r := newRig(t, set, 1)
 	ask := func(tenant int) RequestID {
 		r.next++
-		r.b.Request(r.now, Request{ID: r.next, Tenant: tenant, Left: 2 * time.Second})
+		r.b.Request(r.now, Request{ID: r.next, Tenant: tenant, Timeout: 2 * time.Second})
 		return r.next
 	}
 	first := ask(0)
@@ -666,16 +666,16 @@
 	r.end(id, OK, 10*ms)
 	before := len(r.h.log)
 	r.b.Outcome(r.now, Outcome{ID: id, Attempt: 0, Status: OK})
-	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: Error})
-	r.b.Outcome(r.now, Outcome{ID: id, Attempt: -1, Status: Error})
-	r.b.Left(r.now, id)
-	r.b.Started(r.now, id, 0)
+	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: ServerError})
+	r.b.Outcome(r.now, Outcome{ID: id, Attempt: -1, Status: ServerError})
+	r.b.ClientDisconnected(r.now, id)
+	r.b.StreamStarted(r.now, id, 0)
 	r.b.Timer(r.now, 77)
-	r.list(ListDelta, Entry{Server: 55, State: Gone})
+	r.list(UpdateDelta, Endpoint{Server: 55, State: Gone})
 	if len(r.h.log) != before {
 		t.Fatalf("stale events led to %v", r.h.log[before:])
 	}
-	r.b.Request(r.now, Request{ID: 1000, Class: 9, Left: time.Second})
+	r.b.Request(r.now, Request{ID: 1000, Class: 9, Timeout: time.Second})
 	if _, ok := r.h.refused[1000]; !ok {
 		t.Fatal("a request of an unknown class got no answer")
 	}
@@ -683,10 +683,10 @@
 
 func TestStreamBelongsToTheClientOnceStarted(t *testing.T) {
 	set := testSettings()
-	set.Classes[0].Stream = true
+	set.Classes[0].Streaming = true
 	r := newRig(t, set, 4)
 	id := r.request(0)
-	r.b.Started(r.now, id, 0)
+	r.b.StreamStarted(r.now, id, 0)
 	r.pass(10 * time.Second) // long after the deadline
 	if len(r.sendsOf(id)) != 1 || r.h.failed[id] || r.h.cancels > 0 {
 		t.Fatalf("a running stream was touched: %v", r.h.log)
@@ -705,21 +705,21 @@
 		{"Classes", func(s *Settings) { s.Classes = nil }},
 		{"Classes[1].Deadline", func(s *Settings) { s.Classes[1].Deadline = 0 }},
 		{"Classes[0].Objective", func(s *Settings) { s.Classes[0].Objective = -1 }},
-		{"Classes[0].ObjectiveStretch", func(s *Settings) { s.Classes[0].ObjectiveStretch = nan }},
-		{"Classes[0].LateValue", func(s *Settings) { s.Classes[0].LateValue = 1.5 }},
-		{"Classes[0].Value", func(s *Settings) { s.Classes[0].Value = nan }},
-		{"Classes[0].Effect", func(s *Settings) { s.Classes[0].Effect = 9 }},
-		{"Classes[0].Scope", func(s *Settings) { s.Classes[0].Scope = 9 }},
-		{"Classes[0].Window", func(s *Settings) { s.Classes[0].Window = -1 }},
+		{"Classes[0].ObjectiveStretch", func(s *Settings) { s.Classes[0].ObjectivePerWork = nan }},
+		{"Classes[0].LateValue", func(s *Settings) { s.Classes[0].LateFraction = 1.5 }},
+		{"Classes[0].Value", func(s *Settings) { s.Classes[0].PriorityWeight = nan }},
+		{"Classes[0].Effect", func(s *Settings) { s.Classes[0].Idempotency = 9 }},
+		{"Classes[0].Scope", func(s *Settings) { s.Classes[0].KeyScope = 9 }},
+		{"Classes[0].Window", func(s *Settings) { s.Classes[0].KeyRetention = -1 }},
 		{"Tenants[0].QuotaPerS", func(s *Settings) { s.Tenants = []Tenant{{QuotaPerS: -1}} }},
-		{"OverQuotaValue", func(s *Settings) { s.OverQuotaValue = nan }},
+		{"OverQuotaValue", func(s *Settings) { s.OverQuotaFraction = nan }},
 		{"Limits.MaxAttempts", func(s *Settings) { s.Limits.MaxAttempts = 0 }},
 		{"Limits.MaxRetryAfter", func(s *Settings) { s.Limits.MaxRetryAfter = -1 }},
-		{"Rules.ColdFrom", func(s *Settings) { s.Rules.ColdFrom = 2 }},
-		{"Rules.ColdFor", func(s *Settings) { s.Rules.ColdFor = -1 }},
-		{"Rules.FallMultiple", func(s *Settings) { s.Rules.FallMultiple = nan }},
-		{"Rules.FallFor", func(s *Settings) { s.Rules.FallFor = -1 }},
-		{"Rules.MustAsk", func(s *Settings) { s.Rules.MustAsk = -1 }},
+		{"Rules.ColdFrom", func(s *Settings) { s.Rules.SlowStartShare = 2 }},
+		{"Rules.ColdFor", func(s *Settings) { s.Rules.SlowStartDuration = -1 }},
+		{"Rules.FallMultiple", func(s *Settings) { s.Rules.OverloadMultiple = nan }},
+		{"Rules.FallFor", func(s *Settings) { s.Rules.OverloadWindow = -1 }},
+		{"Rules.MustAsk", func(s *Settings) { s.Rules.MaxPollInterval = -1 }},
 	} {
 		set := testSettings()
 		tc.change(&set)
@@ -758,7 +758,7 @@
 		set := testSettings()
 		set.Tick, set.Rules.AnswerGrace = tick, 5*ms
 		r := newRig(t, set, 0)
-		r.list(ListSnapshot, ready(1, 1)...)
+		r.list(UpdateSnapshot, ready(1, 1)...)
 		for range 40 {
 			r.request(0) // far more than there is room for
 		}
@@ -766,7 +766,7 @@
 		r.b.classes[2].lone = 0.0001 // so that it is worth holding to the last
 		r.next++
 		start := r.now
-		r.b.Request(r.now, Request{ID: r.next, Class: 2, Left: left})
+		r.b.Request(r.now, Request{ID: r.next, Class: 2, Timeout: left})
 		for r.now < start+left+set.Rules.AnswerGrace {
 			r.now += tick // batches, and so timers, come a tick apart
 			due := r.h.timers
@@ -793,7 +793,7 @@
 	r := newRig(t, testSettings(), 1)
 	s := r.b.ready[0]
 	for range failuresToOpen {
-		r.b.countFailure(r.now, &attempt{server: s}, Error)
+		r.b.countFailure(r.now, &attempt{server: s}, ServerError)
 	}
 	r.now = s.reopenAt + ms
 	if id := r.request(2); len(r.sendsOf(id)) != 0 {
@@ -815,10 +815,10 @@
 	}
 	restarted := ready(1, 2)
 	for i := range restarted {
-		restarted[i].Started = r.now
+		restarted[i].StartedAt = r.now
 	}
 	r.now += ms
-	r.list(ListDelta, restarted...)
+	r.list(UpdateDelta, restarted...)
 	if r.b.out != 0 || len(r.b.servers[1].out)+len(r.b.servers[2].out) != 0 {
 		t.Fatalf("%d attempts fill the room of new processes", r.b.out)
 	}
@@ -834,21 +834,21 @@
 func TestRelistedServerAndStaleEventsKeepTheBooks(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
 	first, second := r.request(0), r.request(2)
-	r.list(ListSnapshot, ready(2, 2)...)
-	r.list(ListSnapshot, ready(1, 2)...)
+	r.list(UpdateSnapshot, ready(2, 2)...)
+	r.list(UpdateSnapshot, ready(1, 2)...)
 	if len(r.b.ready) != 2 {
 		t.Fatalf("%d servers ready after one came back, want 2", len(r.b.ready))
 	}
 	r.end(first, OK, 20*ms)
-	r.b.Left(r.now, first) // in the batch of its end
-	r.b.Left(r.now, second)
+	r.b.ClientDisconnected(r.now, first) // in the batch of its end
+	r.b.ClientDisconnected(r.now, second)
 	if r.h.cancels != 1 || len(r.h.refused)+len(r.h.failed) != 0 {
 		t.Fatalf("%d cancels, answers %v %v; want one cancel", r.h.cancels, r.h.refused, r.h.failed)
 	}
 	r.end(second, Cancelled, 20*ms)
 	r.b.Outcome(r.now, Outcome{ID: second, Status: OK}) // repeated
-	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: Error})
-	r.b.Started(r.now, 999, 0)
+	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: ServerError})
+	r.b.StreamStarted(r.now, 999, 0)
 	if r.b.out != 0 || len(r.b.requests) != 0 || len(r.b.open) != 0 {
 		t.Fatalf("%d out, %d known, %d open at the end", r.b.out, len(r.b.requests), len(r.b.open))
 	}
@@ -866,7 +866,7 @@
 				s.succeeded(now, a)
 			} else {
 				s.record(now, false, 1)
-				b.countFailure(now, a, Error)
+				b.countFailure(now, a, ServerError)
 			}
 		}
 		b.tally(now)
@@ -891,9 +891,9 @@
 // A silent watch is called anew within what is left until its news count as told, the
 // nodes of a fleet apart from one another, and it is no reason to wait longer each time.
 func TestSilentWatchIsCalledAnewSoon(t *testing.T) {
-	const left, span = ToldIn / 4, ToldIn / 8 // until its news count as told, and to call anew
+	const left, span = NotificationDeadline / 4, NotificationDeadline / 8 // until its news count as told, and to call anew
 	set := testSettings()
-	set.ListAsked, set.Nodes = true, 300
+	set.PollEndpoints, set.Nodes = true, 300
 	apart := map[time.Duration]bool{}
 	for node := range 100 {
 		set.Node = node
@@ -904,7 +904,7 @@
 		}
 		for range 5 {
 			h.timers = nil
-			b.ListFailed(time.Hour, time.Hour+left)
+			b.WatchFailed(time.Hour, time.Hour+left)
 			if len(h.timers) != 1 || h.timers[0].token != tokenWatch || h.timers[0].at > time.Hour+span {
 				t.Fatalf("timers %v", h.timers)
 			}
@@ -931,7 +931,7 @@
 	for _, id := range ids {
 		maySay[id] = r.b.requests[id].mayRefuse()
 	}
-	r.b.Stop(r.now)
+	r.b.TerminateAll(r.now)
 	for _, id := range ids {
 		_, refused := r.h.refused[id]
 		if refused == r.h.failed[id] || refused != maySay[id] {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -12,14 +12,14 @@
 // figures for drains and cold servers.
 func Defaults() Settings {
 	return Settings{
-		Nodes:          1,
-		OverQuotaValue: 1,
-		Tick:           10 * time.Millisecond,
-		Limits:         Limits{MaxAttempts: 1},
+		Nodes:             1,
+		OverQuotaFraction: 1,
+		Tick:              10 * time.Millisecond,
+		Limits:            Limits{MaxAttempts: 1},
 		Rules: Rules{
-			ColdFrom: 0.1, ColdFor: 30 * time.Second,
-			FallMultiple: 2, FallFor: time.Second,
-			MustAsk: 10 * time.Second,
+			SlowStartShare: 0.1, SlowStartDuration: 30 * time.Second,
+			OverloadMultiple: 2, OverloadWindow: time.Second,
+			MaxPollInterval: 10 * time.Second,
 		},
 	}
 }
@@ -45,7 +45,7 @@
 		})
 	}
 	for i := range b.classes {
-		if set.ValueByWork {
+		if set.WeightByWork {
 			b.classes[i].work = 1
 		}
 	}
@@ -72,26 +72,26 @@
 		return bad("Zone", s.Zone)
 	case len(s.Classes) == 0:
 		return bad("Classes", "none given")
-	case !number(s.OverQuotaValue, 0):
-		return bad("OverQuotaValue", s.OverQuotaValue)
+	case !number(s.OverQuotaFraction, 0):
+		return bad("OverQuotaValue", s.OverQuotaFraction)
 	case s.Limits.MaxAttempts < 1:
 		return bad("Limits.MaxAttempts", s.Limits.MaxAttempts)
 	case s.Limits.MaxRetryAfter < 0:
 		return bad("Limits.MaxRetryAfter", s.Limits.MaxRetryAfter)
-	case !number(s.Rules.ColdFrom, 0) || s.Rules.ColdFrom > 1:
-		return bad("Rules.ColdFrom", s.Rules.ColdFrom)
-	case s.Rules.ColdFor < 0:
-		return bad("Rules.ColdFor", s.Rules.ColdFor)
-	case !number(s.Rules.FallMultiple, 0):
-		return bad("Rules.FallMultiple", s.Rules.FallMultiple)
-	case s.Rules.FallFor < 0:
-		return bad("Rules.FallFor", s.Rules.FallFor)
+	case !number(s.Rules.SlowStartShare, 0) || s.Rules.SlowStartShare > 1:
+		return bad("Rules.ColdFrom", s.Rules.SlowStartShare)
+	case s.Rules.SlowStartDuration < 0:
+		return bad("Rules.ColdFor", s.Rules.SlowStartDuration)
+	case !number(s.Rules.OverloadMultiple, 0):
+		return bad("Rules.FallMultiple", s.Rules.OverloadMultiple)
+	case s.Rules.OverloadWindow < 0:
+		return bad("Rules.FallFor", s.Rules.OverloadWindow)
 	case s.Tick < 0:
 		return bad("Tick", s.Tick)
 	case s.Rules.AnswerGrace < 0:
 		return bad("Rules.AnswerGrace", s.Rules.AnswerGrace)
-	case s.Rules.MustAsk < 0:
-		return bad("Rules.MustAsk", s.Rules.MustAsk)
+	case s.Rules.MaxPollInterval < 0:
+		return bad("Rules.MustAsk", s.Rules.MaxPollInterval)
 	}
 	for i, c := range s.Classes {
 		field := func(name string) string { return fmt.Sprintf("Classes[%d].%s", i, name) }
@@ -100,18 +100,18 @@
 			return bad(field("Deadline"), c.Deadline)
 		case c.Objective < 0:
 			return bad(field("Objective"), c.Objective)
-		case !number(c.ObjectiveStretch, 0):
-			return bad(field("ObjectiveStretch"), c.ObjectiveStretch)
-		case !number(c.LateValue, 0) || c.LateValue > 1:
-			return bad(field("LateValue"), c.LateValue)
-		case !number(c.Value, 0):
-			return bad(field("Value"), c.Value)
-		case c.Effect > Unsafe:
-			return bad(field("Effect"), c.Effect)
-		case c.Scope > ScopeCell:
-			return bad(field("Scope"), c.Scope)
-		case c.Window < 0:
-			return bad(field("Window"), c.Window)
+		case !number(c.ObjectivePerWork, 0):
+			return bad(field("ObjectiveStretch"), c.ObjectivePerWork)
+		case !number(c.LateFraction, 0) || c.LateFraction > 1:
+			return bad(field("LateValue"), c.LateFraction)
+		case !number(c.PriorityWeight, 0):
+			return bad(field("Value"), c.PriorityWeight)
+		case c.Idempotency > NotIdempotent:
+			return bad(field("Effect"), c.Idempotency)
+		case c.KeyScope > KeyScopeCell:
+			return bad(field("Scope"), c.KeyScope)
+		case c.KeyRetention < 0:
+			return bad(field("Window"), c.KeyRetention)
 		}
 	}
 	for i, t := range s.Tenants {
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,7 +27,7 @@
 }
 
 type server struct {
-	Entry
+	Endpoint
 	breaker  breaker
 	near     bool            // in this node's zone
 	place    uint64          // on the ring, the same at every node
@@ -228,8 +228,8 @@
 
 // list applies a list or changes to one. What a server was found to be is kept
 // while it stays the same process; a restart makes it unmeasured again.
-func (b *Balancer) list(kind ListKind, entries []Entry) {
-	if kind != ListDelta {
+func (b *Balancer) list(kind UpdateKind, entries []Endpoint) {
+	if kind != UpdateDelta {
 		for _, s := range b.servers { // draining ones too: many leave no other trace
 			s.State = Gone
 		}
@@ -240,14 +240,14 @@
 		if s == nil {
 			s = &server{openFor: openFirst, place: ringPlace(e)}
 			b.servers[e.Server] = s
-		} else if e.Started != s.Started {
+		} else if e.StartedAt != s.StartedAt {
 			for _, a := range s.out {
 				b.silence(a) // sent to the former process, which answers no more
 			}
-			*s = server{Entry: s.Entry, openFor: openFirst, place: s.place}
+			*s = server{Endpoint: s.Endpoint, openFor: openFirst, place: s.place}
 		}
 		listed := s.State == Ready
-		s.Entry = e
+		s.Endpoint = e
 		s.near = e.Zone == b.set.Zone
 		if e.State == Ready && !listed {
 			b.ready = append(b.ready, s)
@@ -271,7 +271,7 @@
 
 // ringPlace orders the servers alike at every node, those of a cell side by side
 // so that a subset holds the group that a keyed request is bound to.
-func ringPlace(e Entry) uint64 {
+func ringPlace(e Endpoint) uint64 {
 	mix := func(x uint64) uint64 { // the finalizer of splitmix64
 		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 		x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -282,9 +282,9 @@
 
 // newRequest adds a request to the open ones.
 func (b *Balancer) newRequest(q Request, c *class) *request {
-	if q.Hint > 0 {
+	if q.CostHint > 0 {
 		c.hinted = min(c.hinted+1, 64)
-		c.hint += (q.Hint.Seconds() - c.hint) / c.hinted
+		c.hint += (q.CostHint.Seconds() - c.hint) / c.hinted
 	}
 	var r *request
 	if n := len(b.pool); n > 0 {
@@ -349,10 +349,10 @@
 }
 
 func (c *class) sameGroup(a *attempt, s *server) bool {
-	switch c.Scope {
-	case ScopeZone:
+	switch c.KeyScope {
+	case KeyScopeZone:
 		return a.zone == s.Zone
-	case ScopeCell:
+	case KeyScopeCell:
 		return a.cell == s.Cell
 	}
 	return true
@@ -369,10 +369,10 @@
 
 // size is the request's work as a multiple of its class's mean, where hinted.
 func (r *request) size() float64 {
-	if r.Hint <= 0 || r.class.hint <= 0 {
+	if r.CostHint <= 0 || r.class.hint <= 0 {
 		return 1
 	}
-	return min(max(r.Hint.Seconds()/r.class.hint, 0.25), 4)
+	return min(max(r.CostHint.Seconds()/r.class.hint, 0.25), 4)
 }
 
 // close takes a request off the books once it is done and its attempts are in.
@@ -394,7 +394,7 @@
 
 // lastUse is when an answer loses its last value.
 func (r *request) lastUse() time.Duration {
-	if r.class.LateValue > 0 {
+	if r.class.LateFraction > 0 {
 		return r.end
 	}
 	return r.useful
@@ -433,7 +433,7 @@
 	c := r.class
 	b.typical += (latency - b.typical) / 64
 	c.seen = min(c.seen+1, 400)
-	if !b.set.ValueByWork {
+	if !b.set.WeightByWork {
 		c.work += (latency - c.work) / c.seen // by all answers: lone ones are rare in a busy fleet
 	}
 	if a.lone && (c.loneSeen < 12 || b.crowding < crowdingGoal/2) {
--- a/policy/window_test.go
+++ b/policy/window_test.go
@@ -12,7 +12,7 @@
 		return func(r *rig, id RequestID) {
 			q := r.b.requests[id]
 			r.pass(20 * ms)
-			r.end(id, Error, 20*ms)
+			r.end(id, ServerError, 20*ms)
 			r.now = q.attempts[0].sent + after
 			q.retryAt = r.now
 			r.b.sweep(r.now)
@@ -28,35 +28,35 @@
 		"a repeat due inside it":                    {100 * ms, due(99 * ms), 2, false},
 		"due at its end":                            {100 * ms, due(100 * ms), 1, true},
 		"due behind it":                             {100 * ms, due(101 * ms), 1, true},
-		"shorter than the wait for another attempt": {15 * ms, func(r *rig, id RequestID) { r.end(id, Error, 0) }, 1, true},
+		"shorter than the wait for another attempt": {15 * ms, func(r *rig, id RequestID) { r.end(id, ServerError, 0) }, 1, true},
 		"over while the repeat waits for room": {100 * ms, func(r *rig, id RequestID) {
 			r.request(0) // stays out
 			r.b.limit = 0
-			r.end(id, Error, 0)
+			r.end(id, ServerError, 0)
 			r.pass(100*ms + 2*sweepEvery)
 		}, 1, true},
 		"counted from the first that may have run": {100 * ms, func(r *rig, id RequestID) {
 			r.pass(90 * ms)
 			r.end(id, Rejected, 90*ms)
 			r.pass(40 * ms)
-			r.end(id, Error, 5*ms)
+			r.end(id, ServerError, 5*ms)
 			r.pass(75 * ms)
 		}, 3, false},
 	} {
-		for _, scope := range []Scope{ScopeAll, ScopeCell} {
-			t.Run(name+map[Scope]string{ScopeAll: ", refused", ScopeCell: ", failed"}[scope], func(t *testing.T) {
+		for _, scope := range []KeyScope{KeyScopeAll, KeyScopeCell} {
+			t.Run(name+map[KeyScope]string{KeyScopeAll: ", refused", KeyScopeCell: ", failed"}[scope], func(t *testing.T) {
 				set := testSettings()
 				set.Limits.Hedging = false
-				set.Classes[1].Window, set.Classes[1].Scope, set.Classes[1].Objective = tc.window, scope, 400*ms
+				set.Classes[1].KeyRetention, set.Classes[1].KeyScope, set.Classes[1].Objective = tc.window, scope, 400*ms
 				r := newRig(t, set, 1)
-				r.list(ListSnapshot, Entry{Server: 1, State: Ready}, Entry{Server: 2, State: Ready}, Entry{Server: 3, State: Ready})
+				r.list(UpdateSnapshot, Endpoint{Server: 1, State: Ready}, Endpoint{Server: 2, State: Ready}, Endpoint{Server: 3, State: Ready})
 				id := r.request(1)
 				tc.play(r, id)
 				_, refused := r.h.refused[id]
 				if n := len(r.sendsOf(id)); n != tc.sends {
 					t.Errorf("%d sends, want %d", n, tc.sends)
 				}
-				if refused != (tc.answered && scope == ScopeAll) || r.h.failed[id] != (tc.answered && scope == ScopeCell) {
+				if refused != (tc.answered && scope == KeyScopeAll) || r.h.failed[id] != (tc.answered && scope == KeyScopeCell) {
 					t.Errorf("refused %v, failed %v; want an answer: %v", refused, r.h.failed[id], tc.answered)
 				}
 			})
