--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"calicohinge/internal/config"
 	"calicohinge/internal/node"
 )
 
@@ -28,7 +29,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	cfg, err := node.LoadConfig(os.Getenv)
+	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -50,7 +51,7 @@
 			return
 		case <-reload:
 		}
-		discovery, err := node.ReloadDiscovery(os.Getenv)
+		discovery, err := config.ReloadDiscovery(os.Getenv)
 		if err != nil {
 			slog.Error("reload: the old configuration stays", "err", err)
 			continue
@@ -61,7 +62,7 @@
 
 // limit keeps the runtime inside the machine. The live heap is small, so it may
 // grow severalfold between collections, up to a part of the memory.
-func limit(l node.Limits) {
+func limit(l config.Limits) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
 	}
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 
+	"calicohinge/internal/config"
 	"calicohinge/internal/simproto"
 	"calicohinge/policy"
 )
@@ -108,7 +109,7 @@
 }
 
 func (h *host) open(e *simproto.Event) {
-	settings, err := simproto.ParseSettings(e.Settings)
+	settings, err := config.ParseSettings(e.Settings)
 	if err != nil {
 		h.reply.Fatal(err.Error())
 		return
--- a/internal/node/config.go
+++ b/internal/config/config.go
@@ -1,4 +1,7 @@
-package node
+// Package config reads what a node is told: the configuration file with its
+// environment overrides, and the settings, which the simulator adapter shares.
+// The operators' keys appear here and nowhere else.
+package config
 
 import (
 	"encoding/json"
@@ -11,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"calicohinge/internal/simproto"
+	"calicohinge/internal/endpoint"
 	"calicohinge/policy"
 )
 
@@ -29,12 +32,12 @@
 	Discovery      string // address of discovery
 	Seed           uint64
 	Limits         Limits
-	Known          registry // the list as this node last had it
+	Known          endpoint.List // the list as this node last had it
 	Policy         policy.Settings
 	Classes        map[string]int // name to index in Policy.Classes
 	Tenants        map[string]int // name to index in Policy.Tenants
 	Zones          map[string]int
-	ConnIdle       time.Duration // servers close a connection that was idle for so long
+	IdleTimeout    time.Duration // servers close a connection that was idle for so long
 	ConnectTimeout time.Duration
 	DrainGrace     time.Duration // from when a drain is told to the last send
 }
@@ -47,9 +50,9 @@
 	Contract          struct{ DrainGraceMs float64 }
 }
 
-// LoadConfig reads the file named by BALANCER_CONFIG; the other BALANCER
+// Load reads the file named by BALANCER_CONFIG; the other BALANCER
 // variables, where set, go before what the file says.
-func LoadConfig(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
@@ -111,7 +114,7 @@
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        Limits
-		Known                         registry
+		Known                         endpoint.List
 		Settings                      json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
@@ -123,7 +126,7 @@
 	c := &Config{
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known,
 		Classes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
-		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond,
+		IdleTimeout: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond,
 	}
 	var err error
 	if file.Seed != "" {
@@ -146,7 +149,7 @@
 	if c.Limits.Sockets < 64 {
 		return nil, fmt.Errorf("limits: %d sockets are too few", c.Limits.Sockets)
 	}
-	if c.Policy, err = simproto.ParseSettings(file.Settings); err != nil {
+	if c.Policy, err = ParseSettings(file.Settings); err != nil {
 		return nil, err
 	}
 	var own nodeSettings
@@ -166,7 +169,7 @@
 		c.Zones[x] = i
 	}
 	if d := millis(own.Limits.ConnIdleMs); d > 0 {
-		c.ConnIdle = d
+		c.IdleTimeout = d
 	}
 	if d := millis(own.Limits.ConnectTimeoutMs); d > 0 {
 		c.ConnectTimeout = d
@@ -176,13 +179,3 @@
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-// stopSpan is how long a stop may take. A request that is open for longer than that is
-// answered at its end, as failed if it has to be: the node would be killed under it.
-func (c *Config) stopSpan() time.Duration {
-	longest := time.Duration(0)
-	for _, class := range c.Policy.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	return min(longest, killCap) + killSlack - killMargin
-}
--- a/internal/simproto/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,4 @@
-package simproto
+package config
 
 import (
 	"encoding/json"
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"calicohinge/internal/milliseconds"
 	"calicohinge/policy"
 )
 
@@ -23,7 +24,7 @@
 	if err := json.Unmarshal(text, &v); err != nil {
 		return err
 	}
-	d, ok := duration(v)
+	d, ok := milliseconds.ToDuration(v)
 	if !ok {
 		return fmt.Errorf("time %v is too long", v)
 	}
--- a/internal/node/discovery.go
+++ b/internal/discovery/client.go
@@ -1,11 +1,13 @@
-package node
+// Package discovery follows the endpoint list over HTTP: it watches or polls,
+// backs off after failures and moves to another address when told. It tells a
+// Handler what it learns and decides nothing about servers.
+package discovery
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -13,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"calicohinge/internal/endpoint"
 	"calicohinge/policy"
 )
 
@@ -33,91 +36,85 @@
 	maxList      = 8 << 20 // bytes of a list
 )
 
-// registry is discovery's list, or what changed in it.
-type registry struct {
-	Generation uint64     `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []instance `json:"instances"`
-}
-
-// instance is a line of the list.
-type instance struct {
-	InstanceID  string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	Cell        int     `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMs float64 `json:"startedAtMs"`
-}
+// errSilent is a watch that got no answer though its wait is over.
+var errSilent = errors.New("the watch fell silent")
 
-// id is the same at every node, which the module's ring of servers relies on.
-func (in *instance) id() policy.ServerID {
-	h := fnv.New64a()
-	io.WriteString(h, in.InstanceID)
-	return policy.ServerID(h.Sum64())
+// Handler is told what a Client learns. Its methods are called from the goroutine
+// of Client.Run, one at a time.
+type Handler interface {
+	// UpdateEndpoints takes a list or a change to one.
+	UpdateEndpoints(kind policy.UpdateKind, endpoints []endpoint.Endpoint)
+	// EndpointsKnown is called once a list is at hand.
+	EndpointsKnown()
+	// WatchFailed is called, where the list is polled, when a call failed. What that missed
+	// counts as notified at the given time, and RequestWatch has to come before it.
+	WatchFailed(notifiedAt time.Time)
 }
 
-// state takes a word that it doesn't know for one that allows nothing new.
-func (in *instance) state() policy.EndpointState {
-	switch in.Lifecycle {
-	case "Ready":
-		return policy.Ready
-	case "Gone":
-		return policy.Gone
-	}
-	return policy.Draining
+// Config is what a Client is told at its creation.
+type Config struct {
+	Address    string
+	Known      endpoint.List // as last held, possibly empty
+	Poll       bool          // watches load discovery: RequestWatch says when to start one
+	DrainGrace time.Duration // from when a drain is notified to the last request
 }
 
-// errSilent is a watch that got no answer though its wait is over.
-var errSilent = errors.New("the watch fell silent")
-
-// discovery follows the list of servers.
-type discovery struct {
+// Client follows the endpoint list.
+type Client struct {
 	url        string
-	loop       *loop
-	zones      map[string]int
+	known      endpoint.List
+	handler    Handler
 	backoff    time.Duration // the longest wait between calls where lists are pushed
-	asked      bool          // watches load discovery: the module says when to start one
+	asked      bool
 	wanted     chan struct{}
-	moved      <-chan string // the latest address to follow the list at
-	listed     bool          // a list is at hand; its generation may well be 0
+	moved      chan string // the latest address to follow the list at
+	listed     bool        // a list is at hand; its generation may well be 0
 	generation uint64
-	due        time.Duration // discovery moved: by then its list has to be here
+	due        time.Time // discovery moved: by then its list has to be here
 	client     *http.Client
-	unixZero   time.Time // wall time at the zero of the loop's clock
 }
 
-func newDiscovery(cfg *Config, l *loop, moved <-chan string) *discovery {
-	d := &discovery{
-		url: listURL(cfg.Discovery), loop: l, zones: cfg.Zones, moved: moved,
-		backoff: min(backoffMost, max(backoffFirst, cfg.DrainGrace/2)),
-		asked:   cfg.Policy.PollEndpoints, wanted: make(chan struct{}, 1),
-		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
-		unixZero: l.zero.Round(0),
+// New makes a client. It does nothing before Run.
+func New(config Config) *Client {
+	return &Client{
+		url: listURL(config.Address), known: config.Known,
+		backoff: min(backoffMost, max(backoffFirst, config.DrainGrace/2)),
+		asked:   config.Poll, wanted: make(chan struct{}, 1), moved: make(chan string, 1),
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
 	}
-	l.watch = func() {
-		select {
-		case d.wanted <- struct{}{}:
-		default: // one is wanted already
-		}
+}
+
+// RequestWatch starts a watch where the list is polled, unless one is under way. It never blocks.
+func (d *Client) RequestWatch() {
+	select {
+	case d.wanted <- struct{}{}:
+	default: // one is wanted already
 	}
-	return d
+}
+
+// Move has the list followed at another address. One caller at a time.
+func (d *Client) Move(addr string) {
+	select {
+	case <-d.moved: // only the latest matters
+	default:
+	}
+	d.moved <- addr
 }
 
 func listURL(addr string) string { return "http://" + addr + "/registry/instances" }
 
-// run starts from the list as it was known and follows it until the context
+// Run starts from the list as it was known and follows it until the context
 // ends. When discovery moves, the watch at the old address ends and the new one
 // is asked for the whole list; the node serves by the old list meanwhile.
-func (d *discovery) run(ctx context.Context, known registry, ready func()) {
-	d.generation = known.Generation
-	d.listed = len(known.Instances) > 0
+func (d *Client) Run(ctx context.Context, handler Handler) {
+	d.handler = handler
+	d.generation = d.known.Generation
+	d.listed = len(d.known.Endpoints) > 0
 	if d.listed {
-		d.notify(policy.UpdateCached, known.Instances)
-		ready()
+		handler.UpdateEndpoints(policy.UpdateCached, d.known.Endpoints)
+		handler.EndpointsKnown()
 	} else if d.asked {
-		d.notify(policy.UpdateCached, nil) // has the module ask for the list
+		handler.UpdateEndpoints(policy.UpdateCached, nil) // has the module ask for the list
 	}
 	watching := !d.asked
 	for ctx.Err() == nil {
@@ -125,7 +122,7 @@
 		left := make(chan struct{})
 		go func() {
 			defer close(left)
-			d.follow(here, watching, ready)
+			d.follow(here, watching)
 		}()
 		select {
 		case addr := <-d.moved:
@@ -134,7 +131,7 @@
 			slog.Info("discovery moves", "addr", addr)
 			d.client.CloseIdleConnections()
 			d.url, d.listed, watching = listURL(addr), false, true
-			d.due = d.loop.clock() + movedTold
+			d.due = time.Now().Add(movedTold)
 		case <-ctx.Done():
 			leave()
 			<-left
@@ -143,7 +140,7 @@
 }
 
 // follow watches the list at one address until the context ends.
-func (d *discovery) follow(ctx context.Context, watching bool, ready func()) {
+func (d *Client) follow(ctx context.Context, watching bool) {
 	delay := backoffFirst
 	for ctx.Err() == nil {
 		if !watching {
@@ -153,19 +150,19 @@
 				return
 			}
 		}
-		began := d.loop.clock()
+		began := time.Now()
 		list, err := d.get(ctx)
 		if err == nil {
 			delay, watching = backoffFirst, true
 			d.listed, d.generation = true, list.Generation
 			switch {
 			case list.Reset:
-				d.notify(policy.UpdateSnapshot, list.Instances)
-			case len(list.Instances) > 0:
-				d.notify(policy.UpdateDelta, list.Instances)
+				d.handler.UpdateEndpoints(policy.UpdateSnapshot, list.Endpoints)
+			case len(list.Endpoints) > 0:
+				d.handler.UpdateEndpoints(policy.UpdateDelta, list.Endpoints)
 			}
-			ready()
-			if d.loop.clock()-began < watchPause {
+			d.handler.EndpointsKnown()
+			if time.Since(began) < watchPause {
 				// A discovery that doesn't wait must not be asked in a loop without a breath.
 				pause(ctx, watchPause)
 			}
@@ -177,12 +174,12 @@
 		slog.Warn("discovery failed", "err", err)
 		if d.asked {
 			watching = false
-			due := began + policy.NotificationDeadline
-			if d.moving() {
-				due = min(due, d.due)
+			due := began.Add(policy.NotificationDeadline)
+			if d.moving() && d.due.Before(due) {
+				due = d.due
 			}
 			d.forgetWanted()
-			d.loop.post(func(now time.Duration) { d.loop.balancer.WatchFailed(now, due) })
+			d.handler.WatchFailed(due)
 			continue
 		}
 		// There is no time to back off in after a silent watch, nor before the first list
@@ -198,11 +195,11 @@
 }
 
 // moving tells whether discovery moved a short while ago and has not yet given its list.
-func (d *discovery) moving() bool { return !d.listed && d.loop.clock() < d.due }
+func (d *Client) moving() bool { return !d.listed && time.Now().Before(d.due) }
 
 // forgetWanted drops a wish for a watch from before the present one failed: it would be
 // followed by another at once, at all nodes together.
-func (d *discovery) forgetWanted() {
+func (d *Client) forgetWanted() {
 	select {
 	case <-d.wanted:
 	default:
@@ -219,7 +216,7 @@
 // get asks for what is newer than the list at hand, and waits for it. With no list at hand it
 // asks for all, and waits as long: discovery works off the calls that were given up as well, so
 // that a fleet which starts anew and calls again too soon would come to no end.
-func (d *discovery) get(ctx context.Context) (list registry, err error) {
+func (d *Client) get(ctx context.Context) (list endpoint.List, err error) {
 	url, wait := d.url, watchWait+watchSlack
 	if d.moving() {
 		wait = movedTold / 2 // for another one
@@ -259,34 +256,3 @@
 	}
 	return list, nil
 }
-
-// notify hands the loop a list. Lines with no id, or no address where one is needed, are left out.
-func (d *discovery) notify(kind policy.UpdateKind, list []instance) {
-	var usable []instance
-	var entries []policy.Endpoint
-	for _, in := range list {
-		state := in.state()
-		if in.InstanceID == "" || (in.HostPort == "" && state == policy.Ready) {
-			continue
-		}
-		zone, ok := d.zones[in.Zone]
-		if !ok {
-			zone = len(d.zones) // no zone of ours
-		}
-		usable = append(usable, in)
-		entries = append(entries, policy.Endpoint{
-			Server: in.id(), Zone: zone, Cell: in.Cell, State: state,
-			Weight: max(0, in.Weight), StartedAt: d.started(in.StartedAtMs),
-		})
-	}
-	d.loop.members(kind, usable, entries)
-}
-
-// started maps wall time onto the loop's clock, always by the same difference:
-// a start that moved would look like a restart.
-func (d *discovery) started(unixMs float64) time.Duration {
-	if unixMs <= 0 {
-		return 0
-	}
-	return max(0, time.UnixMilli(int64(unixMs)).Sub(d.unixZero))
-}
--- a/internal/node/clients.go
+++ b/internal/downstream/conns.go
@@ -1,4 +1,8 @@
-package node
+// Package downstream owns the client connections of a node: their number, which
+// of them make room for others, what is read from them and when, and whether a
+// client has disconnected. It knows nothing of requests but where one begins and
+// ends.
+package downstream
 
 import (
 	"container/list"
@@ -11,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"calicohinge/internal/sockstate"
 )
 
 const (
@@ -19,46 +25,61 @@
 	silentGrace = 20 * time.Millisecond
 	// partGrace is the same for one that has sent a part of a request.
 	partGrace = 150 * time.Millisecond
-	// lingerTime is how long a client may take to close a connection whose last answer is out.
-	lingerTime = 500 * time.Millisecond
-	// maxAhead bounds what is kept of a client that sends on while its request is at
-	// work: one more request of the largest kind. Clients ask one at a time.
-	maxAhead = maxHeader + maxBody
+	// DefaultLingerTimeout is how long a client may take to close a connection whose last answer is out.
+	DefaultLingerTimeout = 500 * time.Millisecond
 )
 
 var errTooFarAhead = errors.New("more than a whole request came ahead of an answer")
 
-// clientConns keeps the number of client connections under a cap. Over it, those
+// Config is what Conns is told at its creation.
+type Config struct {
+	MaxOpen int // connections
+	Reserve int // further ones that are answered with a rejection while all others are at work
+	// MaxReadAhead bounds what is kept of a client that sends on while its request is at
+	// work, in bytes: one more request of the largest kind. Clients ask one at a time.
+	MaxReadAhead  int
+	ReadTimeout   time.Duration // from a request's first byte to its last
+	LingerTimeout time.Duration // see DefaultLingerTimeout
+}
+
+// Conns keeps the number of client connections under a cap. Over it, those
 // make room that say nothing, then the longest idle ones, then those that don't say
 // all: a flood of them must not turn away clients that ask. Idle ones go at once: to
 // wait for them to age would hold up all that come behind, to the end of their time.
 // A newcomer waits only while one of the others is about to come of age. Where all are
 // at work it is answered with a refusal, as long as spare descriptors last.
-type clientConns struct {
-	max, spare int
-	linger     time.Duration
-	changed    chan struct{} // poked when one ends or changes its phase
-	ended      chan struct{} // closed with the listener
-	endOnce    sync.Once
+type Conns struct {
+	config  Config
+	changed chan struct{} // poked when one ends or changes its phase
+	ended   chan struct{} // closed with the listener
+	endOnce sync.Once
 
 	mu       sync.Mutex
 	open     int
-	silent   list.List // of *clientConn that has sent nothing yet, the longest first
+	silent   list.List // of *Conn that has sent nothing yet, the longest first
 	partial  list.List // the same of those with a part of a request
 	idle     list.List // and of those between two requests
 	draining bool
 	ending   bool // nothing is read any more
 }
 
-func newClientConns(max, spare int) *clientConns {
-	return &clientConns{max: max, spare: spare, linger: lingerTime, changed: make(chan struct{}, 1), ended: make(chan struct{})}
+// NewConns makes an empty set of connections.
+func NewConns(config Config) *Conns {
+	return &Conns{config: config, changed: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
-// clientConn is a connection that counts. It is in one of the lists, or at work.
-type clientConn struct {
+// Open counts the connections.
+func (cs *Conns) Open() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.open
+}
+
+// Conn is a connection that counts. It is in one of the lists, or at work.
+type Conn struct {
 	net.Conn
 	raw   syscall.RawConn
-	conns *clientConns
+	conns *Conns
 	over  bool // accepted over the cap
 
 	// The fields below are guarded by conns.mu.
@@ -76,7 +97,7 @@
 // connection is shut: one that was shut is not read any more, and one that was read
 // is not shut as idle. While a request is at work no byte is handed on: that would
 // end net/http's reading, by which it sees the client leave.
-func (c *clientConn) Read(p []byte) (n int, err error) {
+func (c *Conn) Read(p []byte) (n int, err error) {
 	waiting := c.raw.Read(func(fd uintptr) (done bool) {
 		n, done, err = c.receive(int(fd), p)
 		return done
@@ -88,7 +109,7 @@
 }
 
 // receive reads what is there; not done if there is nothing yet.
-func (c *clientConn) receive(fd int, p []byte) (n int, done bool, err error) {
+func (c *Conn) receive(fd int, p []byte) (n int, done bool, err error) {
 	cs := c.conns
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -96,10 +117,10 @@
 		return 0, true, net.ErrClosed
 	}
 	// By reading a single byte net/http watches for the client's leaving, from a request's last
-	// byte on: a body is read in larger pieces. It may come before whole is called.
+	// byte on: a body is read in larger pieces. It may come before RequestComplete is called.
 	if c.in == nil || len(p) == 1 && !c.head {
 		switch {
-		case c.last && peek(c.Conn) == over:
+		case c.last && sockstate.Peek(c.Conn) == sockstate.Closed:
 			return 0, true, io.EOF
 		case !c.last && !cs.ending:
 			c.pull(fd)
@@ -129,14 +150,14 @@
 }
 
 // pull takes in what came while a request is at work; conns.mu is held.
-func (c *clientConn) pull(fd int) {
+func (c *Conn) pull(fd int) {
 	var p [4096]byte
 	for c.ended == nil {
 		n, err := readNow(fd, p[:])
 		switch c.ahead = append(c.ahead, p[:n]...); {
 		case err != nil:
 			c.ended = err
-		case len(c.ahead) > maxAhead:
+		case len(c.ahead) > c.conns.config.MaxReadAhead:
 			c.ended = errTooFarAhead
 		case n == 0:
 			return
@@ -161,10 +182,10 @@
 	}
 }
 
-// gone tells whether the client of the request at work has left, by what its socket
+// ClientDisconnected tells whether the client of the request at work has left, by what its socket
 // says this moment, however busy the node is and whatever bytes lie ahead. Nothing is read
 // that may be a request to come once this one has its answer, or in the end of a stop.
-func (c *clientConn) gone() bool {
+func (c *Conn) ClientDisconnected() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	switch {
@@ -173,7 +194,7 @@
 	case c.in != nil:
 		return false // its attempts are revoked
 	case c.conns.ending:
-		return peek(c.Conn) == over
+		return sockstate.Peek(c.Conn) == sockstate.Closed
 	}
 	if err := c.raw.Control(func(fd uintptr) { c.pull(int(fd)) }); err != nil {
 		return true
@@ -181,8 +202,25 @@
 	return c.ended != nil
 }
 
+// OverLimit reports whether the connection was accepted over the limit.
+func (c *Conn) OverLimit() bool { return c.over }
+
+// Closed reports whether the connection has been closed by this node.
+func (c *Conn) Closed() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.shut
+}
+
+// Lingering reports whether the connection has had its last answer.
+func (c *Conn) Lingering() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.last
+}
+
 // Close implements net.Conn.
-func (c *clientConn) Close() error {
+func (c *Conn) Close() error {
 	c.conns.mu.Lock()
 	first := c.conns.shut(c)
 	c.conns.mu.Unlock()
@@ -193,28 +231,28 @@
 }
 
 // CloseWrite lets a client that still sends see the end of its answer.
-func (c *clientConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
 }
 
-// lingeringClose ends the sending behind a last answer and waits for the client's close, for a
+// LingeringClose ends the sending behind a last answer and waits for the client's close, for a
 // while. A close of ours over bytes that arrive is a reset: what of the answer is on its way is lost.
-func (c *clientConn) lingeringClose(ctx context.Context) {
+func (c *Conn) LingeringClose(ctx context.Context) {
 	c.conns.mu.Lock()
 	c.last = true
 	c.conns.mu.Unlock()
 	c.CloseWrite()
 	select {
 	case <-ctx.Done():
-	case <-time.After(c.conns.linger):
+	case <-time.After(c.conns.config.LingerTimeout):
 	}
 }
 
-// whole tells that a request has come to its last byte.
-func (c *clientConn) whole() {
+// RequestComplete tells that a request has come to its last byte.
+func (c *Conn) RequestComplete() {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	if !c.shut {
@@ -224,7 +262,7 @@
 
 // shut bars a connection from being read, once, and gives its place back; cs.mu is
 // held. The caller closes the socket with the lock released.
-func (cs *clientConns) shut(c *clientConn) bool {
+func (cs *Conns) shut(c *Conn) bool {
 	if c.shut {
 		return false
 	}
@@ -237,8 +275,8 @@
 
 // shutIdle is shut for a connection between two requests, unless its client has
 // asked again: that request is taken.
-func (cs *clientConns) shutIdle(c *clientConn) bool {
-	if peek(c.Conn) == unread {
+func (cs *Conns) shutIdle(c *Conn) bool {
+	if sockstate.Peek(c.Conn) == sockstate.Readable {
 		cs.move(c, &cs.partial)
 		return false
 	}
@@ -246,9 +284,9 @@
 }
 
 // move puts a connection into a list, or nil for one at work; cs.mu is held.
-func (cs *clientConns) move(c *clientConn, to *list.List) {
+func (cs *Conns) move(c *Conn, to *list.List) {
 	if c.in == &cs.idle && to == &cs.partial { // net/http waits for four bytes in the idle time
-		c.SetReadDeadline(time.Now().Add(readTimeout))
+		c.SetReadDeadline(time.Now().Add(cs.config.ReadTimeout))
 	}
 	if c.in != nil {
 		c.in.Remove(c.place)
@@ -264,9 +302,9 @@
 	}
 }
 
-// state follows which connections are between two requests, and whose next head is read.
-func (cs *clientConns) state(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*clientConn)
+// ConnState follows which connections are between two requests, and whose next head is read.
+func (cs *Conns) ConnState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*Conn)
 	switch {
 	case !ok:
 	case s == http.StateActive:
@@ -279,7 +317,7 @@
 }
 
 // rest takes note that a request is over; true if the connection is to be closed.
-func (cs *clientConns) rest(c *clientConn) bool {
+func (cs *Conns) rest(c *Conn) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch {
@@ -296,18 +334,18 @@
 
 // oldest gives the connection that has to make room first, and in how long it
 // may be asked to; nil if all are at work. cs.mu is held.
-func (cs *clientConns) oldest() (first *clientConn, wait time.Duration) {
+func (cs *Conns) oldest() (first *Conn, wait time.Duration) {
 	now := time.Now()
 	for e := cs.silent.Front(); e != nil; e = cs.silent.Front() {
-		c := e.Value.(*clientConn)
-		if now.Sub(c.since) < silentGrace || peek(c.Conn) == nothing {
+		c := e.Value.(*Conn)
+		if now.Sub(c.since) < silentGrace || sockstate.Peek(c.Conn) == sockstate.Quiet {
 			break
 		}
 		cs.move(c, &cs.partial) // it has spoken: this node was too busy to listen
 	}
 	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
-		c := e.Value.(*clientConn)
-		if peek(c.Conn) != unread {
+		c := e.Value.(*Conn)
+		if sockstate.Peek(c.Conn) != sockstate.Readable {
 			break
 		}
 		cs.move(c, &cs.partial)
@@ -317,7 +355,7 @@
 		grace time.Duration
 	}{{&cs.silent, silentGrace}, {&cs.idle, 0}, {&cs.partial, partGrace}} {
 		if e := l.conns.Front(); e != nil {
-			c := e.Value.(*clientConn)
+			c := e.Value.(*Conn)
 			if left := l.grace - now.Sub(c.since); first == nil || left < wait {
 				first, wait = c, left
 			}
@@ -330,7 +368,7 @@
 }
 
 // admit counts a new connection; nil if there is no place for it.
-func (cs *clientConns) admit(nc net.Conn) *clientConn {
+func (cs *Conns) admit(nc net.Conn) *Conn {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return nil
@@ -339,13 +377,13 @@
 	if err != nil {
 		return nil
 	}
-	c := &clientConn{Conn: nc, raw: raw, conns: cs}
+	c := &Conn{Conn: nc, raw: raw, conns: cs}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for cs.open >= cs.max {
+	for cs.open >= cs.config.MaxOpen {
 		first, wait := cs.oldest()
 		if first == nil {
-			if cs.open >= cs.max+cs.spare {
+			if cs.open >= cs.config.MaxOpen+cs.config.Reserve {
 				return nil
 			}
 			c.over = true
@@ -371,7 +409,7 @@
 }
 
 // pause waits until something changes, for so long at most; true if the listener ended.
-func (cs *clientConns) pause(most time.Duration) bool {
+func (cs *Conns) pause(most time.Duration) bool {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
@@ -383,13 +421,13 @@
 	return false
 }
 
-// drain closes connections as they fall idle and waits until none is left.
-func (cs *clientConns) drain(ctx context.Context) {
+// Drain closes connections as they fall idle and waits until none is left.
+func (cs *Conns) Drain(ctx context.Context) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.draining = true
 	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
-		if c := e.Value.(*clientConn); cs.shutIdle(c) {
+		if c := e.Value.(*Conn); cs.shutIdle(c) {
 			cs.mu.Unlock()
 			c.Conn.Close()
 			cs.mu.Lock()
@@ -405,53 +443,21 @@
 	}
 }
 
-// end has nothing read any more: what was not read by then is not taken, and its client
+// StopReading has nothing read any more: what was not read by then is not taken, and its client
 // asks elsewhere. What was read is still answered.
-func (cs *clientConns) end() {
+func (cs *Conns) StopReading() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.ending = true
 }
 
-// sight is what a connection shows without being read.
-type sight int
-
-const (
-	nothing sight = iota // it is open and silent
-	unread               // bytes are there
-	over                 // it ended or broke
-)
-
-func peek(nc net.Conn) sight {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return over
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return over
-	}
-	seen := over
-	err = raw.Control(func(fd uintptr) { // not Read: it would wait for one that reads already
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN:
-			seen = nothing
-		case err == nil && n > 0:
-			seen = unread
-		}
-	})
-	if err != nil {
-		return over
-	}
-	return seen
-}
+// Listener returns a listener that admits what inner accepts.
+func (cs *Conns) Listener(inner net.Listener) net.Listener { return cappedListener{inner, cs} }
 
 // cappedListener counts what it accepts.
 type cappedListener struct {
 	net.Listener
-	conns *clientConns
+	conns *Conns
 }
 
 // Accept implements net.Listener.
--- /dev/null
+++ b/internal/httpheader/httpheader.go
@@ -0,0 +1,27 @@
+// Package httpheader separates the header fields of a message from those of the
+// connection it came on (RFC 9110, section 7.6.1).
+package httpheader
+
+import (
+	"net/http"
+	"strings"
+)
+
+// EndToEnd returns a copy of header without the hop-by-hop fields, the fields
+// that Connection lists, Expect (which the receiver has met) and Content-Length
+// (which the sender sets anew).
+func EndToEnd(header http.Header) http.Header {
+	forwarded := header.Clone()
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			forwarded.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range [...]string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+	} {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
--- /dev/null
+++ b/internal/milliseconds/milliseconds.go
@@ -0,0 +1,23 @@
+// Package milliseconds converts between the times that the operators' interfaces
+// give, as floating-point milliseconds, and time.Duration.
+package milliseconds
+
+import (
+	"math"
+	"time"
+)
+
+// limit keeps sums of a few converted times inside the range of time.Duration.
+const limit = float64(math.MaxInt64) / 4 / float64(time.Millisecond)
+
+// ToDuration converts a time in milliseconds, rounded to the nanosecond. It
+// reports false for a value that is not a number or out of range.
+func ToDuration(ms float64) (time.Duration, bool) {
+	if !(ms > -limit && ms < limit) {
+		return 0, false
+	}
+	return time.Duration(math.Round(ms * float64(time.Millisecond))), true
+}
+
+// FromDuration converts a duration to milliseconds.
+func FromDuration(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"calicohinge/internal/testkit"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +19,7 @@
 		n.t.Fatal(err)
 	}
 	n.t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(patience))
+	nc.SetDeadline(time.Now().Add(testkit.Patience))
 	return nc
 }
 
@@ -38,8 +39,8 @@
 }
 
 // startSmall starts a node with places for 20 client connections and 2 to spare.
-func startSmall(t *testing.T, b *backend) *running {
-	d := newRegistry(t, b.instance("s-0"))
+func startSmall(t *testing.T, b *testkit.Backend) *running {
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
 	n := start(t, testConfig(t, d, func(file map[string]any) {
 		file["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
 	}))
@@ -51,7 +52,7 @@
 // Hundreds that connect and say nothing, or half of it, must not turn usual
 // clients away, and are closed themselves before long.
 func TestSilentFloodMakesRoom(t *testing.T) {
-	n := startSmall(t, newBackend(t, ok))
+	n := startSmall(t, testkit.NewBackend(t, testkit.OK))
 	var flood []net.Conn
 	for i := range 150 {
 		nc := n.dial()
@@ -66,29 +67,24 @@
 		}
 	}
 	for _, nc := range flood {
-		if _, err := io.Copy(io.Discard, nc); isTimeout(err) {
+		if _, err := io.Copy(io.Discard, nc); testkit.IsTimeout(err) {
 			t.Fatal("a silent connection stays open")
 		}
 	}
 }
 
-func isTimeout(err error) bool {
-	e, ok := err.(net.Error)
-	return ok && e.Timeout()
-}
-
 // Clients that ask once and keep their connection for good make room at once. Were
 // newcomers to wait until one has been idle for seconds, a crowd of clients would
 // wait behind one another until nobody is there to be answered.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
-	n := startSmall(t, newBackend(t, ok))
+	n := startSmall(t, testkit.NewBackend(t, testkit.OK))
 	began := time.Now()
 	for range 200 {
 		if resp := n.ask(n.dial()); resp.StatusCode != http.StatusOK {
 			t.Fatalf("status %d although others are idle", resp.StatusCode)
 		}
 	}
-	if took := time.Since(began); took > patience/2 {
+	if took := time.Since(began); took > testkit.Patience/2 {
 		t.Errorf("served after %v: newcomers wait for others to age", took)
 	}
 }
@@ -97,9 +93,9 @@
 // past the spare descriptors it is closed.
 func TestAllConnectionsAtWork(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
-		ok(w, r)
+		testkit.OK(w, r)
 	})
 	n := startSmall(t, b)
 	var busy []net.Conn
@@ -110,7 +106,7 @@
 		}
 		busy = append(busy, nc)
 	}
-	for end := time.Now().Add(patience); ; {
+	for end := time.Now().Add(testkit.Patience); ; {
 		resp := n.ask(n.dial())
 		if resp.StatusCode == http.StatusServiceUnavailable {
 			if !resp.Close || resp.Header.Get("Retry-After") == "" {
@@ -134,7 +130,7 @@
 // A request that comes right behind another is answered too, and its connection
 // is not taken for an idle one meanwhile.
 func TestPipelinedRequests(t *testing.T) {
-	n, _ := startReady(t, newBackend(t, ok))
+	n, _ := startReady(t, testkit.NewBackend(t, testkit.OK))
 	nc := n.dial()
 	var both strings.Builder
 	for range 3 {
@@ -151,74 +147,6 @@
 	}
 }
 
-// What a connection that was shut had still to be read counts as not read: to
-// answer it is nobody's any more. Its place is given back once.
-func TestShutWhileRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	conns := newClientConns(1, 0)
-	capped := cappedListener{l, conns}
-	defer capped.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	nc, err := capped.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	conns.mu.Lock()
-	nc.(*clientConn).shut = true // as by one that reads at the same time
-	conns.mu.Unlock()
-	io.WriteString(client, "GET")
-	if n, err := nc.Read(make([]byte, 10)); n != 0 || err == nil {
-		t.Errorf("read %d bytes, %v", n, err)
-	}
-	nc.Close()
-	if conns.open != 1 {
-		t.Errorf("%d places are taken, want the one that shut gives back", conns.open)
-	}
-	nc.(*clientConn).Conn.Close()
-}
-
-// A client that has spoken while this node was too busy to listen is not silent.
-func TestSpokenIsNotSilent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	capped := cappedListener{l, newClientConns(1, 0)}
-	defer capped.Close()
-	dial := func(say string) net.Conn {
-		client, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { client.Close() })
-		io.WriteString(client, say)
-		nc, err := capped.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { nc.Close() })
-		return nc
-	}
-	dial("GET /read")
-	began := time.Now()
-	dial("")
-	if took := time.Since(began); took < partGrace {
-		t.Errorf("the first one was shut after %v like a silent one", took)
-	}
-	began = time.Now()
-	dial("")
-	if took := time.Since(began); took < silentGrace {
-		t.Errorf("a silent one was shut after %v", took)
-	}
-}
-
 // raw sends a text and gives the statuses of what comes back until the node
 // closes the connection; a node that doesn't close it fails the test.
 func (n *running) raw(text string) (statuses []int) {
@@ -228,13 +156,13 @@
 	in := bufio.NewReader(nc)
 	for {
 		resp, err := http.ReadResponse(in, nil)
-		if isTimeout(err) {
+		if testkit.IsTimeout(err) {
 			n.t.Fatal("the node keeps the connection")
 		}
 		if err != nil {
 			return statuses
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); isTimeout(err) {
+		if _, err := io.Copy(io.Discard, resp.Body); testkit.IsTimeout(err) {
 			n.t.Fatal("the answer doesn't end")
 		}
 		statuses = append(statuses, resp.StatusCode)
@@ -245,7 +173,7 @@
 // behind; what can't be read must not hold its connection. Neither may reach a
 // server, nor keep the node from serving others.
 func TestBadBytes(t *testing.T) {
-	b := newBackend(t, ok)
+	b := testkit.NewBackend(t, testkit.OK)
 	n, _ := startReady(t, b)
 	head := func(class, more string) string {
 		return "POST /" + class + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Tenant-Id: acme\r\n" +
@@ -293,8 +221,8 @@
 		})
 	}
 	t.Cleanup(func() {
-		if len(b.got) != 0 {
-			t.Errorf("%d of them reached a server", len(b.got))
+		if len(b.Requests) != 0 {
+			t.Errorf("%d of them reached a server", len(b.Requests))
 		}
 		if a := n.do(n.request("read")); a.status != http.StatusOK {
 			t.Errorf("a good one gets status %d afterwards", a.status)
@@ -306,25 +234,25 @@
 // is turned away and the first goes on.
 func TestOpenID(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
-		ok(w, r)
+		testkit.OK(w, r)
 	})
 	n, _ := startReady(t, b)
 	first := n.request("push")
 	answered := make(chan reply, 1)
 	go func() { answered <- n.do(first) }()
-	wait(t, b.got, "the first one")
+	testkit.Wait(t, b.Requests, "the first one")
 	second := n.request("read")
 	second.Header.Set("X-Request-ID", first.Header.Get("X-Request-ID"))
 	if a := n.do(second); a.status != http.StatusConflict {
 		t.Errorf("status %d", a.status)
 	}
 	close(release)
-	if a := wait(t, answered, "the first answer"); a.status != http.StatusOK {
+	if a := testkit.Wait(t, answered, "the first answer"); a.status != http.StatusOK {
 		t.Errorf("the first one got status %d", a.status)
 	}
-	if len(b.got) != 0 {
+	if len(b.Requests) != 0 {
 		t.Error("the second one reached a server")
 	}
 	if a := n.do(second); a.status != http.StatusOK {
@@ -334,9 +262,9 @@
 
 // The deadline for a request's bytes must not end its waiting for the answer.
 func TestReadDeadlineEndsWithTheRequest(t *testing.T) {
-	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(readTimeout + 200*time.Millisecond) // the thing under test is a time-out
-		ok(w, r)
+		testkit.OK(w, r)
 	})
 	n, _ := startReady(t, b)
 	if a := n.do(n.request("pay")); a.status != http.StatusOK {
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -14,17 +14,21 @@
 	"testing"
 	"time"
 
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/sockstate"
+	"calicohinge/internal/testkit"
+	"calicohinge/internal/upstream"
 	"calicohinge/policy"
 )
 
-// try asks as a client does: once more on a new connection where the first is closed unread.
+// try asks as a client does: once more on a new connection where the first is closed sockstate.Readable.
 func (n *running) try() (status int, err error) {
 	for range 2 {
 		var nc net.Conn
 		if nc, err = net.Dial("tcp", n.addr); err != nil {
 			continue
 		}
-		nc.SetDeadline(time.Now().Add(patience))
+		nc.SetDeadline(time.Now().Add(testkit.Patience))
 		r := n.request("read")
 		var resp *http.Response
 		if err = r.Write(nc); err == nil {
@@ -73,13 +77,13 @@
 		for _, how := range []string{"down", "reset", "silent"} {
 			t.Run(mode+" "+how, func(t *testing.T) {
 				t.Parallel()
-				a, b := newBackend(t, ok), newBackend(t, ok)
+				a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 				addr, calls, answers := scripted(t)
-				n := start(t, testConfig(t, newRegistry(t), func(file map[string]any) {
+				n := start(t, testConfig(t, testkit.NewRegistry(t), func(file map[string]any) {
 					file["discovery"] = addr
 					file["limits"] = map[string]any{"sockets": 64}
-					file["known"] = registry{Generation: 1, Reset: true, Instances: []instance{a.instance("s-0")}}
-					file["settings"] = jsonText(strings.Replace(settingsText, "pushed", mode, 1))
+					file["known"] = endpoint.List{Generation: 1, Reset: true, Endpoints: []endpoint.Endpoint{a.Endpoint("s-0")}}
+					file["settings"] = testkit.JSON(strings.Replace(settingsText, "pushed", mode, 1))
 				}))
 				n.waitReady(http.StatusOK)
 				answer := func() {
@@ -87,11 +91,11 @@
 						answers <- how
 					}
 				}
-				wait(t, calls, "a first call")
+				testkit.Wait(t, calls, "a first call")
 				answer()
 				idle := n.flood(90)
 				if how != "silent" {
-					wait(t, calls, "a call while it is down")
+					testkit.Wait(t, calls, "a call while it is down")
 					answer()
 				}
 				if status, err := n.try(); err != nil || status != http.StatusOK {
@@ -100,17 +104,17 @@
 				n.waitReady(http.StatusOK)
 				open := 0
 				for _, nc := range idle {
-					if peek(nc) != over {
+					if sockstate.Peek(nc) != sockstate.Closed {
 						open++
 					}
 				}
 				if open > 22 {
 					t.Errorf("%d idle connections are open, want 22 at most", open)
 				}
-				wait(t, calls, "the call as it is back")
-				drains := a.instance("s-0")
+				testkit.Wait(t, calls, "the call as it is back")
+				drains := a.Endpoint("s-0")
 				drains.Lifecycle = "Terminating"
-				text, err := json.Marshal(registry{Generation: 2, Instances: []instance{drains, b.instance("s-1")}})
+				text, err := json.Marshal(endpoint.List{Generation: 2, Endpoints: []endpoint.Endpoint{drains, b.Endpoint("s-1")}})
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -130,15 +134,15 @@
 				began := time.Now()
 				close(back)
 				answers <- string(text)
-				if q := wait(t, calls, "the next watch").URL.RawQuery; !strings.HasPrefix(q, "after=2&") {
+				if q := testkit.Wait(t, calls, "the next watch").URL.RawQuery; !strings.HasPrefix(q, "after=2&") {
 					t.Errorf("asks for %q", q)
 				}
 				if took := time.Since(began); took > policy.NotificationDeadline {
 					t.Errorf("follows after %v", took)
 				}
 				crowd.Wait()
-				for len(a.got) > 0 {
-					<-a.got
+				for len(a.Requests) > 0 {
+					<-a.Requests
 				}
 				n.flood(60)
 				for range 20 {
@@ -146,8 +150,8 @@
 						t.Errorf("afterwards: status %d, %v", status, err)
 					}
 				}
-				if len(a.got) > 0 {
-					t.Errorf("%d sends to the server that drains", len(a.got))
+				if len(a.Requests) > 0 {
+					t.Errorf("%d sends to the server that drains", len(a.Requests))
 				}
 			})
 		}
@@ -162,24 +166,23 @@
 			t.Run(fmt.Sprintf("%s, freed %v", name, freed), func(t *testing.T) {
 				t.Parallel()
 				release := make(chan struct{})
-				held := newBackend(t, func(w http.ResponseWriter, r *http.Request) { <-release; ok(w, r) })
-				var list []instance
+				held := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) { <-release; testkit.OK(w, r) })
+				var list []endpoint.Endpoint
 				for i := range 40 { // more than the cap, so that none is at its own limit
-					list = append(list, held.instance(fmt.Sprintf("s-%d", i)))
+					list = append(list, held.Endpoint(fmt.Sprintf("s-%d", i)))
 				}
-				l := loopOf(t, list...)
-				l.then(t, func() { l.up.maxOpen = 2 })
+				l := loopWith(t, func(pool *upstream.Config) { pool.MaxOpen = 2 }, list...)
 				answered := make(chan answer, 3)
 				for range 2 {
 					go func() { x, _ := l.do(t.Context(), l.ofClass(0, present)); answered <- x }()
-					wait(t, held.got, "a request at work")
+					testkit.Wait(t, held.Requests, "a request at work")
 				}
 				last := l.ofClass(class, present)
 				last.end = l.clock() + 4*time.Second
 				further := make(chan answer, 1)
 				go func() { x, _ := l.do(t.Context(), last); further <- x }()
 				if freed {
-					until(t, "a try", func() (tried bool) {
+					testkit.Until(t, "a try", func() (tried bool) {
 						l.then(t, func() { tried = len(last.attempts) > 0 })
 						return tried
 					})
@@ -189,17 +192,17 @@
 				if freed {
 					want = http.StatusOK
 				}
-				if x := wait(t, further, "the further request's answer"); x.status != want {
+				if x := testkit.Wait(t, further, "the further request's answer"); x.status != want {
 					t.Errorf("status %d, want %d", x.status, want)
 				}
 				if !freed {
-					if len(held.got) > 0 {
+					if len(held.Requests) > 0 {
 						t.Error("it was sent")
 					}
 					close(release)
 				}
 				for range 2 {
-					if x := wait(t, answered, "the answer of one at work"); x.status != http.StatusOK {
+					if x := testkit.Wait(t, answered, "the answer of one at work"); x.status != http.StatusOK {
 						t.Errorf("one at work gets status %d", x.status)
 					}
 				}
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -13,6 +13,11 @@
 	"testing"
 	"time"
 
+	"calicohinge/internal/downstream"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/sockstate"
+	"calicohinge/internal/testkit"
+	"calicohinge/internal/upstream"
 	"calicohinge/policy"
 )
 
@@ -21,24 +26,31 @@
 	*running
 	front *frontend
 	loop  *loop
-	conns sync.Map // *clientConn by its client's address
+	conns sync.Map // *downstream.Conn by its client's address
 }
 
 // serve starts one with deadlines so long that no time runs out, and places for 400 clients.
-func serve(t *testing.T, list ...instance) *served {
+func serve(t *testing.T, list ...endpoint.Endpoint) *served {
 	t.Helper()
-	cfg := testConfig(t, newRegistry(t), deadlines(600000))
+	return serveLingering(t, downstream.DefaultLingerTimeout, list...)
+}
+
+// serveLingering does the same with another time that clients have to close their connection.
+func serveLingering(t *testing.T, linger time.Duration, list ...endpoint.Endpoint) *served {
+	t.Helper()
+	cfg := testConfig(t, testkit.NewRegistry(t), deadlines(600000))
 	cfg.Policy.Classes[1].KeyRetention = 10 * time.Minute
-	up := newUpstreams(cfg, 400)
-	up.connectTimeout = patience
-	l, err := newLoop(t.Context(), cfg, up)
+	cfg.ConnectTimeout = testkit.Patience
+	l, err := newLoop(t.Context(), cfg, upstream.NewPool(upstreamConfig(cfg, 400)), unwatched{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	go l.run()
-	newDiscovery(cfg, l, nil).notify(policy.UpdateSnapshot, list)
+	l.UpdateEndpoints(policy.UpdateSnapshot, list)
+	conns := downstreamConfig(400, 0)
+	conns.LingerTimeout = linger
 	s := &served{loop: l, front: &frontend{
-		cfg: cfg, loop: l, conns: newClientConns(400, 0), open: map[string]struct{}{},
+		cfg: cfg, loop: l, conns: downstream.NewConns(conns), open: map[string]struct{}{},
 	}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,9 +60,9 @@
 	srv := s.front.server()
 	srv.ConnState = func(nc net.Conn, state http.ConnState) {
 		s.conns.Store(nc.RemoteAddr().String(), nc)
-		s.front.conns.state(nc, state)
+		s.front.conns.ConnState(nc, state)
 	}
-	go srv.Serve(cappedListener{listener, s.front.conns})
+	go srv.Serve(s.front.conns.Listener(listener))
 	t.Cleanup(func() { srv.Close() })
 	return s
 }
@@ -75,23 +87,23 @@
 }
 
 // conn is the node's end of a client's connection; nil before it is accepted.
-func (s *served) conn(client net.Conn) *clientConn {
+func (s *served) conn(client net.Conn) *downstream.Conn {
 	c, _ := s.conns.Load(client.LocalAddr().String())
-	conn, _ := c.(*clientConn)
+	conn, _ := c.(*downstream.Conn)
 	return conn
 }
 
 // shows waits until the node's end of a connection shows that its client left.
 func (s *served) shows(client *net.TCPConn) {
 	s.t.Helper()
-	sees(s.t, s.conn(client).Conn, over)
+	sees(s.t, s.conn(client).Conn, sockstate.Closed)
 }
 
 // forgotten waits until no request is known any more in any part of the node.
 func (s *served) forgotten() {
 	s.t.Helper()
 	s.loop.open(s.t, 0, 0)
-	until(s.t, "the ids to be free", func() bool {
+	testkit.Until(s.t, "the ids to be free", func() bool {
 		s.front.mu.Lock()
 		defer s.front.mu.Unlock()
 		return len(s.front.open) == 0
@@ -101,13 +113,11 @@
 // up waits until so many connections to an address have come up, unused.
 func (s *served) up(n int, addr net.Addr) {
 	s.t.Helper()
-	until(s.t, "connections to come up", func() bool {
-		s.loop.up.mu.Lock()
-		defer s.loop.up.mu.Unlock()
+	testkit.Until(s.t, "connections to come up", func() bool {
 		idle := 0
-		for _, server := range s.loop.up.servers {
-			if server.addr == addr.String() {
-				idle += len(server.idle)
+		for _, server := range s.loop.up.Stats().Servers {
+			if server.Address == addr.String() {
+				idle += server.Idle
 			}
 		}
 		return idle == n
@@ -133,7 +143,7 @@
 func begun(requests ...*request) (n int) {
 	for _, r := range requests {
 		for _, a := range r.attempts {
-			if a.call.gate.Load() == sending {
+			if a.call.Started() {
 				n++
 			}
 		}
@@ -154,18 +164,18 @@
 		begun  int // its attempts before it leaves
 		out    int // and those that are out then
 	}{
-		"held": {"pay", silent(nil), 2, func(s *served) func(time.Duration) {
+		"held": {"pay", testkit.Silent(nil), 2, func(s *served) func(time.Duration) {
 			return func(now time.Duration) {
 				for _, r := range s.loop.requests {
 					if r.out > 0 { // one of the others: it makes room
-						s.loop.outcome(now, r, 0, result{status: policy.OK})
+						s.loop.outcome(now, r, 0, upstream.Result{Status: policy.OK})
 						return
 					}
 				}
 			}
 		}, 0, 0},
-		"waits for a retry": {"read", serverError, 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 0},
-		"a hedged request":  {"read", silent(nil), 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 1},
+		"waits for a retry": {"read", testkit.ServerError, 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 0},
+		"a hedged request":  {"read", testkit.Silent(nil), 0, func(s *served) func(time.Duration) { return s.loop.due }, 1, 1},
 	} {
 		for way, w := range map[string]struct {
 			behind string // its request
@@ -182,8 +192,8 @@
 			for _, heard := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s/%s/heard=%v", point, way, heard), func(t *testing.T) {
 					t.Parallel()
-					a, b := newBackend(t, p.serves), newBackend(t, p.serves)
-					s := serve(t, a.instance("s-0"), b.instance("s-1"))
+					a, b := testkit.NewBackend(t, p.serves), testkit.NewBackend(t, p.serves)
+					s := serve(t, a.Endpoint("s-0"), b.Endpoint("s-1"))
 					l := s.loop
 					l.then(t, func() { // a request took half a minute here
 						l.balancer.Request(l.clock(), policy.Request{ID: 1 << 31, Timeout: time.Hour})
@@ -195,10 +205,10 @@
 					}
 					client := s.asks(p.class, w.behind)
 					l.open(t, p.others+1, p.others+p.out)
-					until(t, "the attempts before", func() bool { return len(a.got)+len(b.got) == p.others+p.begun })
+					testkit.Until(t, "the attempts before", func() bool { return len(a.Requests)+len(b.Requests) == p.others+p.begun })
 
 					reached, release := l.hold(t)
-					wait(t, reached, "the loop")
+					testkit.Wait(t, reached, "the loop")
 					r, looked := l.requests[l.lastID], make(chan bool, 10)
 					gone, last := r.gone, l.lastID
 					r.gone = func() bool { g := gone(); looked <- g; return g }
@@ -213,10 +223,10 @@
 						w.leave(client)
 						s.shows(client)
 						release()
-						if !wait(t, looked, "the last look") {
+						if !testkit.Wait(t, looked, "the last look") {
 							t.Error("the last look misses that the client left")
 						}
-						wait(t, behind, "the loop")
+						testkit.Wait(t, behind, "the loop")
 						on()
 					}
 					if p.others > 0 {
@@ -229,7 +239,7 @@
 							t.Errorf("%d attempts began, want %d; requests %d, want %d", n, p.begun, l.lastID, last)
 						}
 					})
-					if text, err := io.ReadAll(client); len(text) > 0 || isTimeout(err) {
+					if text, err := io.ReadAll(client); len(text) > 0 || testkit.IsTimeout(err) {
 						t.Errorf("the client was told %q, %v", text, err)
 					}
 				})
@@ -244,23 +254,23 @@
 	for name, attempt := range map[string]int{"first attempt": 0, "second attempt": 1} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			far, bad := newStuck(t), newBackend(t, serverError)
-			s := serve(t, []instance{far.instance("s-0"), bad.instance("s-1")}[attempt])
+			far, bad := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.ServerError)
+			s := serve(t, []endpoint.Endpoint{far.Endpoint("s-0"), bad.Endpoint("s-1")}[attempt])
 			l := s.loop
 			client := s.asks("read", "")
 			if attempt > 0 {
-				wait(t, bad.got, "the first attempt")
+				testkit.Wait(t, bad.Requests, "the first attempt")
 				l.open(t, 1, 0)
-				(&discovery{loop: l}).notify(policy.UpdateDelta, []instance{far.instance("s-0")})
+				l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{far.Endpoint("s-0")})
 				l.post(l.due)
 			}
 			l.open(t, 1, 1)
 			reached, release := l.hold(t)
-			wait(t, reached, "the loop")
+			testkit.Wait(t, reached, "the loop")
 			r := l.requests[l.lastID]
 			client.Close()
 			s.shows(client)
-			said := far.letIn()
+			said := far.Admit()
 			s.up(1, far.Addr())
 			release()
 			s.forgotten()
@@ -273,8 +283,8 @@
 
 // A client leaves with a part of its request sent: there never is a request.
 func TestPartsOfARequestAreNeverSent(t *testing.T) {
-	b := newBackend(t, ok)
-	s := serve(t, b.instance("s-0"))
+	b := testkit.NewBackend(t, testkit.OK)
+	s := serve(t, b.Endpoint("s-0"))
 	whole := s.text("pay")
 	for name, part := range map[string]string{
 		"nothing": "", "half of the head": whole[:len(whole)/2], "the head": whole[:strings.Index(whole, "{")],
@@ -287,13 +297,11 @@
 			client := s.dial().(*net.TCPConn)
 			io.WriteString(client, part)
 			leave(client)
-			until(t, "the end of the connection", func() bool {
+			testkit.Until(t, "the end of the connection", func() bool {
 				c := s.conn(client)
-				s.front.conns.mu.Lock()
-				defer s.front.conns.mu.Unlock()
-				return c != nil && c.shut
+				return c != nil && c.Closed()
 			})
-			if len(b.got) > 0 || s.loop.lastID > 0 {
+			if len(b.Requests) > 0 || s.loop.lastID > 0 {
 				t.Errorf("%s, %s: taken for a request", name, way)
 			}
 		}
@@ -306,17 +314,17 @@
 // Hundreds ask a node whose loop is held up and leave again, until its queue is full and the
 // rest of the news waits outside: none of them is sent on, all are forgotten.
 func TestCrowdLeavesBehindAFullQueue(t *testing.T) {
-	b := newBackend(t, ok)
-	s := serve(t, b.instance("s-0"), b.instance("s-1"), b.instance("s-2"), b.instance("s-3"))
+	b := testkit.NewBackend(t, testkit.OK)
+	s := serve(t, b.Endpoint("s-0"), b.Endpoint("s-1"), b.Endpoint("s-2"), b.Endpoint("s-3"))
 	l := s.loop
 	l.open(t, 0, 0) // the list is known
 	reached, release := l.hold(t)
-	wait(t, reached, "the loop")
+	testkit.Wait(t, reached, "the loop")
 	var clients []*net.TCPConn
 	for range crowd {
 		clients = append(clients, s.asks([]string{"read", "push", "pay"}[len(clients)%3], ""))
 	}
-	until(t, "the requests", func() bool { return len(l.events) == crowd })
+	testkit.Until(t, "the requests", func() bool { return len(l.events) == crowd })
 	var all []*request
 	l.post(func(time.Duration) {
 		for _, r := range l.requests {
@@ -334,11 +342,11 @@
 	for _, client := range clients {
 		s.shows(client)
 	}
-	until(t, "a full queue", func() bool { return len(l.events) == cap(l.events) })
+	testkit.Until(t, "a full queue", func() bool { return len(l.events) == cap(l.events) })
 	release()
 	s.forgotten()
-	if n := begun(all...); len(all) != crowd || n > 0 || len(b.got) > 0 {
-		t.Errorf("%d of %d attempts began, %d arrived", n, len(all), len(b.got))
+	if n := begun(all...); len(all) != crowd || n > 0 || len(b.Requests) > 0 {
+		t.Errorf("%d of %d attempts began, %d arrived", n, len(all), len(b.Requests))
 	}
 }
 
@@ -347,10 +355,10 @@
 // and room falls free, before the loop hears of the first: none of their attempts begins.
 func TestCrowdLeavesAtMixedPoints(t *testing.T) {
 	t.Parallel()
-	far, bad, mute := newStuck(t), newBackend(t, serverError), newBackend(t, silent(nil))
-	var list []instance
+	far, bad, mute := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.ServerError), testkit.NewBackend(t, testkit.Silent(nil))
+	var list []endpoint.Endpoint
 	for i := range 90 {
-		list = append(list, []func(string) instance{far.instance, bad.instance, mute.instance}[i%3](fmt.Sprintf("s-%d", i)))
+		list = append(list, []func(string) endpoint.Endpoint{far.Endpoint, bad.Endpoint, mute.Endpoint}[i%3](fmt.Sprintf("s-%d", i)))
 	}
 	s := serve(t, list...)
 	l := s.loop
@@ -362,21 +370,21 @@
 	points := map[string]int{}
 	var all []*request
 	var release func()
-	until(t, "all requests at rest", func() bool {
+	testkit.Until(t, "all requests at rest", func() bool {
 		reached, on := l.hold(t)
-		wait(t, reached, "the loop")
+		testkit.Wait(t, reached, "the loop")
 		clear(points)
 		all = all[:0]
 		for _, r := range l.requests {
 			all = append(all, r)
 			point := "held"
 			for _, a := range r.attempts {
-				switch addr := l.up.servers[a.server].addr; {
+				switch addr := l.up.Stats().Servers[a.server].Address; {
 				case a.told:
 					point = "between"
 				case addr == far.Addr().String():
 					point = "dialling"
-				case addr == mute.Listener.Addr().String() && a.call.gate.Load() == sending:
+				case addr == mute.Listener.Addr().String() && a.call.Started():
 					point = "out"
 				default:
 					point = "moving"
@@ -402,7 +410,7 @@
 	for _, r := range all {
 		decided -= len(r.attempts)
 	}
-	far.letIn()
+	far.Admit()
 	s.up(points["dialling"], far.Addr())
 	release()
 	s.forgotten()
--- a/internal/node/frontend.go
+++ b/internal/node/handler.go
@@ -13,6 +13,10 @@
 	"sync/atomic"
 	"time"
 
+	"calicohinge/internal/config"
+	"calicohinge/internal/downstream"
+	"calicohinge/internal/httpheader"
+	"calicohinge/internal/upstream"
 	"calicohinge/policy"
 )
 
@@ -21,6 +25,8 @@
 	// time, for the way of the request here and of the answer's last byte back.
 	answerMargin = 10 * time.Millisecond
 	maxHeader    = 16 << 10
+	maxBody      = 64 << 10               // bytes of a request's body
+	answerSpan   = 150 * time.Millisecond // from a response's first byte to its last, at most
 	// readTimeout is how long a client may take from its connection, or a request's
 	// first byte, to the request's last byte, whatever its deadline: one that sends
 	// half a request is owed a close within 3 s of connecting.
@@ -33,10 +39,9 @@
 
 // frontend takes clients' requests and gives them their answers.
 type frontend struct {
-	cfg      *Config
+	cfg      *config.Config
 	loop     *loop
-	conns    *clientConns
-	ready    atomic.Bool // a list of servers is known
+	conns    *downstream.Conns
 	stopping atomic.Bool
 	draining atomic.Bool  // a stop is in its last part
 	asked    atomic.Int64 // when a request was last taken, Unix nanoseconds
@@ -48,7 +53,7 @@
 func (f *frontend) server() *http.Server {
 	return &http.Server{
 		Handler: f, MaxHeaderBytes: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		ConnState: f.conns.state,
+		ConnState: f.conns.ConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -76,17 +81,17 @@
 		return
 	}
 	q.gone = func() bool { return r.Context().Err() != nil }
-	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	conn, _ := r.Context().Value(connKey{}).(*downstream.Conn)
 	if conn != nil {
-		conn.whole()
-		q.gone = conn.gone
-		if conn.over {
+		conn.RequestComplete()
+		q.gone = conn.ClientDisconnected
+		if conn.OverLimit() {
 			w.Header().Set("Connection", "close")
 			f.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: f.cfg.Policy.Limits.MaxRetryAfter})
 			return
 		}
 	}
-	if !f.claim(q.header.Get("X-Request-Id")) {
+	if !f.claim(q.Header.Get("X-Request-Id")) {
 		refuse(w, r, &badRequest{http.StatusConflict, "a request with this X-Request-ID is open"})
 		return
 	}
@@ -96,14 +101,14 @@
 	// request's own bytes would look like that.
 	control.SetReadDeadline(time.Time{})
 	a, ok := f.loop.do(r.Context(), q)
-	f.disclaim(q.header.Get("X-Request-Id"))
+	f.disclaim(q.Header.Get("X-Request-Id"))
 	if !ok {
 		panic(http.ErrAbortHandler) // nobody is there to be answered
 	}
 	control.SetWriteDeadline(time.Now().Add(q.end - f.loop.clock() + writeTimeout))
 	f.write(w, a)
 	if conn != nil && w.Header().Get("Connection") != "" && control.Flush() == nil {
-		conn.lingeringClose(r.Context())
+		conn.LingeringClose(r.Context())
 	}
 }
 
@@ -163,7 +168,7 @@
 }
 
 func (f *frontend) readiness(w http.ResponseWriter) {
-	if !f.ready.Load() || f.stopping.Load() {
+	if !f.loop.ready.Load() || f.stopping.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -241,10 +246,10 @@
 		objective = c.Deadline
 	}
 	return &request{
-		outgoing: outgoing{
-			method: r.Method, host: r.Host, header: endToEnd(r.Header), body: body,
-			span: min(answerSpan, objective/2), // a spoilt answer leaves time for another attempt
-			url: &url.URL{
+		Request: upstream.Request{
+			Method: r.Method, Host: r.Host, Header: httpheader.EndToEnd(r.Header), Body: body,
+			ResponseReadTimeout: min(answerSpan, objective/2), // a spoilt answer leaves time for another attempt
+			URL: &url.URL{
 				Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 			},
 		},
@@ -285,25 +290,3 @@
 	}
 	return true
 }
-
-// hopByHop lists the headers that belong to a connection, not to a message.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEnd copies the headers that go on to the other side.
-func endToEnd(from http.Header) http.Header {
-	h := from.Clone()
-	for _, line := range from["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-	h.Del("Expect") // was met here
-	h.Del("Content-Length")
-	return h
-}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,8 +4,12 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"calicohinge/internal/config"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/upstream"
 	"calicohinge/policy"
 )
 
@@ -21,13 +25,16 @@
 // actions. All else sends it events; only its goroutine touches the fields
 // below events.
 type loop struct {
-	ctx    context.Context
-	zero   time.Time // of the clock, less clockStart
-	up     *upstreams
-	events chan func(now time.Duration)
+	ctx      context.Context
+	zero     time.Time // of the clock, less clockStart
+	unixZero time.Time // wall time at the zero of the clock
+	up       *upstream.Pool
+	events   chan func(now time.Duration)
 
 	balancer   *policy.Balancer
-	watch      func() // starts a watch of the list
+	watcher    watcher
+	zones      map[string]int
+	ready      atomic.Bool // a list of servers is known
 	requests   map[policy.RequestID]*request
 	lastID     policy.RequestID
 	maxTries   int
@@ -37,6 +44,9 @@
 	after      []func(now time.Duration) // what host calls leave to be told to the balancer
 }
 
+// watcher starts a watch of the endpoint list.
+type watcher interface{ RequestWatch() }
+
 // answer is a request's final answer.
 type answer struct {
 	status     int
@@ -47,7 +57,7 @@
 
 // request is a client's request that has an attempt out or no final answer yet.
 type request struct {
-	outgoing
+	upstream.Request
 	class, tenant int
 	hint          time.Duration
 	end           time.Duration // when the answer must be on its way
@@ -63,7 +73,7 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	call     *call
+	call     *upstream.Call
 	server   policy.ServerID
 	sent     time.Duration
 	told     bool // the balancer has its outcome
@@ -71,13 +81,14 @@
 	timer    *time.Timer
 }
 
-func newLoop(ctx context.Context, cfg *Config, up *upstreams) (*loop, error) {
+func newLoop(ctx context.Context, cfg *config.Config, up *upstream.Pool, w watcher) (*loop, error) {
 	l := &loop{
 		ctx: ctx, zero: time.Now().Add(-clockStart), up: up,
-		events: make(chan func(time.Duration), eventQueue), watch: func() {},
+		events: make(chan func(time.Duration), eventQueue), watcher: w, zones: cfg.Zones,
 		requests: map[policy.RequestID]*request{}, maxTries: cfg.Policy.Limits.MaxAttempts,
 		retryAfter: cfg.Policy.Limits.MaxRetryAfter, classes: cfg.Policy.Classes,
 	}
+	l.unixZero = l.zero.Round(0)
 	var err error
 	l.balancer, err = policy.New(cfg.Policy, cfg.Seed, l)
 	return l, err
@@ -161,7 +172,7 @@
 // balancer answers the request then.
 func (l *loop) expire(now time.Duration, r *request) {
 	for i := range r.attempts {
-		l.outcome(now, r, i, result{status: policy.Timeout})
+		l.outcome(now, r, i, upstream.Result{Status: policy.Timeout})
 	}
 }
 
@@ -175,23 +186,23 @@
 }
 
 // outcome tells the balancer the end of an attempt, once; what comes later is dropped.
-func (l *loop) outcome(now time.Duration, r *request, index int, res result) {
+func (l *loop) outcome(now time.Duration, r *request, index int, res upstream.Result) {
 	a := r.attempts[index]
 	if a.told {
 		return
 	}
 	a.told = true
-	a.neverRan = res.status.NeverRan()
+	a.neverRan = res.Status.NeverRan()
 	r.out--
-	a.call.stop()
+	a.call.Cancel()
 	if a.timer != nil {
 		a.timer.Stop()
 	}
-	if res.status == policy.OK && !r.ended {
-		l.finish(r, answer{status: http.StatusOK, header: res.header, body: res.body})
+	if res.Status == policy.OK && !r.ended {
+		l.finish(r, answer{status: http.StatusOK, header: res.Header, body: res.Body})
 	}
 	l.balancer.Outcome(now, policy.Outcome{
-		ID: r.id, Attempt: index, Server: a.server, Status: res.status, RequestEnded: r.ended, Latency: now - a.sent,
+		ID: r.id, Attempt: index, Server: a.server, Status: res.Status, RequestEnded: r.ended, Latency: now - a.sent,
 	})
 	l.release(r)
 }
@@ -201,7 +212,7 @@
 func (l *loop) end(r *request) {
 	r.ended = true
 	for _, a := range r.attempts {
-		a.call.revoke()
+		a.call.Revoke()
 	}
 }
 
@@ -226,24 +237,24 @@
 		return
 	}
 	now := l.clock()
-	a := &attempt{server: server, sent: now, call: newCall(l.ctx, r.gone)}
+	a := &attempt{server: server, sent: now, call: upstream.NewCall(l.ctx, r.gone)}
 	index := len(r.attempts)
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if r.ended || index >= l.maxTries || now >= r.end {
-		l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, result{status: policy.NotSent}) })
+		l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, upstream.Result{Status: policy.NotSent}) })
 		return
 	}
 	if timeout > 0 && now+timeout < r.end {
 		a.timer = time.AfterFunc(timeout, func() {
-			l.post(func(now time.Duration) { l.outcome(now, r, index, result{status: policy.Timeout}) })
+			l.post(func(now time.Duration) { l.outcome(now, r, index, upstream.Result{Status: policy.Timeout}) })
 		})
 	}
 	l.keepWindow(r, a, index)
 	go func() {
-		res := l.up.send(a.call, server, &r.outgoing, r.end-now)
+		res := l.up.Send(a.call, server, &r.Request, r.end-now)
 		l.post(func(now time.Duration) {
-			if res.left {
+			if res.ClientDisconnected {
 				l.left(now, r)
 			}
 			l.outcome(now, r, index, res)
@@ -259,12 +270,12 @@
 	if c := &l.classes[r.class]; c.Idempotency == policy.IdempotentWithKey && first < index {
 		end := l.zero.Add(r.attempts[first].sent + c.KeyRetention)
 		for _, a := range r.attempts[first:] {
-			a.call.end.Store(&end)
+			a.call.SetWriteDeadline(end)
 		}
 		a.timer = time.AfterFunc(time.Until(end), func() {
 			l.post(func(now time.Duration) {
-				if a.call.revoke() {
-					l.outcome(now, r, index, result{status: policy.NotSent})
+				if a.call.Revoke() {
+					l.outcome(now, r, index, upstream.Result{Status: policy.NotSent})
 				}
 			})
 		})
@@ -277,7 +288,7 @@
 	if r == nil || index >= len(r.attempts) {
 		return
 	}
-	l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, result{status: policy.Cancelled}) })
+	l.after = append(l.after, func(now time.Duration) { l.outcome(now, r, index, upstream.Result{Status: policy.Cancelled}) })
 }
 
 // Reject implements policy.Host.
@@ -304,19 +315,54 @@
 }
 
 // WatchEndpoints implements policy.Host.
-func (l *loop) WatchEndpoints() { l.watch() }
-
-// members takes news of the list: first where servers are, then what the module makes of it.
-func (l *loop) members(kind policy.UpdateKind, list []instance, entries []policy.Endpoint) bool {
-	return l.post(func(now time.Duration) {
-		barred := l.bar(l.up.update(kind != policy.UpdateDelta, list))
+func (l *loop) WatchEndpoints() { l.watcher.RequestWatch() }
+
+// UpdateEndpoints implements discovery.Handler: first the pool learns where servers are, then
+// the module. Endpoints with no id, or no address where one is needed, are left out.
+func (l *loop) UpdateEndpoints(kind policy.UpdateKind, list []endpoint.Endpoint) {
+	var usable []endpoint.Endpoint
+	var entries []policy.Endpoint
+	for _, in := range list {
+		state := in.State()
+		if in.InstanceID == "" || (in.Address == "" && state == policy.Ready) {
+			continue
+		}
+		zone, ok := l.zones[in.Zone]
+		if !ok {
+			zone = len(l.zones) // no zone of ours
+		}
+		usable = append(usable, in)
+		entries = append(entries, policy.Endpoint{
+			Server: in.ServerID(), Zone: zone, Cell: in.Cell, State: state,
+			Weight: max(0, in.Weight), StartedAt: l.startedAt(in.StartedUnixMilli),
+		})
+	}
+	l.post(func(now time.Duration) {
+		barred := l.bar(l.up.UpdateEndpoints(kind != policy.UpdateDelta, usable))
 		l.balancer.UpdateEndpoints(now, kind, entries)
 		for _, b := range barred {
-			l.outcome(now, b.request, b.index, result{status: policy.NotSent})
+			l.outcome(now, b.request, b.index, upstream.Result{Status: policy.NotSent})
 		}
 	})
 }
 
+// EndpointsKnown implements discovery.Handler.
+func (l *loop) EndpointsKnown() { l.ready.Store(true) }
+
+// WatchFailed implements discovery.Handler.
+func (l *loop) WatchFailed(notifiedAt time.Time) {
+	l.post(func(now time.Duration) { l.balancer.WatchFailed(now, notifiedAt.Sub(l.zero)) })
+}
+
+// startedAt maps wall time onto the loop's clock, always by the same difference:
+// a start that moved would look like a restart.
+func (l *loop) startedAt(unixMs float64) time.Duration {
+	if unixMs <= 0 {
+		return 0
+	}
+	return max(0, time.UnixMilli(int64(unixMs)).Sub(l.unixZero))
+}
+
 // unsentAttempt is an attempt of which nothing was or will be written.
 type unsentAttempt struct {
 	request *request
@@ -329,7 +375,7 @@
 func (l *loop) bar(servers map[policy.ServerID]bool) (barred []unsentAttempt) {
 	for _, r := range l.requests {
 		for i, a := range r.attempts {
-			if !a.told && servers[a.server] && a.call.revoke() {
+			if !a.told && servers[a.server] && a.call.Revoke() {
 				barred = append(barred, unsentAttempt{r, i})
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,11 @@
 	"log/slog"
 	"net"
 	"time"
+
+	"calicohinge/internal/config"
+	"calicohinge/internal/discovery"
+	"calicohinge/internal/downstream"
+	"calicohinge/internal/upstream"
 )
 
 const (
@@ -30,18 +35,21 @@
 
 // Node is one load balancer. Create it with Listen.
 type Node struct {
-	cfg      *Config
-	listener net.Listener
-	moved    chan string // the latest new address of discovery
+	cfg       *config.Config
+	listener  net.Listener
+	discovery *discovery.Client
 }
 
 // Listen takes the node's address.
-func Listen(cfg *Config) (*Node, error) {
+func Listen(cfg *config.Config) (*Node, error) {
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &Node{cfg: cfg, listener: l, moved: make(chan string, 1)}, nil
+	client := discovery.New(discovery.Config{
+		Address: cfg.Discovery, Known: cfg.Known, Poll: cfg.Policy.PollEndpoints, DrainGrace: cfg.DrainGrace,
+	})
+	return &Node{cfg: cfg, listener: l, discovery: client}, nil
 }
 
 // Addr is where the node listens.
@@ -49,13 +57,7 @@
 
 // MoveDiscovery has the node follow the list of servers at another address. One
 // caller at a time.
-func (n *Node) MoveDiscovery(addr string) {
-	select {
-	case <-n.moved: // only the latest matters
-	default:
-	}
-	n.moved <- addr
-}
+func (n *Node) MoveDiscovery(addr string) { n.discovery.Move(addr) }
 
 // Run serves until the context ends, then answers what was taken and returns.
 func (n *Node) Run(ctx context.Context) error {
@@ -65,21 +67,20 @@
 	free := n.cfg.Limits.Sockets - ownDescriptors
 	servers := int(serversPart * float64(free))
 	spare := free / 20
-	up := newUpstreams(n.cfg, servers)
-	loop, err := newLoop(inner, n.cfg, up)
+	up := upstream.NewPool(upstreamConfig(n.cfg, servers))
+	loop, err := newLoop(inner, n.cfg, up, n.discovery)
 	if err != nil {
 		return err
 	}
-	conns := newClientConns(free-servers-spare, spare)
+	conns := downstream.NewConns(downstreamConfig(free-servers-spare, spare))
 	front := &frontend{cfg: n.cfg, loop: loop, conns: conns, open: map[string]struct{}{}}
-	disco := newDiscovery(n.cfg, loop, n.moved)
 	go loop.run()
-	go up.retire(inner)
-	go disco.run(inner, n.cfg.Known, func() { front.ready.Store(true) })
+	go up.RetireIdle(inner)
+	go n.discovery.Run(inner, loop)
 
 	srv := front.server()
 	defer srv.Close()
-	listener := cappedListener{n.listener, conns}
+	listener := conns.Listener(n.listener)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(listener) }()
 	slog.Info("serving", "name", n.cfg.Name, "addr", n.Addr().String())
@@ -91,7 +92,7 @@
 	slog.Info("stopping")
 	began := time.Now()
 	front.stopping.Store(true)
-	whole := n.cfg.stopSpan()
+	whole := stopSpan(n.cfg)
 	// The clients here may have no other node to go to: they are served for as
 	// long as they ask and the stop may take.
 	for time.Since(began) < whole-stopTail && front.busySince(began) {
@@ -102,17 +103,41 @@
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(whole))
 	defer cancel()
 	last := time.AfterFunc(time.Until(began.Add(whole-stopAnswers)), func() {
-		conns.end() // first: each request that was read finds the loop answering
+		conns.StopReading() // first: each request that was read finds the loop answering
 		loop.abandon()
 	})
 	defer last.Stop()
 	// The listener goes last: closed before, it would reset the connections in its
 	// backlog, whose clients may have asked.
-	conns.drain(limit)
+	conns.Drain(limit)
 	listener.Close()
 	if err := <-failed; !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
-	conns.drain(limit) // those that were accepted just then
+	conns.Drain(limit) // those that were accepted just then
 	return nil
 }
+
+func upstreamConfig(cfg *config.Config, maxOpen int) upstream.Config {
+	return upstream.Config{
+		MaxOpen: maxOpen, IdleTimeout: cfg.IdleTimeout, ConnectTimeout: cfg.ConnectTimeout,
+		SettleDelay: upstream.DefaultSettleDelay,
+	}
+}
+
+func downstreamConfig(maxOpen, reserve int) downstream.Config {
+	return downstream.Config{
+		MaxOpen: maxOpen, Reserve: reserve, MaxReadAhead: maxHeader + maxBody,
+		ReadTimeout: readTimeout, LingerTimeout: downstream.DefaultLingerTimeout,
+	}
+}
+
+// stopSpan is how long a stop may take. A request that is open for longer than that is
+// answered at its end, as failed if it has to be: the node would be killed under it.
+func stopSpan(c *config.Config) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Policy.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, killCap) + killSlack - killMargin
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
 	"encoding/json"
 	"io"
 	"net"
@@ -15,7 +17,7 @@
 )
 
 func TestServesUnchanged(t *testing.T) {
-	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Kept", "yes")
 		w.Header().Set("Keep-Alive", "timeout=5")
 		io.WriteString(w, "rooms")
@@ -29,7 +31,7 @@
 	if a.status != http.StatusOK || a.body != "rooms" || a.header.Get("X-Kept") != "yes" || a.header.Get("Keep-Alive") != "" {
 		t.Errorf("answer %+v", a)
 	}
-	got := wait(t, b.got, "the request")
+	got := testkit.Wait(t, b.Requests, "the request")
 	body, _ := io.ReadAll(got.Body)
 	if got.Method != "POST" || got.RequestURI != "/push?obj=7f3a%2F9c&z" || string(body) != `{"x":1}` {
 		t.Errorf("the server got %s %s %q", got.Method, got.RequestURI, body)
@@ -51,23 +53,16 @@
 }
 
 // firstFails gives two servers of which whichever is met first runs fail.
-func firstFails(t *testing.T, fail http.HandlerFunc) []*backend {
+func firstFails(t *testing.T, fail http.HandlerFunc) []*testkit.Backend {
 	var met atomic.Bool
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		if met.CompareAndSwap(false, true) {
 			fail(w, r)
 			return
 		}
-		ok(w, r)
+		testkit.OK(w, r)
 	}
-	return []*backend{newBackend(t, handle), newBackend(t, handle)}
-}
-
-func serverError(w http.ResponseWriter, _ *http.Request) { http.Error(w, "oops", 500) }
-
-func turnAway(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("X-Not-Processed", "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	return []*testkit.Backend{testkit.NewBackend(t, handle), testkit.NewBackend(t, handle)}
 }
 
 func TestRetries(t *testing.T) {
@@ -77,25 +72,25 @@
 		sends       int
 		status      int
 	}{
-		{"safe after an error", "read", serverError, 2, 200},
-		{"safe after a reset", "read", reset, 2, 200},
-		{"keyed after an error", "push", serverError, 2, 200},
-		{"keyed after a reset", "push", reset, 2, 200},
-		{"unsafe after an error", "pay", serverError, 1, 502},
-		{"unsafe after a reset", "pay", reset, 1, 502},
-		{"unsafe that was turned away", "pay", turnAway, 2, 200},
+		{"safe after an error", "read", testkit.ServerError, 2, 200},
+		{"safe after a reset", "read", testkit.Reset, 2, 200},
+		{"keyed after an error", "push", testkit.ServerError, 2, 200},
+		{"keyed after a reset", "push", testkit.Reset, 2, 200},
+		{"unsafe after an error", "pay", testkit.ServerError, 1, 502},
+		{"unsafe after a reset", "pay", testkit.Reset, 1, 502},
+		{"unsafe that was turned away", "pay", testkit.NotProcessed, 2, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			bs := firstFails(t, c.fail)
 			n, _ := startReady(t, bs...)
 			r := n.request(c.class)
 			a := n.do(r)
-			if sends := len(bs[0].got) + len(bs[1].got); a.status != c.status || sends != c.sends {
+			if sends := len(bs[0].Requests) + len(bs[1].Requests); a.status != c.status || sends != c.sends {
 				t.Fatalf("status %d after %d sends, want %d after %d", a.status, sends, c.status, c.sends)
 			}
 			for _, b := range bs {
-				for len(b.got) > 0 {
-					got := <-b.got
+				for len(b.Requests) > 0 {
+					got := <-b.Requests
 					for _, name := range []string{"X-Request-ID", "Idempotency-Key"} {
 						if got.Header.Get(name) != r.Header.Get(name) {
 							t.Errorf("%s changed to %q", name, got.Header.Get(name))
@@ -111,7 +106,7 @@
 // the client has its answer nothing more is sent and the attempt is given up.
 func TestSilentServer(t *testing.T) {
 	left := make(chan struct{}, 1)
-	b := newBackend(t, silent(left))
+	b := testkit.NewBackend(t, testkit.Silent(left))
 	n, _ := startReady(t, b)
 	r := n.request("pay")
 	r.Header.Set("X-Timeout-Ms", "300")
@@ -119,9 +114,9 @@
 	if a.status != http.StatusBadGateway || a.took < 200*time.Millisecond {
 		t.Errorf("status %d after %v", a.status, a.took)
 	}
-	wait(t, left, "the attempt to be given up")
-	if len(b.got) != 1 {
-		t.Errorf("%d sends", len(b.got))
+	testkit.Wait(t, left, "the attempt to be given up")
+	if len(b.Requests) != 1 {
+		t.Errorf("%d sends", len(b.Requests))
 	}
 }
 
@@ -132,30 +127,30 @@
 	var quiet atomic.Bool // the next request met stays without an answer
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		if quiet.CompareAndSwap(true, false) {
-			silent(left)(w, r)
+			testkit.Silent(left)(w, r)
 			return
 		}
-		ok(w, r)
+		testkit.OK(w, r)
 	}
-	a, b := newBackend(t, handle), newBackend(t, handle)
+	a, b := testkit.NewBackend(t, handle), testkit.NewBackend(t, handle)
 	n, _ := startReady(t, a, b)
 	for range 50 { // the module learns what is usual
 		n.do(n.request("push"))
 	}
 	quiet.Store(true)
-	before := len(a.got) + len(b.got)
+	before := len(a.Requests) + len(b.Requests)
 	if r := n.do(n.request("push")); r.status != http.StatusOK {
 		t.Fatalf("status %d", r.status)
 	}
-	wait(t, left, "the silent attempt to be given up")
-	if sends := len(a.got) + len(b.got) - before; sends != 2 {
+	testkit.Wait(t, left, "the silent attempt to be given up")
+	if sends := len(a.Requests) + len(b.Requests) - before; sends != 2 {
 		t.Errorf("%d sends, want 2", sends)
 	}
 }
 
 func TestClientGone(t *testing.T) {
 	left := make(chan struct{}, 1)
-	b := newBackend(t, silent(left))
+	b := testkit.NewBackend(t, testkit.Silent(left))
 	n, _ := startReady(t, b)
 	nc, err := net.Dial("tcp", n.addr)
 	if err != nil {
@@ -164,16 +159,16 @@
 	if err := n.request("read").Write(nc); err != nil {
 		t.Fatal(err)
 	}
-	wait(t, b.got, "the request")
+	testkit.Wait(t, b.Requests, "the request")
 	nc.Close()
-	wait(t, left, "the attempt to be given up")
+	testkit.Wait(t, left, "the attempt to be given up")
 }
 
 // The server closes a connection after its answer without saying so. A request
 // written to it would be lost for a class that must not be repeated.
 func TestStaleIdleConnection(t *testing.T) {
 	closed := make(chan struct{}, 10)
-	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		nc, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			return
@@ -187,23 +182,25 @@
 		if a := n.do(n.request("pay")); a.status != http.StatusOK {
 			t.Fatalf("status %d", a.status)
 		}
-		wait(t, closed, "the server's close")
+		testkit.Wait(t, closed, "the server's close")
 	}
 }
 
 func TestDrain(t *testing.T) {
-	a, b := newBackend(t, ok), newBackend(t, ok)
+	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	n, d := startReady(t, a, b)
-	d.change(t, func() { d.list[0].Lifecycle = "Terminating" })
+	drains := a.Endpoint("s-0")
+	drains.Lifecycle = "Terminating"
+	d.SetEndpointsAndWait(t, drains, b.Endpoint("s-1"))
 	for range 20 {
 		if r := n.do(n.request("read")); r.status != http.StatusOK {
 			t.Fatalf("status %d", r.status)
 		}
 	}
-	if len(a.got) != 0 || len(b.got) != 20 {
-		t.Errorf("%d sends to the draining server, %d to the other", len(a.got), len(b.got))
+	if len(a.Requests) != 0 || len(b.Requests) != 20 {
+		t.Errorf("%d sends to the draining server, %d to the other", len(a.Requests), len(b.Requests))
 	}
-	d.change(t, func() { d.list = d.list[:1] })
+	d.SetEndpointsAndWait(t, drains)
 	if r := n.do(n.request("read")); r.status != http.StatusServiceUnavailable {
 		t.Errorf("status %d with no server left", r.status)
 	}
@@ -211,19 +208,19 @@
 
 // A server that moved is another process: what stands open to the old one is dropped.
 func TestServerMoves(t *testing.T) {
-	a, b := newBackend(t, ok), newBackend(t, ok)
+	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	n, d := startReady(t, a)
 	n.do(n.request("read"))
-	d.change(t, func() { d.list = []instance{b.instance("s-0")} })
+	d.SetEndpointsAndWait(t, b.Endpoint("s-0"))
 	n.do(n.request("read"))
-	if len(a.got) != 1 || len(b.got) != 1 {
-		t.Errorf("%d sends to the old address, %d to the new one", len(a.got), len(b.got))
+	if len(a.Requests) != 1 || len(b.Requests) != 1 {
+		t.Errorf("%d sends to the old address, %d to the new one", len(a.Requests), len(b.Requests))
 	}
 }
 
 // With every breaker open the refusal comes at once and says when to come back.
 func TestEveryServerDown(t *testing.T) {
-	d := newRegistry(t, instance{InstanceID: "s-0", HostPort: freeAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
+	d := testkit.NewRegistry(t, endpoint.Endpoint{InstanceID: "s-0", Address: testkit.FreeAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
 	n := start(t, testConfig(t, d, nil))
 	n.waitReady(http.StatusOK)
 	for try := range 60 {
@@ -246,7 +243,7 @@
 }
 
 func TestMalformedRequests(t *testing.T) {
-	b := newBackend(t, ok)
+	b := testkit.NewBackend(t, testkit.OK)
 	n, _ := startReady(t, b)
 	for name, c := range map[string]struct {
 		class  string
@@ -280,8 +277,8 @@
 			}
 		})
 	}
-	if len(b.got) != 0 {
-		t.Errorf("%d of them reached a server", len(b.got))
+	if len(b.Requests) != 0 {
+		t.Errorf("%d of them reached a server", len(b.Requests))
 	}
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("a good one gets status %d afterwards", a.status)
@@ -289,19 +286,20 @@
 }
 
 func TestDiscoveryFailsAndReturns(t *testing.T) {
-	b := newBackend(t, ok)
-	d := newRegistry(t)
-	d.down = true
+	b := testkit.NewBackend(t, testkit.OK)
+	d := testkit.NewRegistry(t)
+	d.SetDown(true)
 	n := start(t, testConfig(t, d, nil))
-	wait(t, d.calls, "a first call")
-	wait(t, d.calls, "a call after the failed one")
+	testkit.Wait(t, d.Queries, "a first call")
+	testkit.Wait(t, d.Queries, "a call after the failed one")
 	n.waitReady(http.StatusServiceUnavailable)
-	d.set(func() { d.down, d.list = false, []instance{b.instance("s-0")} })
+	d.SetEndpoints(b.Endpoint("s-0"))
+	d.SetDown(false)
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("status %d", a.status)
 	}
-	d.set(func() { d.down = true }) // the list stays
+	d.SetDown(true) // the list stays
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("status %d while discovery is down", a.status)
 	}
@@ -311,41 +309,41 @@
 // place is asked for the whole list, whatever its versions, and the node serves
 // and stays ready throughout, also while the new place doesn't answer.
 func TestDiscoveryMoves(t *testing.T) {
-	a, b := newBackend(t, ok), newBackend(t, ok)
-	old := newRegistry(t, a.instance("s-a"))
+	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
+	old := testkit.NewRegistry(t, a.Endpoint("s-a"))
 	n := start(t, testConfig(t, old, nil))
 	n.waitReady(http.StatusOK)
-	next := newRegistry(t, b.instance("s-b"))
-	for len(old.calls) > 0 {
-		<-old.calls
+	next := testkit.NewRegistry(t, b.Endpoint("s-b"))
+	for len(old.Queries) > 0 {
+		<-old.Queries
 	}
-	n.node.MoveDiscovery(freeAddr(t)) // nobody there yet
+	n.node.MoveDiscovery(testkit.FreeAddr(t)) // nobody there yet
 	if r := n.do(n.request("read")); r.status != http.StatusOK {
 		t.Errorf("status %d while discovery is away", r.status)
 	}
 	n.node.MoveDiscovery(next.Listener.Addr().String())
-	if q := wait(t, next.calls, "the first call"); q != "" {
+	if q := testkit.Wait(t, next.Queries, "the first call"); q != "" {
 		t.Errorf("the new place is asked for %q", q)
 	}
-	wait(t, next.calls, "the watch")
+	testkit.Wait(t, next.Queries, "the watch")
 	n.waitReady(http.StatusOK)
-	for len(a.got) > 0 {
-		<-a.got
+	for len(a.Requests) > 0 {
+		<-a.Requests
 	}
-	if r := n.do(n.request("read")); r.status != http.StatusOK || len(a.got) > 0 || len(b.got) == 0 {
-		t.Errorf("status %d; %d sends to the server of the old list", r.status, len(a.got))
+	if r := n.do(n.request("read")); r.status != http.StatusOK || len(a.Requests) > 0 || len(b.Requests) == 0 {
+		t.Errorf("status %d; %d sends to the server of the old list", r.status, len(a.Requests))
 	}
-	next.change(t, func() { next.list = nil })
+	next.SetEndpointsAndWait(t)
 	if r := n.do(n.request("read")); r.status != http.StatusServiceUnavailable {
 		t.Errorf("status %d: the new place is not watched", r.status)
 	}
 	n.node.MoveDiscovery(old.Listener.Addr().String())
-	for q := range old.calls {
+	for q := range old.Queries {
 		if q == "" {
 			break
 		}
 	}
-	wait(t, old.calls, "the watch")
+	testkit.Wait(t, old.Queries, "the watch")
 	if r := n.do(n.request("read")); r.status != http.StatusOK {
 		t.Errorf("status %d after the move back", r.status)
 	}
@@ -353,17 +351,17 @@
 
 // The list as known from before serves while discovery is away.
 func TestKnownListServes(t *testing.T) {
-	b := newBackend(t, ok)
-	d := newRegistry(t)
-	d.down = true
+	b := testkit.NewBackend(t, testkit.OK)
+	d := testkit.NewRegistry(t)
+	d.SetDown(true)
 	n := start(t, testConfig(t, d, func(file map[string]any) {
-		file["known"] = registry{Generation: 7, Reset: true, Instances: []instance{b.instance("s-0")}}
+		file["known"] = endpoint.List{Generation: 7, Reset: true, Endpoints: []endpoint.Endpoint{b.Endpoint("s-0")}}
 	}))
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("status %d", a.status)
 	}
-	if q := wait(t, d.calls, "a watch"); !strings.Contains(q, "after=7") {
+	if q := testkit.Wait(t, d.Queries, "a watch"); !strings.Contains(q, "after=7") {
 		t.Errorf("the watch asks for %q", q)
 	}
 }
@@ -371,20 +369,20 @@
 // Version 0 is a version: a list that has it must be watched after, not asked
 // for again and again.
 func TestWatchAfterVersionZero(t *testing.T) {
-	b := newBackend(t, ok)
+	b := testkit.NewBackend(t, testkit.OK)
 	_, d := startReady(t, b)
-	wait(t, d.calls, "the first call")
-	if q := wait(t, d.calls, "the watch"); !strings.Contains(q, "after=0") {
+	testkit.Wait(t, d.Queries, "the first call")
+	if q := testkit.Wait(t, d.Queries, "the watch"); !strings.Contains(q, "after=0") {
 		t.Errorf("the second call asks for %q", q)
 	}
 }
 
 // Where lists are asked for, the module says when.
 func TestAskedList(t *testing.T) {
-	b := newBackend(t, ok)
-	d := newRegistry(t, b.instance("s-0"))
+	b := testkit.NewBackend(t, testkit.OK)
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
 	n := start(t, testConfig(t, d, func(file map[string]any) {
-		file["settings"] = jsonText(strings.Replace(settingsText, "pushed", "on_request", 1))
+		file["settings"] = testkit.JSON(strings.Replace(settingsText, "pushed", "on_request", 1))
 	}))
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
@@ -392,23 +390,18 @@
 	}
 }
 
-type jsonText string
-
-// MarshalJSON gives the text as it is.
-func (j jsonText) MarshalJSON() ([]byte, error) { return []byte(j), nil }
-
 // What was taken before a stop is answered, and new connections are still taken
 // while the front deals them.
 func TestStopAnswersWhatWasTaken(t *testing.T) {
 	release := make(chan struct{})
-	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
-		ok(w, r)
+		testkit.OK(w, r)
 	})
 	n, _ := startReady(t, b)
 	held := make(chan reply, 1)
 	go func() { held <- n.do(n.request("pay")) }()
-	wait(t, b.got, "the request")
+	testkit.Wait(t, b.Requests, "the request")
 	n.stop()
 	n.waitReady(http.StatusServiceUnavailable)
 	late := make(chan reply, 1)
@@ -430,11 +423,11 @@
 	}()
 	close(release)
 	for _, c := range []chan reply{held, late} {
-		if a := wait(t, c, "an answer"); a.status != http.StatusOK {
+		if a := testkit.Wait(t, c, "an answer"); a.status != http.StatusOK {
 			t.Errorf("status %d", a.status)
 		}
 	}
-	if err := wait(t, n.done, "the end"); err != nil {
+	if err := testkit.Wait(t, n.done, "the end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -443,14 +436,14 @@
 // their connections until shortly before the node has to end, and what is open
 // then is answered rather than cut off.
 func TestServesWhileItStops(t *testing.T) {
-	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			<-r.Context().Done()
 			return
 		}
-		ok(w, r)
+		testkit.OK(w, r)
 	})
-	d := newRegistry(t, b.instance("s-0"))
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
 	n := start(t, testConfig(t, d, func(file map[string]any) {
 		file["settings"] = json.RawMessage(strings.ReplaceAll(settingsText, `"DeadlineMs": 8000, "PromiseMs": 6000`, `"DeadlineMs": 1000, "PromiseMs": 900`))
 	}))
@@ -462,7 +455,7 @@
 	n.stop()
 	n.waitReady(http.StatusServiceUnavailable)
 	for time.Since(began) < time.Second {
-		wait(t, b.got, "the request before")
+		testkit.Wait(t, b.Requests, "the request before")
 		if resp := n.ask(steady); resp.StatusCode != http.StatusOK || resp.Close {
 			t.Fatalf("status %d, close %v after %v", resp.StatusCode, resp.Close, time.Since(began))
 		}
@@ -475,7 +468,7 @@
 	if err != nil || resp.StatusCode != http.StatusBadGateway {
 		t.Errorf("the last one is answered with %v, %v", resp, err)
 	}
-	if err := wait(t, n.done, "the end"); err != nil {
+	if err := testkit.Wait(t, n.done, "the end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -484,14 +477,14 @@
 // past its time: the node closes it.
 func TestClientReadsNothing(t *testing.T) {
 	text := strings.Repeat("x", maxBody)
-	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
 	n, _ := startReady(t, b)
 	nc, err := net.Dial("tcp", n.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	nc.SetDeadline(time.Now().Add(patience))
+	nc.SetDeadline(time.Now().Add(testkit.Patience))
 	for err == nil {
 		r := n.request("read")
 		r.Header.Set("X-Timeout-Ms", "1000")
@@ -504,15 +497,15 @@
 
 // What discovery says may make no sense; the node asks again and takes what it can use.
 func TestBadListsAreSurvived(t *testing.T) {
-	b := newBackend(t, ok)
-	good := b.instance("s-0")
+	b := testkit.NewBackend(t, testkit.OK)
+	good := b.Endpoint("s-0")
 	lists := make(chan string, 10)
 	lists <- "what?"
 	lists <- `{"generation":"x"}`
 	lists <- `{"generation":3,"instances":[{"instanceId":5}]}`
 	lists <- `{"generation":4,"reset":true,"instances":[{},{"instanceId":"s-1","lifecycle":"Ready"},` +
 		`{"instanceId":"s-2","hostPort":"nowhere","lifecycle":"Novel"},` +
-		`{"instanceId":"s-0","hostPort":"` + good.HostPort + `","zone":"far","cell":-1,"lifecycle":"Ready",` +
+		`{"instanceId":"s-0","hostPort":"` + good.Address + `","zone":"far","cell":-1,"lifecycle":"Ready",` +
 		`"weight":-3,"startedAtMs":1.5e12,"novel":[]}]}`
 	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -522,7 +515,7 @@
 		}
 	}))
 	t.Cleanup(d.Close)
-	n := start(t, testConfig(t, &registryStub{Server: d}, nil))
+	n := start(t, testConfig(t, &testkit.Registry{Server: d}, nil))
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("status %d", a.status)
@@ -533,20 +526,19 @@
 // lie after the zero of the clock, which means long ago, and must not move from
 // list to list, which would mean a restart.
 func TestStartsOnTheClock(t *testing.T) {
-	l, err := newLoop(t.Context(), testConfig(t, newRegistry(t), nil), nil)
+	l, err := newLoop(t.Context(), testConfig(t, testkit.NewRegistry(t), nil), nil, unwatched{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDiscovery(&Config{}, l, nil)
 	at := float64(time.Now().Add(-3 * time.Second).UnixMilli())
-	first := d.started(at)
-	if age := l.clock() - first; age < 2900*time.Millisecond || age > 3*time.Second+patience {
+	first := l.startedAt(at)
+	if age := l.clock() - first; age < 2900*time.Millisecond || age > 3*time.Second+testkit.Patience {
 		t.Errorf("a start 3 s ago is %v ago on the clock", age)
 	}
-	if again := d.started(at); again != first {
+	if again := l.startedAt(at); again != first {
 		t.Errorf("the start moved from %v to %v", first, again)
 	}
-	if d.started(0) != 0 {
+	if l.startedAt(0) != 0 {
 		t.Error("a start long ago is not 0")
 	}
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
 	"io"
 	"net"
 	"net/http"
@@ -15,7 +17,7 @@
 	for deadline, kill := range map[int]time.Duration{
 		160: 860 * time.Millisecond, 3000: 3700 * time.Millisecond, 60000: 3700 * time.Millisecond,
 	} {
-		span := testConfig(t, newRegistry(t), deadlines(deadline)).stopSpan()
+		span := stopSpan(testConfig(t, testkit.NewRegistry(t), deadlines(deadline)))
 		if span >= kill || span <= kill-300*time.Millisecond {
 			t.Errorf("deadline %d ms: stops in %v, killed after %v", deadline, span, kill)
 		}
@@ -25,8 +27,8 @@
 // A request whose deadline lies far behind the kill is answered before it all the same.
 func TestStopAnswersLongRequestsBeforeTheKill(t *testing.T) {
 	t.Parallel()
-	b := newBackend(t, silent(make(chan struct{}, 1)))
-	d := newRegistry(t, b.instance("s-0"))
+	b := testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
 	n := start(t, testConfig(t, d, deadlines(60000)))
 	n.waitReady(http.StatusOK)
 	nc := n.dial()
@@ -35,7 +37,7 @@
 	if err := r.Write(nc); err != nil {
 		t.Fatal(err)
 	}
-	wait(t, b.got, "the request")
+	testkit.Wait(t, b.Requests, "the request")
 	began := time.Now()
 	n.stop()
 	resp, err := http.ReadResponse(bufio.NewReader(nc), r)
@@ -45,7 +47,7 @@
 	if took := time.Since(began); took >= killCap+killSlack {
 		t.Errorf("answered after %v: the node was killed before", took)
 	}
-	if err := wait(t, n.done, "the end"); err != nil {
+	if err := testkit.Wait(t, n.done, "the end"); err != nil {
 		t.Error(err)
 	}
 }
@@ -54,19 +56,19 @@
 // read: each gets its final answer before the kill, the half one once it is whole.
 func TestStopAtEachPointOfARequest(t *testing.T) {
 	t.Parallel()
-	far := newStuck(t)
-	b := newBackend(t, silent(make(chan struct{}, 10)))
+	far := testkit.NewStuckServer(t)
+	b := testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 10)))
 	for name, c := range map[string]struct {
-		server instance
+		server endpoint.Endpoint
 		first  int // requests that go before
 	}{
-		"held":         {b.instance("s-0"), 5},
-		"being opened": {far.instance("s-0"), 0},
-		"sent":         {b.instance("s-0"), 0},
+		"held":         {b.Endpoint("s-0"), 5},
+		"being opened": {far.Endpoint("s-0"), 0},
+		"sent":         {b.Endpoint("s-0"), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			n := start(t, testConfig(t, newRegistry(t, c.server), deadlines(60000)))
+			n := start(t, testConfig(t, testkit.NewRegistry(t, c.server), deadlines(60000)))
 			n.waitReady(http.StatusOK)
 			var asked []net.Conn
 			for range c.first + 1 {
@@ -93,7 +95,7 @@
 	}
 	t.Run("half read", func(t *testing.T) {
 		t.Parallel()
-		b := newBackend(t, ok)
+		b := testkit.NewBackend(t, testkit.OK)
 		n, _ := startReady(t, b)
 		nc := n.dial()
 		var text strings.Builder
@@ -113,91 +115,11 @@
 // What comes after the node has answered all that was open is turned away at once: nobody
 // would answer it any more.
 func TestRequestBehindTheLastAnswers(t *testing.T) {
-	b := newBackend(t, ok)
-	l := loopOf(t, b.instance("s-0"))
+	b := testkit.NewBackend(t, testkit.OK)
+	l := loopOf(t, b.Endpoint("s-0"))
 	l.abandon()
 	a, ok := l.do(t.Context(), l.ofClass(2, present))
-	if !ok || a.status != http.StatusServiceUnavailable || len(b.got) > 0 {
-		t.Errorf("answer %+v, %v; %d sends", a, ok, len(b.got))
-	}
-}
-
-// A stop, or a newcomer over the cap, shuts idle connections; one whose client asks just
-// then is not idle any more, though nobody has read a byte of it yet.
-func TestIdleConnectionAsksAsItIsShut(t *testing.T) {
-	for name, shut := range map[string]func(cs *clientConns, c *clientConn){
-		"by a stop":        func(cs *clientConns, c *clientConn) { cs.drain(ended()) },
-		"after its answer": func(cs *clientConns, c *clientConn) { cs.whole(c); cs.draining = true; cs.state(c, http.StateIdle) },
-		"by a newcomer": func(cs *clientConns, c *clientConn) {
-			cs.mu.Lock()
-			defer cs.mu.Unlock()
-			if first, _ := cs.oldest(); first != c || first.in != &cs.partial {
-				t.Errorf("the connection that makes room is %v", first)
-			}
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			cs := newClientConns(5, 0)
-			client, c := accepted(t, cs)
-			cs.whole(c)
-			cs.state(c, http.StateIdle)
-			io.WriteString(client, "GET")
-			sees(t, c.Conn, unread)
-			shut(cs, c)
-			p := make([]byte, 10)
-			if n, err := c.Read(p); string(p[:n]) != "GET" || err != nil {
-				t.Errorf("read %q, %v", p[:n], err)
-			}
-		})
-	}
-	cs := newClientConns(5, 0) // and one that says nothing is shut
-	_, c := accepted(t, cs)
-	cs.whole(c)
-	cs.state(c, http.StateIdle)
-	cs.drain(ended())
-	if _, err := c.Read(make([]byte, 1)); err == nil {
-		t.Error("an idle connection outlasts a stop")
-	}
-}
-
-func (cs *clientConns) whole(c *clientConn) { c.whole() }
-
-// A request that comes as the node ends, after its last answers, is left unread, so that its
-// client asks elsewhere; one that was read by then is answered.
-func TestRequestAsTheNodeEnds(t *testing.T) {
-	for name, state := range map[string]func(cs *clientConns, c *clientConn){
-		"on a new connection":    func(*clientConns, *clientConn) {},
-		"between two requests":   func(cs *clientConns, c *clientConn) { c.whole(); cs.state(c, http.StateIdle) },
-		"right behind an answer": func(cs *clientConns, c *clientConn) { c.whole() },
-	} {
-		t.Run(name, func(t *testing.T) {
-			cs := newClientConns(5, 0)
-			client, c := accepted(t, cs)
-			state(cs, c)
-			cs.end()
-			io.WriteString(client, "GET")
-			sees(t, c.Conn, unread)
-			cs.state(c, http.StateIdle)
-			if n, err := c.Read(make([]byte, 10)); n != 0 || err == nil {
-				t.Errorf("read %d bytes, %v", n, err)
-			}
-			if peek(c.Conn) != unread {
-				t.Error("the bytes were read")
-			}
-		})
-	}
-	cs := newClientConns(5, 0)
-	client, c := accepted(t, cs)
-	c.whole()
-	io.WriteString(client, "GET")
-	sees(t, c.Conn, unread)
-	if c.gone() {
-		t.Fatal("taken for gone") // and the bytes are read
-	}
-	cs.end()
-	cs.state(c, http.StateIdle)
-	p := make([]byte, 10)
-	if n, err := c.Read(p); string(p[:n]) != "GET" || err != nil {
-		t.Errorf("read %q, %v", p[:n], err)
+	if !ok || a.status != http.StatusServiceUnavailable || len(b.Requests) > 0 {
+		t.Errorf("answer %+v, %v; %d sends", a, ok, len(b.Requests))
 	}
 }
--- a/internal/simproto/wire.go
+++ b/internal/simproto/simproto.go
@@ -12,6 +12,7 @@
 	"math"
 	"time"
 
+	"calicohinge/internal/milliseconds"
 	"calicohinge/policy"
 )
 
@@ -98,7 +99,7 @@
 	if err := r.fill(int(size)); err != nil {
 		return nil, fmt.Errorf("%w: batch %d: body: %w", ErrFormat, r.batch.Number, err)
 	}
-	now, ok := duration(ms)
+	now, ok := milliseconds.ToDuration(ms)
 	if !ok {
 		return nil, fmt.Errorf("%w: batch %d: clock %v", ErrFormat, r.batch.Number, ms)
 	}
@@ -182,8 +183,8 @@
 		}
 		return decodeEntries(e, raw, fail)
 	case Request:
-		left, ok1 := duration(f64(16))
-		hint, ok2 := duration(f64(24))
+		left, ok1 := milliseconds.ToDuration(f64(16))
+		hint, ok2 := milliseconds.ToDuration(f64(24))
 		if !ok1 || !ok2 {
 			return fail("time of a query:", f64(16))
 		}
@@ -203,7 +204,7 @@
 		if !ok {
 			return fail("status", u16(5))
 		}
-		latency, ok := duration(f64(16))
+		latency, ok := milliseconds.ToDuration(f64(16))
 		if !ok {
 			return fail("latency", f64(16))
 		}
@@ -233,7 +234,7 @@
 			return fail("server state", raw[12])
 		}
 		weight := float64(math.Float32frombits(binary.BigEndian.Uint32(raw[13:])))
-		started, ok := duration(math.Float64frombits(binary.BigEndian.Uint64(raw[17:])))
+		started, ok := milliseconds.ToDuration(math.Float64frombits(binary.BigEndian.Uint64(raw[17:])))
 		if !ok || !(weight >= 0) || math.IsInf(weight, 1) {
 			return fail("server weight or start:", weight)
 		}
@@ -259,18 +260,6 @@
 	return policy.ServerID(uint64(binary.BigEndian.Uint32(b))<<16 | uint64(binary.BigEndian.Uint16(b[4:])))
 }
 
-// duration turns milliseconds into a Duration, unless they are no number or
-// too many for one.
-func duration(ms float64) (time.Duration, bool) {
-	const most = float64(math.MaxInt64) / 4 / float64(time.Millisecond)
-	if !(ms > -most && ms < most) {
-		return 0, false
-	}
-	return time.Duration(math.Round(ms * float64(time.Millisecond))), true
-}
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // Reply collects the actions of one batch.
 type Reply struct {
 	out     []byte
@@ -375,5 +364,5 @@
 }
 
 func putMs(b []byte, d time.Duration) {
-	binary.BigEndian.PutUint64(b, math.Float64bits(milliseconds(d)))
+	binary.BigEndian.PutUint64(b, math.Float64bits(milliseconds.FromDuration(d)))
 }
--- /dev/null
+++ b/internal/sockstate/sockstate.go
@@ -0,0 +1,64 @@
+// Package sockstate inspects a connected socket without reading from it. Both
+// sides of the balancer use it: a client that left, or a pooled connection that
+// its server closed, shows on the socket before anything is read.
+package sockstate
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// State is what a socket shows at the moment it is inspected.
+type State int
+
+// The states of a socket.
+const (
+	Quiet    State = iota // open, with nothing to read
+	Readable              // unread bytes have arrived
+	Closed                // ended by the peer, broken, or not a socket
+)
+
+// String names the state.
+func (s State) String() string {
+	switch s {
+	case Quiet:
+		return "quiet"
+	case Readable:
+		return "readable"
+	case Closed:
+		return "closed"
+	}
+	return "unknown"
+}
+
+// Peek returns the state of conn. It never blocks and leaves unread bytes where
+// they are.
+func Peek(conn net.Conn) State {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return Closed
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return Closed
+	}
+	state := Closed
+	// Control, not Read: Read waits for a reader that is already blocked in it.
+	if err := raw.Control(func(fd uintptr) { state = peek(int(fd)) }); err != nil {
+		return Closed
+	}
+	return state
+}
+
+func peek(fd int) State {
+	var buffer [1]byte
+	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return Quiet
+	case err == nil && n > 0:
+		return Readable
+	}
+	return Closed
+}
--- a/internal/node/upstream.go
+++ b/internal/upstream/pool.go
@@ -1,4 +1,7 @@
-package node
+// Package upstream owns the connections to servers and carries out single
+// attempts over them. It decides nothing: which server gets an attempt, and when,
+// is told by its caller, and each Send writes a request at most once.
+package upstream
 
 import (
 	"bufio"
@@ -16,48 +19,51 @@
 	"sync/atomic"
 	"time"
 
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/httpheader"
+	"calicohinge/internal/sockstate"
 	"calicohinge/policy"
 )
 
 const (
-	maxBody       = 64 << 10               // bytes of a message's body
-	maxAnswer     = maxBody + 64<<10       // of a server's answer with head and framing
-	maxInterim    = 8                      // 1xx answers ahead of the real one
-	answerSpan    = 150 * time.Millisecond // from an answer's first byte to its last, at most
-	idlePart      = 0.6                    // of the servers' idle time, after which a connection is retired
-	idlePerServer = 32                     // idle connections kept to a server
+	maxBody       = 64 << 10         // bytes of a message's body
+	maxAnswer     = maxBody + 64<<10 // of a server's answer with head and framing
+	maxInterim    = 8                // 1xx answers ahead of the real one
+	idlePart      = 0.6              // of the servers' idle time, after which a connection is retired
+	idlePerServer = 32               // idle connections kept to a server
 )
 
-// settleTime is kept from an answer to the next request on its connection. With
+// DefaultSettleDelay is kept from an answer to the next request on its connection. With
 // ten times as much the connections rest longer, and more of them are reset at
 // their next request (327 against 91 on the same day).
-const settleTime = time.Millisecond
-
-// outgoing is what of a client's request goes on to a server.
-type outgoing struct {
-	method string
-	url    *url.URL
-	host   string
-	header http.Header // end-to-end ones
-	body   []byte
-	span   time.Duration // from the first byte of an answer to its last
+const DefaultSettleDelay = time.Millisecond
+
+// Request is what of a client's request goes on to a server.
+type Request struct {
+	Method string
+	URL    *url.URL
+	Host   string
+	Header http.Header // end-to-end fields
+	Body   []byte
+	// ResponseReadTimeout bounds the time from a response's first byte to its last.
+	ResponseReadTimeout time.Duration
 }
 
-// result is how an attempt ended, and the answer if it was served.
-type result struct {
-	status policy.Status
-	left   bool // the client was found to be gone
-	header http.Header
-	body   []byte
+// Result is how an attempt ended, and the answer if it was served.
+type Result struct {
+	Status             policy.Status
+	ClientDisconnected bool // the client was found to have disconnected
+	Header             http.Header
+	Body               []byte
 }
 
-// call is the socket side of one attempt.
-type call struct {
-	ctx  context.Context
-	stop context.CancelFunc // gives the attempt up: its connection is closed
-	left func() bool        // tells whether the client is gone
-	gate atomic.Int32
-	end  atomic.Pointer[time.Time] // nothing is written from then on; nil: at any time
+// Call is the socket side of one attempt.
+type Call struct {
+	ctx                context.Context
+	cancel             context.CancelFunc
+	clientDisconnected func() bool
+	gate               atomic.Int32
+	writeDeadline      atomic.Pointer[time.Time] // nil: none
 }
 
 const (
@@ -66,31 +72,50 @@
 	revoked
 )
 
-func newCall(ctx context.Context, left func() bool) *call {
-	c := &call{left: left}
-	c.ctx, c.stop = context.WithCancel(ctx)
+// NewCall prepares an attempt. Just before its first byte is written,
+// clientDisconnected is asked whether somebody still waits for the answer.
+func NewCall(ctx context.Context, clientDisconnected func() bool) *Call {
+	c := &Call{clientDisconnected: clientDisconnected}
+	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
 }
 
-// revoke bars the call from being written; false if that has begun.
-func (c *call) revoke() bool { return c.gate.CompareAndSwap(unsent, revoked) }
+// Cancel gives the attempt up: its connection is closed.
+func (c *Call) Cancel() { c.cancel() }
 
-// latest is when the call may be written at the latest; zero for any time.
-func (c *call) latest() (end time.Time) {
-	if p := c.end.Load(); p != nil {
-		end = *p
+// Revoke keeps the call from being written; it reports false if that has begun.
+func (c *Call) Revoke() bool { return c.gate.CompareAndSwap(unsent, revoked) }
+
+// Revoked reports whether Revoke came before the first byte.
+func (c *Call) Revoked() bool { return c.gate.Load() == revoked }
+
+// Started reports whether the first byte has been released for writing.
+func (c *Call) Started() bool { return c.gate.Load() == sending }
+
+// SetWriteDeadline sets the time from which on nothing of the call is written.
+func (c *Call) SetWriteDeadline(deadline time.Time) { c.writeDeadline.Store(&deadline) }
+
+// latest returns the write deadline; zero if there is none.
+func (c *Call) latest() (deadline time.Time) {
+	if p := c.writeDeadline.Load(); p != nil {
+		deadline = *p
 	}
-	return end
+	return deadline
 }
 
-// upstreams holds the servers' addresses and the idle connections to them. The
+// Config is what a Pool is told at its creation.
+type Config struct {
+	MaxOpen        int           // connections to all servers
+	IdleTimeout    time.Duration // servers close a connection that was idle for so long
+	ConnectTimeout time.Duration
+	SettleDelay    time.Duration // see DefaultSettleDelay
+}
+
+// Pool holds the servers' addresses and the idle connections to them. The
 // connections are its own, not those of an http.Transport: that one sends a
 // request again by itself, which would be an attempt nobody decided on.
-type upstreams struct {
-	idleFor        time.Duration
-	settle         time.Duration
-	connectTimeout time.Duration
-	maxOpen        int
+type Pool struct {
+	config Config
 
 	mu      sync.Mutex
 	servers map[policy.ServerID]*server
@@ -135,37 +160,66 @@
 	return n, err
 }
 
-func newUpstreams(cfg *Config, maxOpen int) *upstreams {
-	return &upstreams{
-		idleFor: time.Duration(float64(cfg.ConnIdle) * idlePart),
-		settle:  settleTime, connectTimeout: cfg.ConnectTimeout, maxOpen: maxOpen,
-		servers: map[policy.ServerID]*server{},
+// NewPool makes a pool that knows no server yet.
+func NewPool(config Config) *Pool {
+	config.IdleTimeout = time.Duration(float64(config.IdleTimeout) * idlePart)
+	return &Pool{config: config, servers: map[policy.ServerID]*server{}}
+}
+
+// Stats describes a pool at one moment.
+type Stats struct {
+	Open    int // connections to all servers, those being opened included
+	Servers map[policy.ServerID]ServerStats
+}
+
+// ServerStats describes one server of a pool.
+type ServerStats struct {
+	Address string
+	Idle    int // connections that wait for a request
+}
+
+// Idle counts the idle connections to all servers.
+func (s Stats) Idle() (count int) {
+	for _, server := range s.Servers {
+		count += server.Idle
+	}
+	return count
+}
+
+// Stats returns the pool's present state.
+func (u *Pool) Stats() Stats {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	stats := Stats{Open: u.open, Servers: make(map[policy.ServerID]ServerStats, len(u.servers))}
+	for id, s := range u.servers {
+		stats.Servers[id] = ServerStats{Address: s.addr, Idle: len(s.idle)}
 	}
+	return stats
 }
 
-// update follows the list. A server at a new address or with a new start is
+// UpdateEndpoints follows the list. A server at a new address or with a new start is
 // another process: connections to the former one are dropped. It gives the servers
 // to which nothing may go any more that was meant for them before.
-func (u *upstreams) update(full bool, list []instance) map[policy.ServerID]bool {
+func (u *Pool) UpdateEndpoints(full bool, list []endpoint.Endpoint) map[policy.ServerID]bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	listed, barred := map[policy.ServerID]bool{}, map[policy.ServerID]bool{}
 	for _, in := range list {
-		id := in.id()
+		id := in.ServerID()
 		old := u.servers[id]
-		if in.state() == policy.Gone {
+		if in.State() == policy.Gone {
 			barred[id] = true
 			u.drop(id, old)
 			continue
 		}
 		listed[id] = true
-		same := old != nil && old.addr == in.HostPort && old.started == in.StartedAtMs
-		if !same || in.state() != policy.Ready {
+		same := old != nil && old.addr == in.Address && old.started == in.StartedUnixMilli
+		if !same || in.State() != policy.Ready {
 			barred[id] = true
 		}
 		if !same {
 			u.drop(id, old)
-			u.servers[id] = &server{addr: in.HostPort, started: in.StartedAtMs}
+			u.servers[id] = &server{addr: in.Address, started: in.StartedUnixMilli}
 		}
 	}
 	if !full {
@@ -181,7 +235,7 @@
 }
 
 // drop forgets a server; u.mu is held.
-func (u *upstreams) drop(id policy.ServerID, s *server) {
+func (u *Pool) drop(id policy.ServerID, s *server) {
 	if s == nil {
 		return
 	}
@@ -194,14 +248,14 @@
 }
 
 // shut closes a connection; u.mu is held.
-func (u *upstreams) shut(c *conn) {
+func (u *Pool) shut(c *conn) {
 	u.open--
 	c.Conn.Close()
 }
 
-// retire closes connections that were idle for too long, until the context ends.
-func (u *upstreams) retire(ctx context.Context) {
-	tick := time.NewTicker(max(u.idleFor/8, 10*time.Millisecond))
+// RetireIdle closes connections that were idle for too long, until the context ends.
+func (u *Pool) RetireIdle(ctx context.Context) {
+	tick := time.NewTicker(max(u.config.IdleTimeout/8, 10*time.Millisecond))
 	defer tick.Stop()
 	for {
 		select {
@@ -212,7 +266,7 @@
 		u.mu.Lock()
 		for _, s := range u.servers {
 			n := 0
-			for n < len(s.idle) && time.Since(s.idle[n].since) > u.idleFor {
+			for n < len(s.idle) && time.Since(s.idle[n].since) > u.config.IdleTimeout {
 				u.shut(s.idle[n])
 				n++
 			}
@@ -224,7 +278,7 @@
 
 // take gives an idle connection, or leave to open one: nil and the server. At
 // the cap it makes room at the expense of another server's idle connection.
-func (u *upstreams) take(id policy.ServerID) (*conn, *server, policy.Status) {
+func (u *Pool) take(id policy.ServerID) (*conn, *server, policy.Status) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
@@ -238,18 +292,18 @@
 	for n := len(s.idle) - 1; n >= 0; n-- {
 		c := s.idle[n]
 		rested := time.Since(c.since)
-		if rested < u.settle {
+		if rested < u.config.SettleDelay {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, n, n+1)
 		// The server closes idle connections too, and a request written to one
 		// that is closed counts as one that may have run.
-		if rested <= u.idleFor {
+		if rested <= u.config.IdleTimeout {
 			return c, s, policy.OK
 		}
 		u.shut(c)
 	}
-	if u.open >= u.maxOpen && !u.evict() {
+	if u.open >= u.config.MaxOpen && !u.evict() {
 		return nil, nil, policy.NotSent // nobody's fault, and nothing was sent
 	}
 	u.open++
@@ -257,7 +311,7 @@
 }
 
 // evict closes the connection that is idle for longest; u.mu is held.
-func (u *upstreams) evict() bool {
+func (u *Pool) evict() bool {
 	var from *server
 	for _, s := range u.servers {
 		if len(s.idle) > 0 && (from == nil || s.idle[0].since.Before(from.idle[0].since)) {
@@ -273,7 +327,7 @@
 }
 
 // put takes a connection back, for the next request if keep.
-func (u *upstreams) put(c *conn, keep bool) {
+func (u *Pool) put(c *conn, keep bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !keep || c.server.gone || len(c.server.idle) >= idlePerServer {
@@ -285,12 +339,12 @@
 }
 
 // connect gives a connection to a server, idle or new.
-func (u *upstreams) connect(ctx context.Context, id policy.ServerID) (*conn, policy.Status) {
+func (u *Pool) connect(ctx context.Context, id policy.ServerID) (*conn, policy.Status) {
 	c, s, status := u.take(id)
 	if c != nil || status != policy.OK {
 		return c, status
 	}
-	dialer := net.Dialer{Timeout: u.connectTimeout, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: u.config.ConnectTimeout, KeepAlive: -1}
 	nc, err := dialer.DialContext(ctx, "tcp", s.addr)
 	if err != nil {
 		u.mu.Lock()
@@ -303,42 +357,42 @@
 	return c, policy.OK
 }
 
-// send makes one attempt and tells how it ended. The caller stops the call
+// Send makes one attempt and tells how it ended. The caller stops the call
 // when it gives up; what comes back then is of no interest.
-func (u *upstreams) send(c *call, id policy.ServerID, o *outgoing, left time.Duration) result {
+func (u *Pool) Send(c *Call, id policy.ServerID, o *Request, left time.Duration) Result {
 	started := time.Now()
 	for {
 		conn, status := u.connect(c.ctx, id)
 		if conn == nil {
-			return result{status: status}
+			return Result{Status: status}
 		}
 		req := o.request(left - time.Since(started))
 		var message bytes.Buffer
 		if err := req.Write(&message); err != nil {
 			u.put(conn, true)
-			return result{status: policy.NotSent}
+			return Result{Status: policy.NotSent}
 		}
-		if peek(conn.Conn) != nothing { // closed, or out of step
+		if sockstate.Peek(conn.Conn) != sockstate.Quiet { // closed, or out of step
 			u.put(conn, false)
 			if conn.used {
 				continue
 			}
-			return result{status: policy.ConnectFailed}
+			return Result{Status: policy.ConnectFailed}
 		}
 		unhook := context.AfterFunc(c.ctx, func() { conn.Conn.Close() })
 		// The last looks before the first byte goes out: the news of a client's leaving may
 		// still wait in a queue, the loop may have barred the call, or be too late to do so.
-		if c.left() {
+		if c.clientDisconnected() {
 			u.put(conn, unhook())
-			return result{status: policy.NotSent, left: true}
+			return Result{Status: policy.NotSent, ClientDisconnected: true}
 		}
 		latest := c.latest()
 		if !latest.IsZero() && !time.Now().Before(latest) || !c.gate.CompareAndSwap(unsent, sending) {
 			u.put(conn, unhook())
-			return result{status: policy.NotSent}
+			return Result{Status: policy.NotSent}
 		}
 		conn.Conn.SetWriteDeadline(latest) // a server begins a request with its last byte
-		conn.span = o.span
+		conn.span = o.ResponseReadTimeout
 		res, keep := conn.exchange(req, message.Bytes())
 		u.put(conn, unhook() && keep)
 		return res
@@ -346,13 +400,13 @@
 }
 
 // request makes what goes to a server, with the time that is left for it.
-func (o *outgoing) request(left time.Duration) *http.Request {
+func (o *Request) request(left time.Duration) *http.Request {
 	req := &http.Request{
-		Method: o.method, URL: o.url, Host: o.host, Header: o.header.Clone(),
-		Body: http.NoBody, ContentLength: int64(len(o.body)),
+		Method: o.Method, URL: o.URL, Host: o.Host, Header: o.Header.Clone(),
+		Body: http.NoBody, ContentLength: int64(len(o.Body)),
 	}
-	if len(o.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(o.body))
+	if len(o.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(o.Body))
 	}
 	if req.Header["User-Agent"] == nil {
 		req.Header.Set("User-Agent", "") // else Request.Write puts one of its own
@@ -364,45 +418,45 @@
 // exchange writes the request and reads the answer. The last byte of the
 // request being written decides whether it may have run. It tells whether the
 // connection is of use for a further request.
-func (c *conn) exchange(req *http.Request, message []byte) (result, bool) {
+func (c *conn) exchange(req *http.Request, message []byte) (Result, bool) {
 	if _, err := c.Conn.Write(message); err != nil {
-		return result{status: policy.ConnectFailed}, false // its last byte was not written
+		return Result{Status: policy.ConnectFailed}, false // its last byte was not written
 	}
 	c.budget = maxAnswer
 	resp, err := c.answer(req)
 	for n := 0; err == nil && resp.StatusCode/100 == 1; n++ {
 		if resp.StatusCode == http.StatusSwitchingProtocols || n == maxInterim {
-			return result{status: policy.ServerError}, false
+			return Result{Status: policy.ServerError}, false
 		}
 		resp, err = c.answer(req)
 	}
 	if err != nil {
-		return result{status: c.broken()}, false
+		return Result{Status: c.broken()}, false
 	}
 	if resp.ContentLength > maxBody {
-		return result{status: policy.ServerError}, false // not even looked at: it may have gigabytes
+		return Result{Status: policy.ServerError}, false // not even looked at: it may have gigabytes
 	}
 	// The body is never closed, which would read it to its end; the connection is,
 	// unless the body was read.
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	switch {
 	case err != nil:
-		return result{status: c.broken()}, false
+		return Result{Status: c.broken()}, false
 	case len(body) > maxBody:
-		return result{status: policy.ServerError}, false
+		return Result{Status: policy.ServerError}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		return result{status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
+		return Result{Status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
 	}
 	c.SetReadDeadline(time.Time{})
 	keep := !resp.Close && c.reader.Buffered() == 0 // more than the answer: out of step
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return result{status: policy.OK, header: endToEnd(resp.Header), body: body}, keep
+		return Result{Status: policy.OK, Header: httpheader.EndToEnd(resp.Header), Body: body}, keep
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
-		return result{status: policy.Rejected}, keep
+		return Result{Status: policy.Rejected}, keep
 	}
-	return result{status: policy.ServerError}, keep
+	return Result{Status: policy.ServerError}, keep
 }
 
 // answer reads the head of an answer. A server may think for as long as the
--- a/internal/node/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package node
+package upstream
 
 import (
 	"bufio"
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/sockstate"
+	"calicohinge/internal/testkit"
 	"calicohinge/policy"
 )
 
@@ -51,19 +54,30 @@
 	return l.Addr().String(), conns
 }
 
-func upstreamsTo(addr string) (*upstreams, policy.ServerID) {
-	u := newUpstreams(&Config{ConnIdle: 15 * time.Second, ConnectTimeout: 5 * time.Second}, 10)
-	u.settle = 0
-	in := instance{InstanceID: "s", HostPort: addr, Lifecycle: "Ready"}
-	u.update(true, []instance{in})
-	return u, in.id()
+// responseReadTimeout is as long as a node gives a response.
+const responseReadTimeout = 150 * time.Millisecond
+
+// poolConfig lets connections go back into use at once.
+func poolConfig() Config {
+	return Config{MaxOpen: 10, IdleTimeout: 15 * time.Second, ConnectTimeout: 5 * time.Second}
+}
+
+// poolTo makes a pool that knows one server.
+func poolTo(config Config, addr string) (*Pool, policy.ServerID) {
+	pool := NewPool(config)
+	server := endpoint.Endpoint{InstanceID: "s", Address: addr, Lifecycle: "Ready"}
+	pool.UpdateEndpoints(true, []endpoint.Endpoint{server})
+	return pool, server.ServerID()
 }
 
 // present is a client that does not leave.
 func present() bool { return false }
 
-func anyRequest() *outgoing {
-	return &outgoing{method: "POST", url: &url.URL{Path: "/pay"}, host: "x", header: http.Header{}, body: []byte("b"), span: answerSpan}
+func anyRequest() *Request {
+	return &Request{
+		Method: "POST", URL: &url.URL{Path: "/pay"}, Host: "x", Header: http.Header{}, Body: []byte("b"),
+		ResponseReadTimeout: responseReadTimeout,
+	}
 }
 
 func TestOutcomes(t *testing.T) {
@@ -105,20 +119,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr, conns := script(t, c.answer, c.close)
-			u, id := upstreamsTo(addr)
+			u, id := poolTo(poolConfig(), addr)
 			for range 2 {
 				// What is spoilt has to be seen from itself: the call has no deadline that is near.
-				ctx, cancel := context.WithTimeout(context.Background(), patience)
-				res := u.send(newCall(ctx, present), id, anyRequest(), time.Minute)
+				ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+				res := u.Send(NewCall(ctx, present), id, anyRequest(), time.Minute)
 				if ctx.Err() != nil {
 					t.Error("waited for to the end of the request's time")
 				}
 				cancel()
-				if res.status != c.status {
-					t.Errorf("status %d, want %d", res.status, c.status)
+				if res.Status != c.status {
+					t.Errorf("status %d, want %d", res.Status, c.status)
 				}
-				if c.status == policy.OK && string(res.body) != "hi" {
-					t.Errorf("body %q", res.body)
+				if c.status == policy.OK && string(res.Body) != "hi" {
+					t.Errorf("body %q", res.Body)
 				}
 			}
 			if len(conns) != c.conns {
@@ -129,9 +143,9 @@
 }
 
 func TestConnectFailed(t *testing.T) {
-	u, id := upstreamsTo(freeAddr(t))
-	if res := u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
-		t.Errorf("status %d", res.status)
+	u, id := poolTo(poolConfig(), testkit.FreeAddr(t))
+	if res := u.Send(NewCall(context.Background(), present), id, anyRequest(), time.Minute); res.Status != policy.ConnectFailed {
+		t.Errorf("status %d", res.Status)
 	}
 	if u.open != 0 {
 		t.Errorf("%d connections counted", u.open)
@@ -141,29 +155,29 @@
 // A request that has its final answer while an attempt still waits for its
 // connection must not be sent any more.
 func TestNoSendAfterFinalAnswer(t *testing.T) {
-	b := newBackend(t, ok)
-	u, id := upstreamsTo(b.Listener.Addr().String())
-	c := newCall(context.Background(), present)
-	c.revoke()
-	if res := u.send(c, id, anyRequest(), time.Minute); res.status != policy.NotSent {
-		t.Errorf("status %d", res.status)
+	b := testkit.NewBackend(t, testkit.OK)
+	u, id := poolTo(poolConfig(), b.Listener.Addr().String())
+	c := NewCall(context.Background(), present)
+	c.Revoke()
+	if res := u.Send(c, id, anyRequest(), time.Minute); res.Status != policy.NotSent {
+		t.Errorf("status %d", res.Status)
 	}
-	u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute)
-	if len(b.got) != 1 {
-		t.Errorf("%d sends, want the second one only", len(b.got))
+	u.Send(NewCall(context.Background(), present), id, anyRequest(), time.Minute)
+	if len(b.Requests) != 1 {
+		t.Errorf("%d sends, want the second one only", len(b.Requests))
 	}
 }
 
 func TestIdleConnectionsRetire(t *testing.T) {
 	addr, conns := script(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false)
-	u, id := upstreamsTo(addr)
-	u.idleFor = 20 * time.Millisecond
+	u, id := poolTo(poolConfig(), addr)
+	u.config.IdleTimeout = 20 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go u.retire(ctx)
-	u.send(newCall(ctx, present), id, anyRequest(), time.Minute)
-	wait(t, conns, "a connection")
-	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+	go u.RetireIdle(ctx)
+	u.Send(NewCall(ctx, present), id, anyRequest(), time.Minute)
+	testkit.Wait(t, conns, "a connection")
+	for end := time.Now().Add(testkit.Patience); ; time.Sleep(time.Millisecond) {
 		u.mu.Lock()
 		open := u.open
 		u.mu.Unlock()
@@ -178,20 +192,20 @@
 
 // At the cap nothing is sent and nobody is blamed; an idle connection makes room.
 func TestUpstreamCap(t *testing.T) {
-	b := newBackend(t, ok)
-	u, id := upstreamsTo(b.Listener.Addr().String())
-	u.maxOpen = 1
+	b := testkit.NewBackend(t, testkit.OK)
+	u, id := poolTo(poolConfig(), b.Listener.Addr().String())
+	u.config.MaxOpen = 1
 	u.open = 1 // one is in use
-	if res := u.send(newCall(context.Background(), present), id, anyRequest(), time.Minute); res.status != policy.NotSent {
-		t.Errorf("status %d at the cap", res.status)
+	if res := u.Send(NewCall(context.Background(), present), id, anyRequest(), time.Minute); res.Status != policy.NotSent {
+		t.Errorf("status %d at the cap", res.Status)
 	}
 	u.open = 0
-	other := newBackend(t, ok)
-	in := instance{InstanceID: "o", HostPort: other.Listener.Addr().String(), Lifecycle: "Ready"}
-	u.update(false, []instance{in})
-	for _, to := range []policy.ServerID{id, in.id(), id} {
-		if res := u.send(newCall(context.Background(), present), to, anyRequest(), time.Minute); res.status != policy.OK {
-			t.Errorf("status %d although an idle connection could make room", res.status)
+	other := testkit.NewBackend(t, testkit.OK)
+	in := endpoint.Endpoint{InstanceID: "o", Address: other.Listener.Addr().String(), Lifecycle: "Ready"}
+	u.UpdateEndpoints(false, []endpoint.Endpoint{in})
+	for _, to := range []policy.ServerID{id, in.ServerID(), id} {
+		if res := u.Send(NewCall(context.Background(), present), to, anyRequest(), time.Minute); res.Status != policy.OK {
+			t.Errorf("status %d although an idle connection could make room", res.Status)
 		}
 	}
 }
@@ -208,7 +222,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			done := make(chan struct{}, 10)
-			b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+			b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 				nc, _, err := w.(http.Hijacker).Hijack()
 				if err != nil {
 					return
@@ -218,19 +232,19 @@
 				behind(nc)
 				done <- struct{}{}
 			})
-			u, id := upstreamsTo(b.Listener.Addr().String())
-			u.settle = time.Hour
+			u, id := poolTo(poolConfig(), b.Listener.Addr().String())
+			u.config.SettleDelay = time.Hour
 			send := func() {
 				t.Helper()
-				if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.OK || string(res.body) != "hi" {
-					t.Errorf("status %d, body %q", res.status, res.body)
+				if res := u.Send(NewCall(t.Context(), present), id, anyRequest(), time.Minute); res.Status != policy.OK || string(res.Body) != "hi" {
+					t.Errorf("status %d, body %q", res.Status, res.Body)
 				}
 			}
 			send()
 			send() // at once: a new connection
-			wait(t, done, "what comes behind")
-			wait(t, done, "what comes behind")
-			u.settle = 0
+			testkit.Wait(t, done, "what comes behind")
+			testkit.Wait(t, done, "what comes behind")
+			u.config.SettleDelay = 0
 			send() // settled: it shows
 			if u.open != 1 {
 				t.Errorf("%d connections are open, want the last one only", u.open)
@@ -246,19 +260,19 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	u, id := upstreamsTo(l.Addr().String())
+	u, id := poolTo(poolConfig(), l.Addr().String())
 	conn, _ := u.connect(t.Context(), id)
 	nc, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	nc.Close()
-	for peek(conn.Conn) == nothing {
+	for sockstate.Peek(conn.Conn) == sockstate.Quiet {
 		time.Sleep(time.Millisecond)
 	}
 	conn.server.idle = append(conn.server.idle, conn) // for the next send, though never used
 	conn.since = time.Now()
-	if res := u.send(newCall(t.Context(), present), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
-		t.Errorf("status %d", res.status)
+	if res := u.Send(NewCall(t.Context(), present), id, anyRequest(), time.Minute); res.Status != policy.ConnectFailed {
+		t.Errorf("status %d", res.Status)
 	}
 }
