Split the decision module into files by concern

policy.go held every decision and state.go every record. Each concern now has its own file, with its constants beside it; no line of code changed.

--- /dev/null
+++ b/policy/endpoints.go
@@ -0,0 +1,130 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// watchAgain is the shortest backoff between two calls for the endpoint list.
+	watchAgain = 500 * time.Millisecond
+	// watchPerNode is each node's part of the span over which all nodes spread their calls: a
+	// discovery that answers one call in this time keeps up.
+	watchPerNode = 60 * time.Millisecond
+	// listAnswer is reserved for the answer to a call, out of the time until the notification deadline.
+	listAnswer = 1500 * time.Millisecond
+)
+
+type server struct {
+	Endpoint
+	breaker  breaker
+	near     bool            // in this node's zone
+	place    uint64          // on the ring, the same at every node
+	failures []time.Duration // consecutive failures within the window
+	openFor  time.Duration
+	reopenAt time.Duration // when open: turns half-open
+	trial    *attempt      // when half-open: the one trial that is out
+
+	ring       [outcomesKept]outcome
+	head, kept int
+	good       int     // successes in the ring
+	latencySum float64 // of the successes in the ring
+	answeredAt time.Duration
+	score      float64 // as of the last refresh
+	success    float64
+	latency    float64
+
+	out      []*attempt // own attempts in flight, oldest first
+	lone     float64    // mean latency, as a logarithm over its class's, of attempts sent alone
+	loneSeen float64
+	rampLeft float64       // work that it may be sent while it is cold,
+	rampAt   time.Duration // as of then
+}
+
+// UpdateEndpoints follows the list. Where it must be asked for it is watched.
+func (b *Balancer) UpdateEndpoints(now time.Duration, kind UpdateKind, entries []Endpoint) {
+	b.watchDelay = watchAgain
+	if kind == UpdateCached && b.set.PollEndpoints {
+		// Nodes of a release start in step. Discovery takes calls in turn, those that were given up
+		// included: at once, most of 80 calls time out, and so do those that come again behind them.
+		span := min(time.Duration(b.set.Nodes)*watchPerNode, b.set.Rules.MaxPollInterval/2,
+			NotificationDeadline-listAnswer)
+		if span > watchAgain && len(entries) > 0 {
+			b.host.SetTimer(now+b.fullJitter(span), tokenWatch)
+		} else {
+			b.host.WatchEndpoints()
+		}
+	}
+	b.list(kind, entries)
+	b.refreshed = -1
+	b.dispatch(now)
+}
+
+// WatchFailed is told when a call for the list failed, or the watch broke; the list at hand
+// stays in force. What that missed counts as told when due, and an answer has to fit before.
+// The nodes that lost discovery together come back apart, each after the same time from then
+// on, so that a discovery that carries their watches carries their return as well.
+func (b *Balancer) WatchFailed(now, due time.Duration) {
+	most := min(max(due-now-listAnswer, (due-now)/2, 0), max(b.set.Rules.MaxPollInterval, watchAgain))
+	wait := min(max(b.watchDelay, time.Duration(b.set.Nodes)*watchPerNode), most)
+	if b.watchDelay == watchAgain {
+		wait = b.fullJitter(wait)
+	}
+	b.host.SetTimer(now+wait, tokenWatch)
+	b.watchDelay = min(2*b.watchDelay, b.set.Rules.MaxPollInterval/4+watchAgain)
+}
+
+// list applies a list or changes to one. What a server was found to be is kept
+// while it stays the same process; a restart makes it unmeasured again.
+func (b *Balancer) list(kind UpdateKind, entries []Endpoint) {
+	if kind != UpdateDelta {
+		for _, s := range b.servers { // draining ones too: many leave no other trace
+			s.State = Gone
+		}
+		b.ready = b.ready[:0]
+	}
+	for _, e := range entries {
+		s := b.servers[e.Server]
+		if s == nil {
+			s = &server{openFor: openFirst, place: ringPlace(e)}
+			b.servers[e.Server] = s
+		} else if e.StartedAt != s.StartedAt {
+			for _, a := range s.out {
+				b.silence(a) // sent to the former process, which answers no more
+			}
+			*s = server{Endpoint: s.Endpoint, openFor: openFirst, place: s.place}
+		}
+		listed := s.State == Ready
+		s.Endpoint = e
+		s.near = e.Zone == b.set.Zone
+		if e.State == Ready && !listed {
+			b.ready = append(b.ready, s)
+		}
+	}
+	kept := b.ready[:0]
+	for _, s := range b.ready {
+		if s.State == Ready {
+			kept = append(kept, s)
+		}
+	}
+	b.ready = kept
+	b.subsetStale = true
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.place, y.place) })
+	for id, s := range b.servers {
+		if s.State == Gone && len(s.out) == 0 {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// ringPlace orders the servers alike at every node, those of a cell side by side
+// so that a subset holds the group that a keyed request is bound to.
+func ringPlace(e Endpoint) uint64 {
+	mix := func(x uint64) uint64 { // the finalizer of splitmix64
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		x = (x ^ x>>27) * 0x94d049bb133111eb
+		return x ^ x>>31
+	}
+	return mix(uint64(e.Cell)+0x9e3779b97f4a7c15)&^(1<<32-1) | mix(uint64(e.Server))>>32
+}
--- /dev/null
+++ b/policy/selection.go
@@ -0,0 +1,168 @@
+package policy
+
+import (
+	"time"
+)
+
+const (
+	// outcomesKept is the number of latest outcomes that a server is judged by.
+	outcomesKept = 100
+	// outcomesFor is how long an outcome counts; once it expires, an avoided server is tried again.
+	outcomesFor = 10 * time.Second
+	// outcomesSparse replaces it where many nodes move a server's load within seconds.
+	outcomesSparse = 4 * time.Second
+	// priorOutcomes is the weight of the mean over all servers beside a server's own outcomes.
+	priorOutcomes = 3.0
+	// successPart and latencyPart are the weights of the two parts of the score.
+	successPart = 0.7
+	latencyPart = 0.3
+	// nearTie is the difference of scores up to which the attempts in flight decide.
+	nearTie = 0.1
+)
+
+// outcome is one judged attempt: whether it succeeded, and its latency as a
+// multiple of what a lone request of its class takes.
+type outcome struct {
+	at      time.Duration
+	ok      bool
+	latency float64
+}
+
+func (s *server) forget(oldest *outcome) {
+	s.kept--
+	if oldest.ok {
+		s.good--
+		s.latencySum -= oldest.latency
+	}
+}
+
+func (s *server) record(now time.Duration, ok bool, latency float64) {
+	if s.kept == outcomesKept {
+		s.forget(&s.ring[s.head])
+	}
+	s.ring[s.head] = outcome{now, ok, latency}
+	s.head = (s.head + 1) % outcomesKept
+	s.kept++
+	if ok {
+		s.good++
+		s.latencySum += latency
+	}
+}
+
+// memory is how long an outcome counts.
+func (b *Balancer) memory() time.Duration {
+	if b.sparse() {
+		return outcomesSparse
+	}
+	return outcomesFor
+}
+
+// tally drops outcomes that are too old and sums up the rest over the fleet.
+func (b *Balancer) tally(now time.Duration) {
+	kept, good, latency := 0, 0, 0.0
+	b.warm = 0
+	for _, s := range b.subset {
+		for s.kept > 0 {
+			oldest := &s.ring[(s.head+outcomesKept-s.kept)%outcomesKept]
+			if now-oldest.at < b.memory() {
+				break
+			}
+			s.forget(oldest)
+		}
+		if s.breaker == closed && b.rampShare(s, now) >= 1 {
+			b.warm++
+		}
+		kept += s.kept
+		good += s.good
+		latency += s.latencySum
+	}
+	if kept > 0 {
+		b.meanSuccess = float64(good) / float64(kept)
+	}
+	if good > 0 {
+		b.meanLatency = latency / float64(good)
+	}
+}
+
+// judge takes an outcome into the server's health. A restarted server is not
+// judged by what its former process was sent.
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
+	s := a.server
+	if a.sent < s.StartedAt {
+		return
+	}
+	latency := o.Latency.Seconds() / b.loneLatency(r)
+	switch o.Status {
+	case OK:
+		s.record(now, true, latency)
+		if latency > slowAfter && b.sparse() { // it answers, but is crowded for long: it needs rest
+			b.countFailure(now, a, Timeout)
+		} else {
+			s.succeeded(now, a)
+		}
+		b.measure(a, r, o.Latency.Seconds())
+		b.adjustLimit(now)
+	case ServerError, Reset, ConnectFailed:
+		s.record(now, false, latency)
+		b.countFailure(now, a, o.Status)
+	case Timeout:
+		// Shorter ones come of impatient clients. The measure is a lone request's latency: the mean
+		// rises with every jammed server, until no client waits long enough to count against one.
+		if !a.silent && latency > silentAfter {
+			s.record(now, false, latency)
+			b.countFailure(now, a, Timeout)
+		}
+	case Rejected: // without a mark on its score a full server would go on being picked
+		s.record(now, false, latency)
+	}
+	if s.trial == a {
+		s.trial = nil // no verdict: the next request is the trial
+	}
+}
+
+// pick chooses a server for the next attempt, or nil: a half-open server that
+// awaits its trial, else the better of two random closed servers for a first
+// send and the best other closed server for a further one.
+func (b *Balancer) pick(now time.Duration, r *request) *server {
+	b.refresh(now)
+	b.choices = b.choices[:0]
+	for _, s := range b.subset {
+		if s.breaker == open || r.tried(s) || !b.maySend(now, r, s) {
+			continue
+		}
+		if s.breaker == closed && b.room(s, now) {
+			b.choices = append(b.choices, s)
+		} else if s.breaker == halfOpen && s.trial == nil &&
+			// One that is not idempotent is the trial only when no other came.
+			(r.class.Idempotency != NotIdempotent || now > s.reopenAt+s.openFor) {
+			return s
+		}
+	}
+	n := len(b.choices)
+	if n == 0 || !b.mayAdd(r, b.limit/b.nodesPerServer*float64(b.closed)) {
+		return nil
+	}
+	if len(r.attempts) == 0 && n > 2 {
+		i := b.rng.IntN(n)
+		j := (i + 1 + b.rng.IntN(n-1)) % n
+		return better(b.choices[i], b.choices[j])
+	}
+	best := b.choices[0]
+	for _, s := range b.choices[1:] {
+		best = better(best, s)
+	}
+	return best
+}
+
+// better compares by score; near-ties go to fewer own in flight, equal ones to this zone.
+func better(x, y *server) *server {
+	switch {
+	case x.score > y.score+nearTie:
+		return x
+	case y.score > x.score+nearTie || len(y.out) < len(x.out):
+		return y
+	case len(y.out) == len(x.out) && y.near && !x.near:
+		return y
+	}
+	return x
+}
