Extract the hash of a ring position into internal/hashring

The hash knows nothing of servers: it places the members of a group side by side on a ring. It gets its own package, doc comment and tests; which group and member are hashed stays decided in policy.

--- /dev/null
+++ b/internal/hashring/hashring_test.go
@@ -0,0 +1,50 @@
+package hashring
+
+import "testing"
+
+func TestMembersOfAGroupAreAdjacent(t *testing.T) {
+	groupOf := map[uint64]uint64{}
+	for group := range uint64(100) {
+		for member := range uint64(10) {
+			half := Position(group, 10*group+member) >> 32
+			if other, used := groupOf[half]; used && other != group {
+				t.Fatalf("groups %d and %d share a part of the ring", other, group)
+			}
+			groupOf[half] = group
+		}
+	}
+	if len(groupOf) != 100 {
+		t.Errorf("100 groups lie in %d parts of the ring", len(groupOf))
+	}
+}
+
+func TestMembersOfAGroupDiffer(t *testing.T) {
+	seen := map[uint64]bool{}
+	for member := range uint64(1000) {
+		seen[Position(7, member)] = true
+	}
+	if len(seen) != 1000 {
+		t.Errorf("1000 members have %d positions", len(seen))
+	}
+}
+
+func TestGroupsSpreadOverTheRing(t *testing.T) {
+	quarters := [4]int{}
+	for group := range uint64(1000) {
+		quarters[Position(group, 0)>>62]++
+	}
+	for i, n := range quarters {
+		if n < 200 || n > 300 {
+			t.Errorf("quarter %d of the ring has %d of 1000 groups, want about 250", i, n)
+		}
+	}
+}
+
+// All nodes must agree on the order, also across versions: the value itself is the interface.
+func TestPositionNeverChanges(t *testing.T) {
+	for _, tc := range []struct{ group, member, want uint64 }{{0, 1, 0xe220a8395692161d}, {3, 42, 0x1d0b14e4a759ea27}} {
+		if got := Position(tc.group, tc.member); got != tc.want {
+			t.Errorf("Position(%d, %d) = %#x, want %#x", tc.group, tc.member, got, tc.want)
+		}
+	}
+}
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"calicohinge/internal/hashring"
 )
 
 const (
@@ -18,9 +20,11 @@
 
 type server struct {
 	Endpoint
-	breaker  breaker
-	near     bool            // in this node's zone
-	place    uint64          // on the ring, the same at every node
+	breaker breaker
+	near    bool // in this node's zone
+	// place orders the servers alike at every node, those of a cell side by side, so that a subset
+	// holds the group that an idempotency key is scoped to.
+	place    uint64
 	failures []time.Duration // consecutive failures within the window
 	openFor  time.Duration
 	reopenAt time.Duration // when open: turns half-open
@@ -87,7 +91,7 @@
 	for _, e := range entries {
 		s := b.servers[e.Server]
 		if s == nil {
-			s = &server{openFor: openFirst, place: ringPlace(e)}
+			s = &server{openFor: openFirst, place: hashring.Position(uint64(e.Cell), uint64(e.Server))}
 			b.servers[e.Server] = s
 		} else if e.StartedAt != s.StartedAt {
 			for _, a := range s.out {
@@ -117,14 +121,3 @@
 		}
 	}
 }
-
-// ringPlace orders the servers alike at every node, those of a cell side by side
-// so that a subset holds the group that a keyed request is bound to.
-func ringPlace(e Endpoint) uint64 {
-	mix := func(x uint64) uint64 { // the finalizer of splitmix64
-		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-		x = (x ^ x>>27) * 0x94d049bb133111eb
-		return x ^ x>>31
-	}
-	return mix(uint64(e.Cell)+0x9e3779b97f4a7c15)&^(1<<32-1) | mix(uint64(e.Server))>>32
-}
