--- /dev/null
+++ b/internal/outcomewindow/outcomewindow_test.go
@@ -0,0 +1,50 @@
+package outcomewindow
+
+import (
+	"testing"
+	"time"
+)
+
+func check(t *testing.T, w *Window, length, successes int, latencySum float64) {
+	t.Helper()
+	if w.Len() != length || w.Successes() != successes || w.Failures() != length-successes ||
+		w.LatencySum() != latencySum {
+		t.Errorf("%d outcomes, %d successes, %d failures, latency sum %v; want %d, %d, %d, %v", w.Len(),
+			w.Successes(), w.Failures(), w.LatencySum(), length, successes, length-successes, latencySum)
+	}
+}
+
+func TestNewWindowIsEmpty(t *testing.T) {
+	w := New(3)
+	check(t, &w, 0, 0, 0)
+	w.Expire(time.Hour, time.Second)
+	check(t, &w, 0, 0, 0)
+}
+
+func TestFailureAddsNoLatency(t *testing.T) {
+	w := New(3)
+	w.Add(1, true, 2)
+	w.Add(2, false, 100)
+	check(t, &w, 2, 1, 2)
+}
+
+func TestFullWindowForgetsTheOldest(t *testing.T) {
+	w := New(3)
+	for i := range 7 {
+		w.Add(time.Duration(i), i%2 == 0, float64(i))
+	}
+	check(t, &w, 3, 2, 4+6)
+}
+
+func TestExpireForgetsOutcomesOfTheMaximumAge(t *testing.T) {
+	w := New(3)
+	w.Add(1*time.Second, true, 1)
+	w.Add(2*time.Second, true, 2)
+	w.Add(3*time.Second, false, 0)
+	w.Expire(7*time.Second, 5*time.Second)
+	check(t, &w, 1, 0, 0)
+	w.Expire(time.Minute, 5*time.Second)
+	check(t, &w, 0, 0, 0)
+	w.Add(time.Minute, true, 8)
+	check(t, &w, 1, 1, 8)
+}
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -13,22 +13,6 @@
 	usualOver = 100.0
 )
 
-// tokenBucket is a token bucket of one second's worth; without a rate it never ends.
-type tokenBucket struct {
-	perSecond, tokens float64
-	at                time.Duration
-}
-
-func (t *tokenBucket) take(now time.Duration) bool {
-	t.tokens = min(max(t.perSecond, 1), t.tokens+t.perSecond*(now-t.at).Seconds())
-	t.at = now
-	if t.perSecond > 0 && t.tokens < 1 {
-		return false
-	}
-	t.tokens--
-	return true
-}
-
 // hold puts a request into the queue.
 func (b *Balancer) hold(r *request) {
 	low, high := 0, len(b.held)
@@ -116,7 +100,7 @@
 	// What is not served takes nothing of a quota, since its client asks again: a sparse node's
 	// part is a few requests a second, which tries alone would use up.
 	if b.sparse() && r.quota != nil {
-		r.quota.tokens++
+		r.quota.Return()
 	}
 	if r.mayRefuse() {
 		b.host.Reject(r.ID, min(r.class.Objective/2, b.set.Limits.MaxRetryAfter))
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -4,6 +4,9 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"calicohinge/internal/decayrate"
+	"calicohinge/internal/tokenbucket"
 )
 
 // checkInterval is the period of the check of all active requests: the resolution of their backoffs
@@ -21,7 +24,7 @@
 	host    Host
 	rng     *rand.Rand
 	classes []class
-	tenants []tokenBucket
+	tenants []tokenbucket.Bucket
 
 	servers        map[ServerID]*server
 	ready          []*server // listed as ready, in the order of the ring
@@ -31,7 +34,7 @@
 	subsetStale bool
 	subsetSize  int // closed servers wanted in it
 	subsetAt    time.Duration
-	arrivals    meter // requests
+	arrivals    decayrate.Meter // requests
 
 	closed   int // servers of the subset, as of the last refresh
 	awaiting int // half-open ones that await their trial
@@ -46,12 +49,12 @@
 	usualSeen   float64
 	refreshed   time.Duration
 	meanSuccess float64
-	meanLatency float64 // multiple of a lone request's
-	sent        meter   // work sent
-	warm        int     // warm servers whose breaker is closed, as of the last refresh
-	warmPart    float64 // work a second that a server got from all nodes while most were warm
-	out         int     // own attempts in flight, but for silent ones
-	meanOut     float64 // the same, over a while
+	meanLatency float64         // multiple of a lone request's
+	sent        decayrate.Meter // work sent
+	warm        int             // warm servers whose breaker is closed, as of the last refresh
+	warmPart    float64         // work a second that a server got from all nodes while most were warm
+	out         int             // own attempts in flight, but for silent ones
+	meanOut     float64         // the same, over a while
 	meanAt      time.Duration
 	limit       float64 // bound on them for each ready server; may be below one
 	crowded     bool
@@ -73,6 +76,7 @@
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		meanSuccess: 1, meanLatency: 1, refreshed: -1, watchDelay: watchAgain, sweepAt: never,
 		limit: float64(min(3, set.Nodes)), nodesPerServer: float64(set.Nodes),
+		arrivals: decayrate.New(meterSpan), sent: decayrate.New(meterSpan),
 	}
 	b.set.Limits.MaxAttempts = min(set.Limits.MaxAttempts, 16) // whatever the settings allow
 	for _, c := range set.Classes {
@@ -90,8 +94,7 @@
 	}
 	b.typical = b.classes[0].lone
 	for _, t := range set.Tenants {
-		rate := t.QuotaPerS / float64(set.Nodes)
-		b.tenants = append(b.tenants, tokenBucket{perSecond: rate, tokens: rate})
+		b.tenants = append(b.tenants, tokenbucket.New(t.QuotaPerS/float64(set.Nodes)))
 	}
 	return b, nil
 }
@@ -113,13 +116,13 @@
 	r.value = c.PriorityWeight
 	if q.Tenant >= 0 && q.Tenant < len(b.tenants) {
 		r.quota = &b.tenants[q.Tenant]
-		if !r.quota.take(now) {
+		if !r.quota.Take(now) {
 			r.quota, r.value = nil, r.value*b.set.OverQuotaFraction
 		}
 	}
 	b.usualSeen = min(b.usualSeen+1, usualOver)
 	b.usualValue += (r.value/c.work - b.usualValue) / b.usualSeen
-	b.arrivals.add(now, 1)
+	b.arrivals.Add(now, 1)
 	b.hold(r)
 	b.dispatch(now)
 	b.sweepBy(min(now+sweepEvery, r.end))
@@ -231,15 +234,14 @@
 	b.renewSubset(now)
 	b.tally(now)
 	if 4*b.warm >= 3*len(b.subset) && len(b.ready) > 0 { // else it stays as known before
-		got := b.sent.perSecond(now) * float64(b.set.Nodes) / float64(len(b.ready))
+		got := b.sent.PerSecond(now) * float64(b.set.Nodes) / float64(len(b.ready))
 		b.warmPart += (got - b.warmPart) * min(1, (now-b.meanAt).Seconds()/outcomesFor.Seconds())
 	}
 	b.average(now)
 	b.closed, b.awaiting = 0, 0
 	highest := 0.0
 	for _, s := range b.subset {
-		s.success = (float64(s.good) + priorOutcomes*b.meanSuccess) / (float64(s.kept) + priorOutcomes)
-		s.latency = (s.latencySum + priorOutcomes*b.meanLatency) / (float64(s.good) + priorOutcomes)
+		s.estimate(b.meanSuccess, b.meanLatency)
 		if s.breaker == open && now >= s.reopenAt {
 			s.breaker, s.trial = halfOpen, nil
 		}
--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -152,7 +152,7 @@
 	if n := len(r.b.subset); n != subsetLeast+2 {
 		t.Fatalf("%d servers with one open and one cold, want %d", n, subsetLeast+2)
 	}
-	r.b.arrivals.add(r.now, 240)
+	r.b.arrivals.Add(r.now, 240)
 	r.now += ms
 	r.b.refresh(r.now)
 	if n := len(r.b.subset); n < 25 {
@@ -233,7 +233,7 @@
 	set.Nodes = 7
 	r := newRig(t, set, 7)
 	r.b.limit = 2 * r.b.nodesPerServer
-	r.b.arrivals.add(r.now, 100)
+	r.b.arrivals.Add(r.now, 100)
 	lone, sends := 0, 0
 	for range 7 {
 		for _, a := range r.b.requests[r.request(0)].attempts {
@@ -385,7 +385,7 @@
 				r.end(id, OK, 0)
 			}
 		}
-		if within := r.b.tenants[0].take(r.now); within != refused {
+		if within := r.b.tenants[0].Take(r.now); within != refused {
 			t.Errorf("after 30 requests, refused %v: within the share %v", refused, within)
 		}
 	}
@@ -430,10 +430,10 @@
 		r := newRig(t, set, 20)
 		r.b.refresh(r.now)
 		s := r.b.subset[0]
-		s.record(r.now, true, 1)
+		s.outcomes.Add(r.now, true, 1)
 		r.now += (outcomesSparse + outcomesFor) / 2
 		r.b.refresh(r.now)
-		if kept := s.kept == 1; kept != tc.keeps {
+		if kept := s.outcomes.Len() == 1; kept != tc.keeps {
 			t.Errorf("%d nodes: an outcome of 7 s ago counts: %v, want %v", tc.nodes, kept, tc.keeps)
 		}
 	}
--- a/policy/circuit_breaker.go
+++ b/policy/circuit_breaker.go
@@ -73,8 +73,8 @@
 // take what it still serves from a fleet in which, say, connections break everywhere.
 func (b *Balancer) failsUsually(s *server) bool {
 	run := len(s.failures)
-	before := float64(max(0, s.kept-s.good-run)) + priorOutcomes*(1-b.meanSuccess)
-	share := before / (float64(max(0, s.kept-run)) + priorOutcomes)
+	before := float64(max(0, s.outcomes.Failures()-run)) + priorOutcomes*(1-b.meanSuccess)
+	share := before / (float64(max(0, s.outcomes.Len()-run)) + priorOutcomes)
 	return run < failuresMost && math.Pow(share, float64(run)) > byChance
 }
 
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"calicohinge/internal/hashring"
+	"calicohinge/internal/outcomewindow"
 )
 
 const (
@@ -30,10 +31,7 @@
 	reopenAt time.Duration // when open: turns half-open
 	trial    *attempt      // when half-open: the one trial that is out
 
-	ring       [outcomesKept]outcome
-	head, kept int
-	good       int     // successes in the ring
-	latencySum float64 // of the successes in the ring
+	outcomes   outcomewindow.Window // latencies as multiples of the baseline latency
 	answeredAt time.Duration
 	score      float64 // as of the last refresh
 	success    float64
@@ -46,6 +44,11 @@
 	rampAt   time.Duration // as of then
 }
 
+// newServer returns a server without measurements.
+func newServer(place uint64) *server {
+	return &server{place: place, openFor: openFirst, outcomes: outcomewindow.New(outcomesKept)}
+}
+
 // UpdateEndpoints follows the list. Where it must be asked for it is watched.
 func (b *Balancer) UpdateEndpoints(now time.Duration, kind UpdateKind, entries []Endpoint) {
 	b.watchDelay = watchAgain
@@ -91,13 +94,15 @@
 	for _, e := range entries {
 		s := b.servers[e.Server]
 		if s == nil {
-			s = &server{openFor: openFirst, place: hashring.Position(uint64(e.Cell), uint64(e.Server))}
+			s = newServer(hashring.Position(uint64(e.Cell), uint64(e.Server)))
 			b.servers[e.Server] = s
 		} else if e.StartedAt != s.StartedAt {
 			for _, a := range s.out {
 				b.silence(a) // sent to the former process, which answers no more
 			}
-			*s = server{Endpoint: s.Endpoint, openFor: openFirst, place: s.place}
+			former := s.Endpoint
+			*s = *newServer(s.place)
+			s.Endpoint = former
 		}
 		listed := s.State == Ready
 		s.Endpoint = e
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -259,7 +259,7 @@
 // Guards against a fleet-wide slowdown that opens every breaker and so refuses all.
 func TestSharedSlownessLeavesHalfOfTheFleetClosed(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
-	r.b.arrivals.add(r.now, 100) // enough for all servers to be its share
+	r.b.arrivals.Add(r.now, 100) // enough for all servers to be its share
 	r.b.refresh(r.now)
 	for _, s := range r.b.ready {
 		for range 2 * failuresToOpen {
@@ -622,10 +622,10 @@
 	r := newRig(t, testSettings(), 3)
 	good, slow, failing := r.b.ready[0], r.b.ready[1], r.b.ready[2]
 	for range 50 {
-		good.record(r.now, true, 1)
-		slow.record(r.now, true, 5)
-		failing.record(r.now, true, 1)
-		failing.record(r.now, false, 0)
+		good.outcomes.Add(r.now, true, 1)
+		slow.outcomes.Add(r.now, true, 5)
+		failing.outcomes.Add(r.now, true, 1)
+		failing.outcomes.Add(r.now, false, 0)
 	}
 	r.b.refresh(r.now)
 	if !(good.score > slow.score && good.score > failing.score) {
@@ -644,8 +644,8 @@
 func TestUnmeasuredServerStandsAtTheMean(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
 	for range 20 {
-		r.b.ready[0].record(r.now, true, 1)
-		r.b.ready[1].record(r.now, true, 3)
+		r.b.ready[0].outcomes.Add(r.now, true, 1)
+		r.b.ready[1].outcomes.Add(r.now, true, 3)
 	}
 	r.b.refresh(r.now)
 	s := r.b.ready
@@ -839,10 +839,10 @@
 		for _, c := range pattern {
 			a := &attempt{server: s}
 			if c == '+' {
-				s.record(now, true, 1)
+				s.outcomes.Add(now, true, 1)
 				s.succeeded(now, a)
 			} else {
-				s.record(now, false, 1)
+				s.outcomes.Add(now, false, 1)
 				b.countFailure(now, a, ServerError)
 			}
 		}
--- a/policy/request.go
+++ b/policy/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"calicohinge/internal/tokenbucket"
 )
 
 type attempt struct {
@@ -19,11 +21,11 @@
 type request struct {
 	Request
 	class    *class
-	end      time.Duration // the client gives up
-	useful   time.Duration // an answer after this is worth nothing
-	half     time.Duration // half of the client's time is over
-	value    float64       // what an answer is worth now
-	quota    *tokenBucket  // its tenant's, of which it holds a token; nil if it has none
+	end      time.Duration       // the client gives up
+	useful   time.Duration       // an answer after this is worth nothing
+	half     time.Duration       // half of the client's time is over
+	value    float64             // what an answer is worth now
+	quota    *tokenbucket.Bucket // its tenant's, of which it holds a token; nil if it has none
 	attempts []attempt
 	out      int
 	retryAt  time.Duration // waits for its backoff if not 0
@@ -81,7 +83,7 @@
 	if s.breaker == halfOpen {
 		s.trial = a
 	}
-	b.sent.add(now, b.loneLatency(r))
+	b.sent.Add(now, b.loneLatency(r))
 	s.rampLeft -= b.loneLatency(r) // counts for a cold server only
 	b.host.Send(r.ID, s.Server, 0)
 }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		b.silence(a)
-		a.server.record(now, false, 0)
+		a.server.outcomes.Add(now, false, 0)
 		b.countFailure(now, a, Timeout)
 		if r.out == 1 && b.set.Limits.Hedging && now+expected <= r.useful {
 			if s := b.pick(now, r); s != nil {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -20,35 +20,6 @@
 	nearTie = 0.1
 )
 
-// outcome is one judged attempt: whether it succeeded, and its latency as a
-// multiple of what a lone request of its class takes.
-type outcome struct {
-	at      time.Duration
-	ok      bool
-	latency float64
-}
-
-func (s *server) forget(oldest *outcome) {
-	s.kept--
-	if oldest.ok {
-		s.good--
-		s.latencySum -= oldest.latency
-	}
-}
-
-func (s *server) record(now time.Duration, ok bool, latency float64) {
-	if s.kept == outcomesKept {
-		s.forget(&s.ring[s.head])
-	}
-	s.ring[s.head] = outcome{now, ok, latency}
-	s.head = (s.head + 1) % outcomesKept
-	s.kept++
-	if ok {
-		s.good++
-		s.latencySum += latency
-	}
-}
-
 // memory is how long an outcome counts.
 func (b *Balancer) memory() time.Duration {
 	if b.sparse() {
@@ -57,24 +28,26 @@
 	return outcomesFor
 }
 
+// estimate updates a server's success rate and latency from its own outcomes and the means over all
+// servers, which count as priorOutcomes of them.
+func (s *server) estimate(meanSuccess, meanLatency float64) {
+	all, successes := float64(s.outcomes.Len()), float64(s.outcomes.Successes())
+	s.success = (successes + priorOutcomes*meanSuccess) / (all + priorOutcomes)
+	s.latency = (s.outcomes.LatencySum() + priorOutcomes*meanLatency) / (successes + priorOutcomes)
+}
+
 // tally drops outcomes that are too old and sums up the rest over the fleet.
 func (b *Balancer) tally(now time.Duration) {
 	kept, good, latency := 0, 0, 0.0
 	b.warm = 0
 	for _, s := range b.subset {
-		for s.kept > 0 {
-			oldest := &s.ring[(s.head+outcomesKept-s.kept)%outcomesKept]
-			if now-oldest.at < b.memory() {
-				break
-			}
-			s.forget(oldest)
-		}
+		s.outcomes.Expire(now, b.memory())
 		if s.breaker == closed && b.rampShare(s, now) >= 1 {
 			b.warm++
 		}
-		kept += s.kept
-		good += s.good
-		latency += s.latencySum
+		kept += s.outcomes.Len()
+		good += s.outcomes.Successes()
+		latency += s.outcomes.LatencySum()
 	}
 	if kept > 0 {
 		b.meanSuccess = float64(good) / float64(kept)
@@ -94,7 +67,7 @@
 	latency := o.Latency.Seconds() / b.loneLatency(r)
 	switch o.Status {
 	case OK:
-		s.record(now, true, latency)
+		s.outcomes.Add(now, true, latency)
 		if latency > slowAfter && b.sparse() { // it answers, but is crowded for long: it needs rest
 			b.countFailure(now, a, Timeout)
 		} else {
@@ -103,17 +76,17 @@
 		b.measure(a, r, o.Latency.Seconds())
 		b.adjustLimit(now)
 	case ServerError, Reset, ConnectFailed:
-		s.record(now, false, latency)
+		s.outcomes.Add(now, false, latency)
 		b.countFailure(now, a, o.Status)
 	case Timeout:
 		// Shorter ones come of impatient clients. The measure is a lone request's latency: the mean
 		// rises with every jammed server, until no client waits long enough to count against one.
 		if !a.silent && latency > silentAfter {
-			s.record(now, false, latency)
+			s.outcomes.Add(now, false, latency)
 			b.countFailure(now, a, Timeout)
 		}
 	case Rejected: // without a mark on its score a full server would go on being picked
-		s.record(now, false, latency)
+		s.outcomes.Add(now, false, latency)
 	}
 	if s.trial == a {
 		s.trial = nil // no verdict: the next request is the trial
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -7,6 +7,9 @@
 // rampSafety is the part of a warming server's bearable load that is sent to it.
 const rampSafety = 0.8
 
+// meterSpan is the time constant of the rates of arrivals and of work sent.
+const meterSpan = 2 * time.Second
+
 // rampShare is the share of its capacity that a server has at least.
 func (b *Balancer) rampShare(s *server, now time.Duration) float64 {
 	age := now - s.StartedAt
@@ -32,28 +35,10 @@
 	}
 	rate := b.warmPart / b.nodesPerServer * b.set.Rules.OverloadMultiple
 	if b.warmPart == 0 { // a new node among cold servers knows only what it is asked itself
-		rate = b.arrivals.perSecond(now) * work / float64(len(b.subset))
+		rate = b.arrivals.PerSecond(now) * work / float64(len(b.subset))
 	}
 	rate *= share * rampSafety
 	s.rampLeft = min(s.rampLeft+rate*(now-s.rampAt).Seconds(), rate*b.set.Rules.OverloadWindow.Seconds()/4)
 	s.rampAt = now
 	return s.rampLeft > 0
 }
-
-// meter is an exponentially decaying rate of work per second.
-type meter struct {
-	at    time.Duration
-	value float64
-}
-
-const meterSpan = 2.0 // seconds
-
-func (m *meter) add(now time.Duration, work float64) {
-	m.value = m.perSecond(now) + work/meterSpan
-	m.at = now
-}
-
-func (m *meter) perSecond(now time.Duration) float64 {
-	gone := (now - m.at).Seconds() / meterSpan
-	return m.value / (1 + gone + gone*gone/2) // close to exp(-gone)
-}
--- a/policy/subset.go
+++ b/policy/subset.go
@@ -19,7 +19,7 @@
 // judge it, and open a connection each time. The parts cover the ring of servers evenly;
 // more traffic takes a longer part, and a node whose servers fail goes on along the ring.
 func (b *Balancer) renewSubset(now time.Duration) {
-	want := max(subsetLeast, int(b.arrivals.perSecond(now)*subsetSpan.Seconds()+0.5))
+	want := max(subsetLeast, int(b.arrivals.PerSecond(now)*subsetSpan.Seconds()+0.5))
 	if !b.subsetStale && want <= b.subsetSize && now-b.subsetAt < subsetSpan {
 		return
 	}
