--- a/policy/api.go
+++ b/policy/api.go
@@ -35,7 +35,7 @@
 // The kinds of idempotency.
 const (
 	Idempotent        Idempotency = iota // may be executed any number of times
-	IdempotentWithKey                    // duplicates are dropped within Class.KeyScope for Class.KeyRetention
+	IdempotentWithKey                    // repeats are dropped in KeyScope for KeyRetention
 	NotIdempotent                        // must be executed once at most
 )
 
--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -16,7 +16,7 @@
 func newSteered(t *testing.T) (*rig, *Balancer) {
 	r := newRig(t, testSettings(), 4)
 	r.b.typical, r.b.adjustedAt = 0.1, r.now
-	r.b.held = append(r.b.held, &request{done: true}) // someone waits
+	r.b.queue = append(r.b.queue, &request{completed: true}) // someone waits
 	return r, r.b
 }
 
@@ -24,13 +24,13 @@
 func TestBoundGrowsOnlyWhileRequestsWait(t *testing.T) {
 	r, b := newSteered(t)
 	before := b.limit
-	waiting := b.held
-	b.held = nil
+	waiting := b.queue
+	b.queue = nil
 	adjustFor(b, r.now, time.Second, 0)
 	if b.limit != before {
 		t.Fatalf("bound went from %v to %v though nothing waits", before, b.limit)
 	}
-	b.held = waiting
+	b.queue = waiting
 	adjustFor(b, r.now+time.Second, time.Second, 0)
 	if b.limit <= before {
 		t.Fatal("bound did not grow while requests wait and servers are not crowded")
@@ -56,7 +56,7 @@
 // each true to a bound that was good before: the servers could never rest.
 func TestThinNodesLetCrowdedServersRest(t *testing.T) {
 	r, b := newSteered(t)
-	b.crowded, b.limit, b.limitKnown, b.nodesPerServer = true, 8, 8, 2*fewPerServer
+	b.crowded, b.limit, b.limitKnown, b.nodesPerServer = true, 8, 8, 2*undersampledFrom
 	adjustFor(b, r.now, 10*time.Second, 1)
 	if b.limit > 1 {
 		t.Fatalf("bound %v after 10 s in a crowd, want under one request a server", b.limit)
@@ -77,9 +77,9 @@
 		id := r.request(0)
 		q := r.b.requests[id]
 		r.end(id, Rejected, ms) // not run, waits for another server
-		r.b.hold(q)
-		q.useful = r.now + 2*r.b.expected(q)
-		r.b.shed(r.now)
+		r.b.enqueue(q)
+		q.objectiveDeadline = r.now + 2*r.b.expectedLatency(q)
+		r.b.shedLoad(r.now)
 		if _, refused := r.h.refused[id]; refused != tc.shed {
 			t.Errorf("%d nodes: shed %v, want %v", tc.nodes, refused, tc.shed)
 		}
@@ -94,12 +94,12 @@
 	r.b.refresh(r.now)
 	s := r.b.subset[0]
 	q := &request{class: &r.b.classes[0]}
-	for range failuresToOpen {
-		a := &attempt{server: s, request: q, sent: r.now}
-		slow := time.Duration(2 * slowAfter * r.b.loneLatency(q) * float64(time.Second))
-		r.b.judge(r.now, q, a, Outcome{Status: OK, Latency: slow})
+	for range failureThreshold {
+		a := &attempt{server: s, request: q, sentAt: r.now}
+		slow := time.Duration(2 * slowResponseMultiple * r.b.baselineLatency(q) * float64(time.Second))
+		r.b.recordOutcome(r.now, q, a, Outcome{Status: OK, Latency: slow})
 	}
-	if s.breaker != open {
+	if s.breaker != breakerOpen {
 		t.Fatal("a server whose answers all come ten times later than alone stays closed")
 	}
 }
@@ -109,26 +109,26 @@
 // their queues, and no breaker opened. Each node saw few time-outs, and each was shorter
 // than four times the fleet's mean, which the jam itself had raised.
 func TestTimeoutsOpenABreakerThoughTheFleetIsSlow(t *testing.T) {
-	for _, tc := range []struct{ nodes, opens int }{{1, failuresToOpen}, {80, fewToOpen}} {
+	for _, tc := range []struct{ nodes, opens int }{{1, failureThreshold}, {80, noResponseThreshold}} {
 		set := testSettings()
 		set.Nodes = tc.nodes
 		r := newRig(t, set, 12)
 		r.b.refresh(r.now)
-		if want := tc.nodes == 80; r.b.sparse() != want {
-			t.Fatalf("%d nodes: sparse %v, want %v", tc.nodes, r.b.sparse(), want)
+		if want := tc.nodes == 80; r.b.undersampled() != want {
+			t.Fatalf("%d nodes: sparse %v, want %v", tc.nodes, r.b.undersampled(), want)
 		}
 		r.b.meanLatency = 3
 		s := r.b.subset[0]
 		q := &request{class: &r.b.classes[0]}
-		waited := time.Duration(2 * silentAfter * r.b.loneLatency(q) * float64(time.Second))
+		waited := time.Duration(2 * unresponsiveMultiple * r.b.baselineLatency(q) * float64(time.Second))
 		for i := range tc.opens {
-			if s.breaker != closed {
+			if s.breaker != breakerClosed {
 				t.Fatalf("%d nodes: open after %d time-outs, want %d", tc.nodes, i, tc.opens)
 			}
-			a := &attempt{server: s, request: q, sent: r.now}
-			r.b.judge(r.now, q, a, Outcome{Status: Timeout, Latency: waited})
+			a := &attempt{server: s, request: q, sentAt: r.now}
+			r.b.recordOutcome(r.now, q, a, Outcome{Status: Timeout, Latency: waited})
 		}
-		if s.breaker != open {
+		if s.breaker != breakerOpen {
 			t.Fatalf("%d nodes: closed after %d time-outs in a row", tc.nodes, tc.opens)
 		}
 	}
@@ -141,16 +141,16 @@
 	set.Nodes, set.Node = 100, 37
 	r := newRig(t, set, 40)
 	r.b.refresh(r.now)
-	if n := len(r.b.subset); n != subsetLeast {
-		t.Fatalf("a node without traffic uses %d servers, want %d", n, subsetLeast)
+	if n := len(r.b.subset); n != minSubsetSize {
+		t.Fatalf("a node without traffic uses %d servers, want %d", n, minSubsetSize)
 	}
-	r.b.subset[0].breaker = open
+	r.b.subset[0].breaker = breakerOpen
 	r.b.subset[1].StartedAt = r.now // cold
 	r.b.subsetStale = true
 	r.now += ms
 	r.b.refresh(r.now)
-	if n := len(r.b.subset); n != subsetLeast+2 {
-		t.Fatalf("%d servers with one open and one cold, want %d", n, subsetLeast+2)
+	if n := len(r.b.subset); n != minSubsetSize+2 {
+		t.Fatalf("%d servers with one open and one cold, want %d", n, minSubsetSize+2)
 	}
 	r.b.arrivals.Add(r.now, 240)
 	r.now += ms
@@ -183,7 +183,7 @@
 // Guards against the overshoot of the start's fast growth, which answers reveal late.
 func TestFirstCrowdTakesTheBoundBackAtOnce(t *testing.T) {
 	r, b := newSteered(t)
-	b.limit, b.nodesPerServer = 10, 2*fewPerServer
+	b.limit, b.nodesPerServer = 10, 2*undersampledFrom
 	adjustFor(b, r.now, 10*ms, 1)
 	if b.limit > 7 {
 		t.Fatalf("bound %v after the first sign of a crowd, want well below 10", b.limit)
@@ -214,7 +214,7 @@
 		}
 		for id := range r.next {
 			a := r.b.requests[id]
-			if a == nil || len(a.attempts) == 0 || r.now-a.attempts[0].sent < 500*ms {
+			if a == nil || len(a.attempts) == 0 || r.now-a.attempts[0].sentAt < 500*ms {
 				continue
 			}
 			for i := range a.attempts {
@@ -238,7 +238,7 @@
 	for range 7 {
 		for _, a := range r.b.requests[r.request(0)].attempts {
 			sends++
-			if a.lone {
+			if a.unloaded {
 				lone++
 			}
 		}
@@ -255,12 +255,12 @@
 		r.request(0)
 	}
 	for _, s := range r.b.ready[:2] {
-		for range failuresToOpen {
-			r.b.countFailure(r.now, &attempt{server: s}, ServerError)
+		for range failureThreshold {
+			r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 		}
 	}
 	for _, s := range r.b.ready[2:] {
-		for _, a := range append([]*attempt(nil), s.out...) {
+		for _, a := range append([]*attempt(nil), s.inFlight...) {
 			r.end(a.request.ID, OK, 10*ms)
 		}
 	}
@@ -270,12 +270,12 @@
 }
 
 func TestEqualServersGoByZone(t *testing.T) {
-	near, far := &server{near: true}, &server{}
-	if better(far, near) != near || better(near, far) != near {
+	near, far := &server{sameZone: true}, &server{}
+	if betterServer(far, near) != near || betterServer(near, far) != near {
 		t.Fatal("among equals the own zone must win")
 	}
-	near.out = append(near.out, &attempt{})
-	if better(near, far) != far {
+	near.inFlight = append(near.inFlight, &attempt{})
+	if betterServer(near, far) != far {
 		t.Fatal("fewer in flight must win over the zone")
 	}
 }
@@ -285,12 +285,12 @@
 	r := newRig(t, testSettings(), 2)
 	heavy := &request{class: &r.b.classes[0]}
 	for range 50 {
-		r.b.measure(&attempt{server: r.b.ready[0]}, heavy, 0.9) // never alone
+		r.b.recordLatency(&attempt{server: r.b.ready[0]}, heavy, 0.9) // never alone
 	}
 	r.request(0) // fills a server, as does the next
 	r.request(0)
 	a, b := r.request(0), r.request(1)
-	if x, y := r.b.requests[a], r.b.requests[b]; x == nil || y == nil || !y.before(x) {
+	if x, y := r.b.requests[a], r.b.requests[b]; x == nil || y == nil || !y.precedes(x) {
 		t.Fatal("a class that takes longer for the same value must come second")
 	}
 }
@@ -306,7 +306,7 @@
 	set.Classes = []Class{class, precious}
 	r := newRig(t, set, 60)
 	r.serve(40, 0, 30*ms)
-	if !r.b.sparse() {
+	if !r.b.undersampled() {
 		t.Fatal("80 nodes at 60 servers are not sparse")
 	}
 	return r
@@ -338,7 +338,7 @@
 	r := thinRig(t)
 	r.b.refresh(r.now)
 	for _, s := range r.b.subset {
-		r.b.begin(r.now, r.b.newRequest(Request{ID: 1000 + RequestID(s.Server)}, &r.b.classes[0]), s)
+		r.b.addAttempt(r.now, r.b.addRequest(Request{ID: 1000 + RequestID(s.Server)}, &r.b.classes[0]), s)
 	}
 	began := r.now
 	r.next++
@@ -374,7 +374,7 @@
 		for range 30 {
 			if refused {
 				for _, s := range r.b.ready {
-					s.breaker, s.reopenAt = open, never
+					s.breaker, s.halfOpenAt = breakerOpen, maxTime
 				}
 			}
 			id := r.request(0)
@@ -385,7 +385,7 @@
 				r.end(id, OK, 0)
 			}
 		}
-		if within := r.b.tenants[0].Take(r.now); within != refused {
+		if within := r.b.quotas[0].Take(r.now); within != refused {
 			t.Errorf("after 30 requests, refused %v: within the share %v", refused, within)
 		}
 	}
@@ -398,7 +398,7 @@
 	for _, limit := range []float64{0.5, 4} {
 		r := thinRig(t)
 		r.b.crowded, r.b.limit, r.b.limitKnown = true, limit, limit
-		r.b.held = append(r.b.held, &request{})
+		r.b.queue = append(r.b.queue, &request{})
 		r.b.adjustedAt = time.Hour
 		nodes = append(nodes, r.b)
 	}
@@ -431,7 +431,7 @@
 		r.b.refresh(r.now)
 		s := r.b.subset[0]
 		s.outcomes.Add(r.now, true, 1)
-		r.now += (outcomesSparse + outcomesFor) / 2
+		r.now += (maxOutcomeAgeUndersampled + maxOutcomeAge) / 2
 		r.b.refresh(r.now)
 		if kept := s.outcomes.Len() == 1; kept != tc.keeps {
 			t.Errorf("%d nodes: an outcome of 7 s ago counts: %v, want %v", tc.nodes, kept, tc.keeps)
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -183,7 +183,7 @@
 				}
 				slices.Sort(lags)
 				idle := nodes * int(time.Second) / int(holds)
-				peak, most := d.peak(d.up), 3*max(idle, int(time.Second/watchPerNode))/2
+				peak, most := d.peak(d.up), 3*max(idle, int(time.Second/watchSpreadPerNode))/2
 				t.Logf("lag: median %v, worst %v; peak %d calls for news a second, idle watches %d", lags[nodes/2], lags[nodes-1], peak, idle)
 				if lags[nodes-1] >= NotificationDeadline {
 					t.Errorf("the last node is told %v after the return", lags[nodes-1])
--- a/policy/leave_test.go
+++ b/policy/leave_test.go
@@ -8,7 +8,7 @@
 // A client leaves at the very time at which the module would make its next attempt: told of
 // it first it makes none; told right after, it cancels what it began. Nothing comes later.
 func TestClientLeavesAsTheNextAttemptIsDue(t *testing.T) {
-	sweep := func(r *rig) { r.now = max(r.now, r.b.sweepAt); r.b.Timer(r.now, tokenSweep) }
+	sweep := func(r *rig) { r.now = max(r.now, r.b.nextCheckAt); r.b.Timer(r.now, timerCheck) }
 	for name, c := range map[string]struct {
 		before func(r *rig) RequestID // up to the moment
 		due    func(r *rig)
@@ -55,7 +55,7 @@
 				}
 				out := 0
 				if q := r.b.requests[id]; q != nil {
-					out = q.out
+					out = q.inFlight
 				}
 				if n := r.h.cancels - cancels; cancel && n != out {
 					t.Errorf("%s, %s: %d of %d attempts are cancelled", name, order, n, out)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -202,11 +202,11 @@
 func TestBreakerOpensTriesOneRequestAndCloses(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
 	bad := r.b.ready[0]
-	for range failuresToOpen {
-		r.b.countFailure(r.now, &attempt{server: bad}, ServerError)
+	for range failureThreshold {
+		r.b.recordFailure(r.now, &attempt{server: bad}, ServerError)
 	}
-	if bad.breaker != open {
-		t.Fatalf("breaker %v after %d failures, want open", bad.breaker, failuresToOpen)
+	if bad.breaker != breakerOpen {
+		t.Fatalf("breaker %v after %d failures, want open", bad.breaker, failureThreshold)
 	}
 	r.serve(20, 0, 50*ms)
 	for _, s := range r.h.sends {
@@ -214,7 +214,7 @@
 			t.Fatal("an open server was sent a request before its time")
 		}
 	}
-	r.pass(bad.reopenAt - r.now)
+	r.pass(bad.halfOpenAt - r.now)
 	trial := r.request(0)
 	if got := r.sendsOf(trial); len(got) != 1 || got[0] != bad.Server {
 		t.Fatalf("trial went to %v, want the half-open server %d", got, bad.Server)
@@ -222,16 +222,16 @@
 	if other := r.sendsOf(r.request(0)); len(other) != 1 || other[0] == bad.Server {
 		t.Fatalf("second request went to %v while the trial is out", other)
 	}
-	before := bad.openFor
+	before := bad.openDuration
 	r.end(trial, ServerError, 5*ms)
-	if bad.breaker != open || bad.openFor != 2*before {
+	if bad.breaker != breakerOpen || bad.openDuration != 2*before {
 		t.Fatalf("after a failed trial: breaker %v for %v, want open for %v",
-			bad.breaker, bad.openFor, 2*before)
+			bad.breaker, bad.openDuration, 2*before)
 	}
-	r.pass(bad.reopenAt - r.now)
+	r.pass(bad.halfOpenAt - r.now)
 	trial = r.request(0)
 	r.end(trial, OK, 50*ms)
-	if bad.breaker != closed {
+	if bad.breaker != breakerClosed {
 		t.Fatalf("after a good trial: breaker %v, want closed", bad.breaker)
 	}
 }
@@ -239,19 +239,19 @@
 func TestFailuresOpenOnlyInARowWithinTheWindow(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
 	s := r.b.ready[0]
-	for range failuresToOpen - 1 {
-		r.b.countFailure(r.now, &attempt{server: s}, ServerError)
+	for range failureThreshold - 1 {
+		r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 	}
-	s.succeeded(r.now, nil)
-	r.b.countFailure(r.now, &attempt{server: s}, ServerError)
-	if s.breaker != closed {
+	s.recordSuccess(r.now, nil)
+	r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
+	if s.breaker != breakerClosed {
 		t.Fatal("failures with a success between them opened the breaker")
 	}
-	for range 2 * failuresToOpen {
-		r.now += failuresFor / 3
-		r.b.countFailure(r.now, &attempt{server: s}, ServerError)
+	for range 2 * failureThreshold {
+		r.now += failureWindow / 3
+		r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 	}
-	if s.breaker != closed {
+	if s.breaker != breakerClosed {
 		t.Fatal("failures spread wider than the window opened the breaker")
 	}
 }
@@ -262,20 +262,20 @@
 	r.b.arrivals.Add(r.now, 100) // enough for all servers to be its share
 	r.b.refresh(r.now)
 	for _, s := range r.b.ready {
-		for range 2 * failuresToOpen {
-			r.b.countFailure(r.now, &attempt{server: s}, Timeout)
+		for range 2 * failureThreshold {
+			r.b.recordFailure(r.now, &attempt{server: s}, Timeout)
 		}
 	}
-	if got := r.breakers(); got[open] != 3 {
-		t.Fatalf("%d of 6 breakers open by slowness, want 3", got[open])
+	if got := r.breakers(); got[breakerOpen] != 3 {
+		t.Fatalf("%d of 6 breakers open by slowness, want 3", got[breakerOpen])
 	}
 }
 
 func TestAllOpenRefusesAtOnceWithRetryAfter(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
 	for _, s := range r.b.ready {
-		for range failuresToOpen {
-			r.b.countFailure(r.now, &attempt{server: s}, ServerError)
+		for range failureThreshold {
+			r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 		}
 	}
 	id := r.request(2)
@@ -283,7 +283,7 @@
 	if !ok || after <= 0 || after > time.Second {
 		t.Fatalf("refused %v with retry-after %v, want at once and within the limit", ok, after)
 	}
-	r.pass(2 * openFirst)
+	r.pass(2 * initialOpenDuration)
 	trial, second := r.request(0), r.request(0)
 	if len(r.sendsOf(trial)) != 1 {
 		t.Fatal("half-open servers must still take their trial")
@@ -378,7 +378,7 @@
 	if _, ok := r.h.refused[late]; !ok {
 		t.Fatal("a retry that cannot be in time must be refused at once")
 	}
-	r.b.set.Limits.MaxAttempts = 1
+	r.b.settings.Limits.MaxAttempts = 1
 	last := r.request(0)
 	r.end(last, ServerError, ms)
 	if _, ok := r.h.refused[last]; !ok {
@@ -457,13 +457,13 @@
 				restarted[i].StartedAt = r.now
 			}
 			r.list(UpdateDelta, restarted...)
-			s, c, rules := r.b.servers[1], &r.b.classes[0], r.b.set.Rules
+			s, c, rules := r.b.servers[1], &r.b.classes[0], r.b.settings.Rules
 			r.b.refresh(r.now)
 			part := r.b.warmPart // what a warm server gets
 			var sends []time.Duration
 			for start := r.now; r.now < start+rules.SlowStartDuration; r.now += ms { // the gate alone
-				if work := c.lone + 0.001; r.b.rampAllows(s, r.now, work) {
-					s.rampLeft -= work
+				if work := c.baselineLatency + 0.001; r.b.slowStartAdmits(s, r.now, work) {
+					s.slowStartBudget -= work
 					sends = append(sends, r.now)
 				}
 				within := 0
@@ -472,15 +472,15 @@
 						within++
 					}
 				}
-				most := part * rules.OverloadWindow.Seconds() * rules.OverloadMultiple * r.b.rampShare(s, r.now)
-				if work := float64(within) * c.lone; work > most+c.lone {
+				most := part * rules.OverloadWindow.Seconds() * rules.OverloadMultiple * r.b.capacityShare(s, r.now)
+				if work := float64(within) * c.baselineLatency; work > most+c.baselineLatency {
 					t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
 				}
 			}
 			if len(sends) == 0 {
 				t.Error("a cold server must get something, or it never shows that it is warm")
 			}
-			if q := r.b.requests[r.request(0)]; !r.b.maySend(r.now, q, s) {
+			if q := r.b.requests[r.request(0)]; !r.b.attemptPermitted(r.now, q, s) {
 				t.Error("the budget still holds for a warm server")
 			}
 		})
@@ -501,10 +501,10 @@
 		entries[0].StartedAt = time.Hour
 		b.UpdateEndpoints(time.Hour, UpdateCached, entries)
 		b.refresh(time.Hour)
-		b.warmPart = b.classes[0].lone // thin traffic: a lone request a second
+		b.warmPart = b.classes[0].baselineLatency // thin traffic: a lone request a second
 		wait := time.Duration(0)
 		for ; wait < 10*time.Second; wait += 10 * ms {
-			if b.rampAllows(b.servers[1], time.Hour+wait, b.classes[0].lone) {
+			if b.slowStartAdmits(b.servers[1], time.Hour+wait, b.classes[0].baselineLatency) {
 				break
 			}
 		}
@@ -520,15 +520,15 @@
 // Guards against sends by the gate itself to a server that is not ready.
 func TestGateRefusesServersThatAreNotReady(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
-	q := r.b.newRequest(Request{ID: 9, Timeout: time.Second}, &r.b.classes[0])
-	q.end = r.now + time.Second
+	q := r.b.addRequest(Request{ID: 9, Timeout: time.Second}, &r.b.classes[0])
+	q.deadline = r.now + time.Second
 	s := r.b.ready[0]
-	if !r.b.maySend(r.now, q, s) {
+	if !r.b.attemptPermitted(r.now, q, s) {
 		t.Fatal("a ready server must pass")
 	}
 	for _, state := range []EndpointState{Draining, Gone} {
 		s.State = state
-		if r.b.maySend(r.now, q, s) {
+		if r.b.attemptPermitted(r.now, q, s) {
 			t.Errorf("state %d passes the gate", state)
 		}
 	}
@@ -550,10 +550,10 @@
 			}
 		}
 	}
-	if n := len(silent.out); n > 3 {
+	if n := len(silent.inFlight); n > 3 {
 		t.Fatalf("%d requests wait at a server that answers nothing", n)
 	}
-	for _, a := range silent.out {
+	for _, a := range silent.inFlight {
 		if len(a.request.attempts) != 2 {
 			t.Fatal("no hedged request was sent for a request that got no answer")
 		}
@@ -631,12 +631,12 @@
 	if !(good.score > slow.score && good.score > failing.score) {
 		t.Fatalf("scores: good %.2f slow %.2f failing %.2f", good.score, slow.score, failing.score)
 	}
-	if better(good, slow) != good || better(failing, good) != good {
+	if betterServer(good, slow) != good || betterServer(failing, good) != good {
 		t.Fatal("the better score lost")
 	}
-	twin := &server{score: good.score - nearTie/2}
-	good.out = append(good.out, &attempt{})
-	if better(good, twin) != twin {
+	twin := &server{score: good.score - scoreTieMargin/2}
+	good.inFlight = append(good.inFlight, &attempt{})
+	if betterServer(good, twin) != twin {
 		t.Fatal("a near-tie must go to fewer requests in flight")
 	}
 }
@@ -652,7 +652,7 @@
 	if !(s[0].score > s[2].score && s[2].score > s[1].score) {
 		t.Fatalf("scores %.2f %.2f, unmeasured %.2f: not between", s[0].score, s[1].score, s[2].score)
 	}
-	r.b.refresh(r.now + 2*outcomesFor)
+	r.b.refresh(r.now + 2*maxOutcomeAge)
 	if s[0].score != s[1].score {
 		t.Fatal("old outcomes still count: a server that was bad once is never met again")
 	}
@@ -703,7 +703,7 @@
 			r.request(0) // far more than there is room for
 		}
 		const left = 122*ms + ms/2
-		r.b.classes[2].lone = 0.0001 // so that it is worth holding to the last
+		r.b.classes[2].baselineLatency = 0.0001 // so that it is worth holding to the last
 		r.next++
 		start := r.now
 		r.b.Request(r.now, Request{ID: r.next, Class: 2, Timeout: left})
@@ -732,14 +732,14 @@
 func TestUnsafeRequestTakesATrialThatNobodyElseTook(t *testing.T) {
 	r := newRig(t, testSettings(), 1)
 	s := r.b.ready[0]
-	for range failuresToOpen {
-		r.b.countFailure(r.now, &attempt{server: s}, ServerError)
+	for range failureThreshold {
+		r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 	}
-	r.now = s.reopenAt + ms
+	r.now = s.halfOpenAt + ms
 	if id := r.request(2); len(r.sendsOf(id)) != 0 {
 		t.Fatal("an unsafe request took the trial at once, where a safe one could come")
 	}
-	r.pass(s.openFor + ms)
+	r.pass(s.openDuration + ms)
 	if r.request(2); len(r.h.sends) != 1 {
 		t.Fatal("nobody else took the trial, and an unsafe request did not either")
 	}
@@ -759,7 +759,7 @@
 	}
 	r.now += ms
 	r.list(UpdateDelta, restarted...)
-	if r.b.out != 0 || len(r.b.servers[1].out)+len(r.b.servers[2].out) != 0 {
+	if r.b.out != 0 || len(r.b.servers[1].inFlight)+len(r.b.servers[2].inFlight) != 0 {
 		t.Fatalf("%d attempts fill the room of new processes", r.b.out)
 	}
 	r.end(first, Reset, ms)
@@ -789,8 +789,8 @@
 	r.b.Outcome(r.now, Outcome{ID: second, Status: OK}) // repeated
 	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: ServerError})
 	r.b.StreamStarted(r.now, 999, 0)
-	if r.b.out != 0 || len(r.b.requests) != 0 || len(r.b.open) != 0 {
-		t.Fatalf("%d out, %d known, %d open at the end", r.b.out, len(r.b.requests), len(r.b.open))
+	if r.b.out != 0 || len(r.b.requests) != 0 || len(r.b.active) != 0 {
+		t.Fatalf("%d out, %d known, %d open at the end", r.b.out, len(r.b.requests), len(r.b.active))
 	}
 }
 
@@ -803,27 +803,27 @@
 			a := &attempt{server: s}
 			if c == '+' {
 				s.outcomes.Add(now, true, 1)
-				s.succeeded(now, a)
+				s.recordSuccess(now, a)
 			} else {
 				s.outcomes.Add(now, false, 1)
-				b.countFailure(now, a, ServerError)
+				b.recordFailure(now, a, ServerError)
 			}
 		}
-		b.tally(now)
+		b.updateMeans(now)
 	}
 	r := newRig(t, testSettings(), 4)
 	r.b.refresh(r.now)
 	often, seldom := r.b.servers[1], r.b.servers[2]
 	outcomes(r.b, often, r.now, strings.Repeat("++-", 20)+"+-----")
-	if often.breaker != closed {
+	if often.breaker != breakerClosed {
 		t.Error("a run of usual failures opened the breaker")
 	}
-	outcomes(r.b, often, r.now, strings.Repeat("-", failuresMost-5))
-	if often.breaker != open {
+	outcomes(r.b, often, r.now, strings.Repeat("-", maxFailureThreshold-5))
+	if often.breaker != breakerOpen {
 		t.Error("a server that answers no more keeps its breaker closed")
 	}
 	outcomes(r.b, seldom, r.now, strings.Repeat("+", 60)+"-----")
-	if seldom.breaker != open {
+	if seldom.breaker != breakerOpen {
 		t.Error("five failures in a row of a good server left its breaker closed")
 	}
 }
@@ -845,7 +845,7 @@
 		for range 5 {
 			h.timers = nil
 			b.WatchFailed(time.Hour, time.Hour+left)
-			if len(h.timers) != 1 || h.timers[0].token != tokenWatch || h.timers[0].at > time.Hour+span {
+			if len(h.timers) != 1 || h.timers[0].token != timerWatch || h.timers[0].at > time.Hour+span {
 				t.Fatalf("timers %v", h.timers)
 			}
 			apart[h.timers[0].at.Truncate(span/10)] = true
@@ -869,7 +869,7 @@
 	sends := len(r.h.sends)
 	maySay := map[RequestID]bool{}
 	for _, id := range ids {
-		maySay[id] = r.b.requests[id].mayRefuse()
+		maySay[id] = r.b.requests[id].safeToReject()
 	}
 	r.b.TerminateAll(r.now)
 	for _, id := range ids {
@@ -879,7 +879,7 @@
 		}
 	}
 	r.pass(time.Minute)
-	if len(r.h.sends) != sends || len(r.b.open) != 0 {
-		t.Errorf("%d sends more, %d still open", len(r.h.sends)-sends, len(r.b.open))
+	if len(r.h.sends) != sends || len(r.b.active) != 0 {
+		t.Errorf("%d sends more, %d still open", len(r.h.sends)-sends, len(r.b.active))
 	}
 }
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -6,43 +6,43 @@
 
 const (
 	// outcomesKept is the number of latest outcomes that a server is judged by.
-	outcomesKept = 100
+	outcomesPerServer = 100
 	// outcomesFor is how long an outcome counts; once it expires, an avoided server is tried again.
-	outcomesFor = 10 * time.Second
+	maxOutcomeAge = 10 * time.Second
 	// outcomesSparse replaces it where many nodes move a server's load within seconds.
-	outcomesSparse = 4 * time.Second
+	maxOutcomeAgeUndersampled = 4 * time.Second
 	// priorOutcomes is the weight of the mean over all servers beside a server's own outcomes.
 	priorOutcomes = 3.0
 	// successPart and latencyPart are the weights of the two parts of the score.
-	successPart = 0.7
-	latencyPart = 0.3
+	successWeight = 0.7
+	latencyWeight = 0.3
 	// nearTie is the difference of scores up to which the attempts in flight decide.
-	nearTie = 0.1
+	scoreTieMargin = 0.1
 )
 
 // memory is how long an outcome counts.
-func (b *Balancer) memory() time.Duration {
-	if b.sparse() {
-		return outcomesSparse
+func (b *Balancer) outcomeRetention() time.Duration {
+	if b.undersampled() {
+		return maxOutcomeAgeUndersampled
 	}
-	return outcomesFor
+	return maxOutcomeAge
 }
 
 // estimate updates a server's success rate and latency from its own outcomes and the means over all
 // servers, which count as priorOutcomes of them.
 func (s *server) estimate(meanSuccess, meanLatency float64) {
 	all, successes := float64(s.outcomes.Len()), float64(s.outcomes.Successes())
-	s.success = (successes + priorOutcomes*meanSuccess) / (all + priorOutcomes)
-	s.latency = (s.outcomes.LatencySum() + priorOutcomes*meanLatency) / (successes + priorOutcomes)
+	s.successRate = (successes + priorOutcomes*meanSuccess) / (all + priorOutcomes)
+	s.relativeLatency = (s.outcomes.LatencySum() + priorOutcomes*meanLatency) / (successes + priorOutcomes)
 }
 
 // tally drops outcomes that are too old and sums up the rest over the fleet.
-func (b *Balancer) tally(now time.Duration) {
+func (b *Balancer) updateMeans(now time.Duration) {
 	kept, good, latency := 0, 0, 0.0
 	b.warm = 0
 	for _, s := range b.subset {
-		s.outcomes.Expire(now, b.memory())
-		if s.breaker == closed && b.rampShare(s, now) >= 1 {
+		s.outcomes.Expire(now, b.outcomeRetention())
+		if s.breaker == breakerClosed && b.capacityShare(s, now) >= 1 {
 			b.warm++
 		}
 		kept += s.outcomes.Len()
@@ -59,31 +59,31 @@
 
 // judge takes an outcome into the server's health. A restarted server is not
 // judged by what its former process was sent.
-func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
+func (b *Balancer) recordOutcome(now time.Duration, r *request, a *attempt, o Outcome) {
 	s := a.server
-	if a.sent < s.StartedAt {
+	if a.sentAt < s.StartedAt {
 		return
 	}
-	latency := o.Latency.Seconds() / b.loneLatency(r)
+	latency := o.Latency.Seconds() / b.baselineLatency(r)
 	switch o.Status {
 	case OK:
 		s.outcomes.Add(now, true, latency)
-		if latency > slowAfter && b.sparse() { // it answers, but is crowded for long: it needs rest
-			b.countFailure(now, a, Timeout)
+		if latency > slowResponseMultiple && b.undersampled() { // congested: it needs to recover
+			b.recordFailure(now, a, Timeout)
 		} else {
-			s.succeeded(now, a)
+			s.recordSuccess(now, a)
 		}
-		b.measure(a, r, o.Latency.Seconds())
+		b.recordLatency(a, r, o.Latency.Seconds())
 		b.adjustLimit(now)
 	case ServerError, Reset, ConnectFailed:
 		s.outcomes.Add(now, false, latency)
-		b.countFailure(now, a, o.Status)
+		b.recordFailure(now, a, o.Status)
 	case Timeout:
 		// Shorter ones come of impatient clients. The measure is a lone request's latency: the mean
 		// rises with every jammed server, until no client waits long enough to count against one.
-		if !a.silent && latency > silentAfter {
+		if !a.unresponsive && latency > unresponsiveMultiple {
 			s.outcomes.Add(now, false, latency)
-			b.countFailure(now, a, Timeout)
+			b.recordFailure(now, a, Timeout)
 		}
 	case Rejected: // without a mark on its score a full server would go on being picked
 		s.outcomes.Add(now, false, latency)
@@ -96,45 +96,45 @@
 // pick chooses a server for the next attempt, or nil: a half-open server that
 // awaits its trial, else the better of two random closed servers for a first
 // send and the best other closed server for a further one.
-func (b *Balancer) pick(now time.Duration, r *request) *server {
+func (b *Balancer) selectServer(now time.Duration, r *request) *server {
 	b.refresh(now)
 	b.choices = b.choices[:0]
 	for _, s := range b.subset {
-		if s.breaker == open || r.tried(s) || !b.maySend(now, r, s) {
+		if s.breaker == breakerOpen || r.hasTried(s) || !b.attemptPermitted(now, r, s) {
 			continue
 		}
-		if s.breaker == closed && b.room(s, now) {
+		if s.breaker == breakerClosed && b.hasCapacity(s, now) {
 			b.choices = append(b.choices, s)
-		} else if s.breaker == halfOpen && s.trial == nil &&
+		} else if s.breaker == breakerHalfOpen && s.trial == nil &&
 			// One that is not idempotent is the trial only when no other came.
-			(r.class.Idempotency != NotIdempotent || now > s.reopenAt+s.openFor) {
+			(r.class.Idempotency != NotIdempotent || now > s.halfOpenAt+s.openDuration) {
 			return s
 		}
 	}
 	n := len(b.choices)
-	if n == 0 || !b.mayAdd(r, b.limit/b.nodesPerServer*float64(b.closed)) {
+	if n == 0 || !b.nodeLimitAdmits(r, b.limit/b.nodesPerServer*float64(b.closed)) {
 		return nil
 	}
 	if len(r.attempts) == 0 && n > 2 {
-		i := b.rng.IntN(n)
-		j := (i + 1 + b.rng.IntN(n-1)) % n
-		return better(b.choices[i], b.choices[j])
+		i := b.random.IntN(n)
+		j := (i + 1 + b.random.IntN(n-1)) % n
+		return betterServer(b.choices[i], b.choices[j])
 	}
 	best := b.choices[0]
 	for _, s := range b.choices[1:] {
-		best = better(best, s)
+		best = betterServer(best, s)
 	}
 	return best
 }
 
 // better compares by score; near-ties go to fewer own in flight, equal ones to this zone.
-func better(x, y *server) *server {
+func betterServer(x, y *server) *server {
 	switch {
-	case x.score > y.score+nearTie:
+	case x.score > y.score+scoreTieMargin:
 		return x
-	case y.score > x.score+nearTie || len(y.out) < len(x.out):
+	case y.score > x.score+scoreTieMargin || len(y.inFlight) < len(x.inFlight):
 		return y
-	case len(y.out) == len(x.out) && y.near && !x.near:
+	case len(y.inFlight) == len(x.inFlight) && y.sameZone && !x.sameZone:
 		return y
 	}
 	return x
--- a/policy/window_test.go
+++ b/policy/window_test.go
@@ -13,10 +13,10 @@
 			q := r.b.requests[id]
 			r.pass(20 * ms)
 			r.end(id, ServerError, 20*ms)
-			r.now = q.attempts[0].sent + after
+			r.now = q.attempts[0].sentAt + after
 			q.retryAt = r.now
-			r.b.sweep(r.now)
-			r.pass(sweepEvery)
+			r.b.periodicCheck(r.now)
+			r.pass(checkInterval)
 		}
 	}
 	for name, tc := range map[string]struct {
@@ -33,7 +33,7 @@
 			r.request(0) // stays out
 			r.b.limit = 0
 			r.end(id, ServerError, 0)
-			r.pass(100*ms + 2*sweepEvery)
+			r.pass(100*ms + 2*checkInterval)
 		}, 1, true},
 		"counted from the first that may have run": {100 * ms, func(r *rig, id RequestID) {
 			r.pass(90 * ms)
