--- /dev/null
+++ b/internal/jitter/jitter.go
@@ -0,0 +1,17 @@
+// Package jitter randomizes delays, so that parties which act at the same time do not act in step for ever.
+package jitter
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Full draws a delay between 0 and the given one ("full jitter").
+func Full(random *rand.Rand, delay time.Duration) time.Duration {
+	return time.Duration(random.Float64() * float64(delay))
+}
+
+// Fifth varies a delay by up to a fifth either way, so that the delays of an exponential backoff still grow.
+func Fifth(random *rand.Rand, delay time.Duration) time.Duration {
+	return time.Duration(float64(delay) * (0.8 + 0.4*random.Float64()))
+}
--- /dev/null
+++ b/internal/jitter/jitter_test.go
@@ -0,0 +1,33 @@
+package jitter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// spread returns the least and the greatest of many draws.
+func spread(draw func(*rand.Rand, time.Duration) time.Duration, delay time.Duration) (least, greatest time.Duration) {
+	random := rand.New(rand.NewPCG(1, 0))
+	least = draw(random, delay)
+	for range 10000 {
+		drawn := draw(random, delay)
+		least, greatest = min(least, drawn), max(greatest, drawn)
+	}
+	return least, greatest
+}
+
+func TestFullCoversAllDelaysBelow(t *testing.T) {
+	least, greatest := spread(Full, time.Second)
+	if least < 0 || least > 10*time.Millisecond || greatest < 990*time.Millisecond || greatest > time.Second {
+		t.Errorf("delays from %v to %v, want 0 to 1 s", least, greatest)
+	}
+}
+
+func TestFifthStaysWithinAFifth(t *testing.T) {
+	least, greatest := spread(Fifth, time.Second)
+	if least < 800*time.Millisecond || least > 810*time.Millisecond ||
+		greatest < 1190*time.Millisecond || greatest > 1200*time.Millisecond {
+		t.Errorf("delays from %v to %v, want 0.8 s to 1.2 s", least, greatest)
+	}
+}
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -1,47 +1,54 @@
 package policy
 
+// Admission: quotas, the queue of requests that wait for capacity, and load shedding.
+
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
 const (
-	// shedMargin is the multiple of the expected latency that must fit before the objective where the
-	// queues of other nodes are not seen.
-	sheddingMargin = 2.5
-	// usualOver is the number of requests over which the mean priority weight of arrivals is averaged.
-	maxWeightSamples = 100.0
+	sheddingMargin   = 2.5 // of the expected latency before the objective, if others' queues are not seen
+	maxWeightSamples = 100 // arrivals over which the priority weight is averaged
 )
 
-// hold puts a request into the queue.
-func (b *Balancer) enqueue(r *request) {
-	low, high := 0, len(b.queue)
-	for low < high {
-		if mid := (low + high) / 2; r.precedes(b.queue[mid]) {
-			high = mid
-		} else {
-			low = mid + 1
-		}
-	}
-	b.queue = slices.Insert(b.queue, low, r)
+// admissionQueue holds the requests that wait for capacity, which are marked as queued, sorted by precedes.
+type admissionQueue struct{ waiting []*request }
+
+func (q *admissionQueue) add(r *request) {
+	index := sort.Search(len(q.waiting), func(i int) bool { return r.precedes(q.waiting[i]) })
+	q.waiting = slices.Insert(q.waiting, index, r)
 	r.queued = true
 }
 
-// before orders the held requests: most value for its work first, then the end of its use.
-func (r *request) precedes(o *request) bool {
-	x, y := r.weight/r.class.workPerRequest, o.weight/o.class.workPerRequest
-	return x > y || (x == y && r.objectiveDeadline < o.objectiveDeadline)
+func (r *request) precedes(other *request) bool {
+	x, y := r.weightPerWork(), other.weightPerWork()
+	return x > y || (x == y && r.objectiveDeadline < other.objectiveDeadline)
 }
 
-// dispatch sends what is held while servers have room. With every breaker open
-// it refuses at once.
+func (r *request) weightPerWork() float64 { return r.weight / r.class.workEstimate.Value() }
+
+// applyQuota takes a token of the tenant's quota, or lowers the weight of a request beyond it.
+func (b *Balancer) applyQuota(now time.Duration, r *request) {
+	if r.Tenant < 0 || r.Tenant >= len(b.quotas) {
+		return
+	}
+	if quota := &b.quotas[r.Tenant]; quota.Take(now) {
+		r.quota = quota
+	} else {
+		r.weight *= b.settings.OverQuotaFraction
+	}
+}
+
+// dispatch sends queued requests while servers have capacity, or terminates them if every breaker is open.
 func (b *Balancer) dispatch(now time.Duration) {
-	if len(b.queue) == 0 {
+	if len(b.queue.waiting) == 0 {
 		return
 	}
 	b.refresh(now)
-	kept, full := b.queue[:0], false
-	for _, r := range b.queue {
+	kept, full := b.queue.waiting[:0], false
+	for _, r := range b.queue.waiting {
 		var s *server
 		if !r.completed && !full {
 			s = b.selectServer(now, r)
@@ -51,24 +58,22 @@
 		case s != nil:
 			r.queued = false
 			b.send(now, r, s)
-		case b.closed+b.awaiting == 0:
+		case b.subset.closed+b.subset.awaitingTrial == 0:
 			r.queued = false
 			b.terminateUnserved(r)
 		default:
 			kept = append(kept, r)
-			full = full || len(r.attempts) == 0 // no room for any that are not bound to a group
+			full = full || len(r.attempts) == 0 // for any that is not bound to the scope of its key
 		}
 	}
-	b.queue = kept
+	b.queue.waiting = kept
 }
 
-// shed ends the wait of held requests that cannot be answered in time any more.
+// shedLoad terminates queued requests that cannot be served in time; dispatch drops the completed ones.
 func (b *Balancer) shedLoad(now time.Duration) {
-	b.queue = slices.DeleteFunc(b.queue, func(r *request) bool {
-		// One that could not be sent by half of its time goes back: its client can ask elsewhere.
-		late := b.attemptsExhausted(r, now) || now >= r.queueingDeadline && !r.mayHaveRun()
-		if r.completed || !late && now+b.requiredTime(r) <= b.sheddingDeadline(r) {
-			return false // dispatch drops those that are done
+	b.queue.waiting = slices.DeleteFunc(b.queue.waiting, func(r *request) bool {
+		if r.completed || !b.mustShed(now, r) {
+			return false
 		}
 		r.queued = false
 		b.terminateUnserved(r)
@@ -76,30 +81,34 @@
 	})
 }
 
-// valuableUntil is when an answer stops being worth its work. On a sparse node a late answer to a
-// request of much value may still earn more than one in time to another: the node's room for
-// a request comes seldom, but soon enough.
+// mustShed also returns a request that was not sent by its queueing deadline: its client can ask elsewhere.
+func (b *Balancer) mustShed(now time.Duration, r *request) bool {
+	return b.attemptsExhausted(r, now) ||
+		now >= r.queueingDeadline && !r.mayHaveRun() ||
+		now+b.requiredServiceTime(r) > b.sheddingDeadline(r)
+}
+
+// sheddingDeadline returns the time by which a queued request must be served. On an undersampled node, which
+// has capacity rarely, a late response of high weight may still earn more than another in time.
 func (b *Balancer) sheddingDeadline(r *request) time.Duration {
-	if b.undersampled() && r.weight*r.class.LateFraction >= b.meanWeight*r.class.workPerRequest {
+	lateWeight := r.weight * r.class.LateFraction
+	if b.subset.undersampled() && lateWeight >= b.arrivalWeight.Value()*r.class.workEstimate.Value() {
 		return r.deadline
 	}
 	return r.objectiveDeadline
 }
 
-// mustFit is how much time must be left to a held request. Where others' waits go unseen an
-// answer has to fit amply; but one worth waiting for beyond its objective goes before all others.
-func (b *Balancer) requiredTime(r *request) time.Duration {
-	if b.undersampled() && b.sheddingDeadline(r) == r.objectiveDeadline {
+func (b *Balancer) requiredServiceTime(r *request) time.Duration {
+	if b.subset.undersampled() && b.sheddingDeadline(r) == r.objectiveDeadline {
 		return time.Duration(sheddingMargin * float64(b.expectedLatency(r)))
 	}
 	return b.expectedLatency(r)
 }
 
-// giveUp ends a request unserved: a refusal where its promise holds, else a failure.
+// terminateUnserved rejects a request, or fails it if it may have been executed and must not be again.
 func (b *Balancer) terminateUnserved(r *request) {
-	// What is not served takes nothing of a quota, since its client asks again: a sparse node's
-	// part is a few requests a second, which tries alone would use up.
-	if b.undersampled() && r.quota != nil {
+	// Its client asks again. Unserved requests would use up an undersampled node's small part of a quota.
+	if b.subset.undersampled() && r.quota != nil {
 		r.quota.Return()
 	}
 	if r.safeToReject() {
@@ -110,9 +119,8 @@
 	b.complete(r)
 }
 
-// mayRefuse tells whether the promise of a refusal holds.
+// safeToReject reports whether the client may retry the request at any node.
 func (r *request) safeToReject() bool {
-	c := r.class
-	return c.Idempotency == Idempotent ||
-		(c.Idempotency == IdempotentWithKey && c.KeyScope == KeyScopeAll) || !r.mayHaveRun()
+	return r.class.Idempotency == Idempotent || !r.mayHaveRun() ||
+		r.class.Idempotency == IdempotentWithKey && r.class.KeyScope == KeyScopeAll
 }
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -1,21 +1,24 @@
 package policy
 
+// The Balancer, its events and its timers.
+
 import (
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"calicohinge/internal/decayrate"
+	"calicohinge/internal/runningmean"
 	"calicohinge/internal/tokenbucket"
 )
 
-// checkInterval is the period of the check of all active requests: the resolution of their backoffs
-// and deadlines.
-const checkInterval = 10 * time.Millisecond
-
 const (
-	timerCheck, timerWatch = 0, 1 // of the timers
-	maxTime                = time.Duration(math.MaxInt64)
+	checkInterval         = 10 * time.Millisecond // of the periodic check; the resolution of all deadlines
+	rateTimeConstant      = 2 * time.Second       // of the rates of arrivals and of work sent
+	maxAttemptsPerRequest = 16                    // caps Limits.MaxAttempts, as room for all is allocated
+	maxTime               = time.Duration(math.MaxInt64)
+
+	timerCheck, timerWatch = uint64(0), uint64(1) // tokens of the timers
 )
 
 // Balancer decides for one node. Create it with New.
@@ -23,117 +26,81 @@
 	settings Settings
 	host     Host
 	random   *rand.Rand
-	classes  []requestClass
-	quotas   []tokenbucket.Bucket
-
-	servers        map[ServerID]*server
-	ready          []*server // listed as ready, in the order of the ring
-	subset         []*server // those that this node uses
-	nodesPerServer float64   // that share a server, on average
-
-	subsetStale bool
-	subsetSize  int // closed servers wanted in it
-	subsetAt    time.Duration
-	arrivals    decayrate.Meter // requests
-
-	closed   int // servers of the subset, as of the last refresh
-	awaiting int // half-open ones that await their trial
-	choices  []*server
-
-	requests     map[RequestID]*request
-	active       []*request // those that are not done
-	queue        []*request // those that wait for room, the most valuable first
-	freeRequests []*request
 
-	meanWeight    float64 // mean value for work of the requests that arrive
-	weightSamples float64
-	refreshed     time.Duration
-	meanSuccess   float64
-	meanLatency   float64         // multiple of a lone request's
-	sent          decayrate.Meter // work sent
-	warm          int             // warm servers whose breaker is closed, as of the last refresh
-	warmPart      float64         // work a second that a server got from all nodes while most were warm
-	out           int             // own attempts in flight, but for silent ones
-	meanOut       float64         // the same, over a while
-	meanAt        time.Duration
-	limit         float64 // bound on them for each ready server; may be below one
-	crowded       bool
-	limitKnown    float64 // the highest lately without a crowd
-	typical       float64 // mean latency of late, seconds
-	adjustedAt    time.Duration
-	crowding      float64 // mean latency over a lone request's at the same server, as a logarithm
-	nextCheckAt   time.Duration
-	watchDelay    time.Duration
+	classes   []requestClass
+	quotas    []tokenbucket.Bucket // by tenant, this node's part of each quota
+	requests  requestTable
+	queue     admissionQueue
+	endpoints endpointSet
+	subset    subset
+	means     outcomeMeans
+	slowStart slowStartStats
+	limiter   concurrencyLimiter
+
+	arrivalRate   decayrate.Meter  // requests
+	arrivalWeight runningmean.Mean // priority weight per work of the requests
+
+	candidates  []*server // reused by selectServer
+	refreshedAt time.Duration
+	outdated    bool          // refresh is due even at refreshedAt
+	nextCheckAt time.Duration // of the periodic check; maxTime if none is scheduled
 }
 
-// New returns a Balancer with the given settings, or the *SettingError of Settings.Validate.
+// New returns a Balancer, or the *SettingError of Settings.Validate. The seed fixes all random choices.
 func New(settings Settings, seed uint64, host Host) (*Balancer, error) {
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
+	settings.Limits.MaxAttempts = min(settings.Limits.MaxAttempts, maxAttemptsPerRequest)
 	b := &Balancer{
 		settings: settings, host: host, random: rand.New(rand.NewPCG(seed, 0)),
-		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		meanSuccess: 1, meanLatency: 1, refreshed: -1, watchDelay: initialWatchBackoff, nextCheckAt: maxTime,
-		limit: float64(min(3, settings.Nodes)), nodesPerServer: float64(settings.Nodes),
-		arrivals: decayrate.New(rateTimeConstant), sent: decayrate.New(rateTimeConstant),
+
+		requests:  requestTable{byID: map[RequestID]*request{}, maxAttempts: settings.Limits.MaxAttempts},
+		endpoints: endpointSet{byID: map[ServerID]*server{}, watchBackoff: initialWatchBackoff},
+		subset:    subset{nodesPerServer: float64(settings.Nodes)},
+		means:     outcomeMeans{successRate: 1, relativeLatency: 1},
+		slowStart: slowStartStats{sentWork: decayrate.New(rateTimeConstant)},
+
+		arrivalRate: decayrate.New(rateTimeConstant), arrivalWeight: runningmean.New(maxWeightSamples),
+		nextCheckAt: maxTime, outdated: true,
 	}
-	b.settings.Limits.MaxAttempts = min(settings.Limits.MaxAttempts, 16) // whatever the settings allow
 	for _, class := range settings.Classes {
-		if class.Objective == 0 {
-			class.Objective = class.Deadline
-		}
-		b.classes = append(b.classes, requestClass{
-			Class:           class,
-			baselineLatency: class.Objective.Seconds() / 4, baselineSamples: 1,
-			workPerRequest: class.Objective.Seconds() / 4, workSamples: 1,
-		})
+		b.classes = append(b.classes, newRequestClass(class, settings.WeightByWork))
 	}
-	for i := range b.classes {
-		if settings.WeightByWork {
-			b.classes[i].workPerRequest = 1
-		}
-	}
-	b.typical = b.classes[0].baselineLatency
-	for _, t := range settings.Tenants {
-		b.quotas = append(b.quotas, tokenbucket.New(t.QuotaPerS/float64(settings.Nodes)))
+	for _, tenant := range settings.Tenants {
+		b.quotas = append(b.quotas, tokenbucket.New(tenant.QuotaPerS/float64(settings.Nodes)))
 	}
+	b.limiter.limit = float64(min(initialLimit, settings.Nodes))
+	b.limiter.smoothedLatency = b.classes[0].baseline.Value()
 	return b, nil
 }
 
-// Request takes a client's request.
-func (b *Balancer) Request(now time.Duration, q Request) {
-	if b.requests[q.ID] != nil {
+// Request handles the arrival of a client's request. One of an unknown class is rejected.
+func (b *Balancer) Request(now time.Duration, arrival Request) {
+	if b.requests.byID[arrival.ID] != nil {
 		return
 	}
-	if q.Class < 0 || q.Class >= len(b.classes) {
-		b.host.Reject(q.ID, 0)
+	if arrival.Class < 0 || arrival.Class >= len(b.classes) {
+		b.host.Reject(arrival.ID, 0)
 		return
 	}
-	c := &b.classes[q.Class]
-	r := b.addRequest(q, c)
-	r.deadline = now + max(0, min(q.Timeout, c.Deadline)-max(0, b.settings.Tick-b.settings.Rules.AnswerGrace))
-	r.queueingDeadline = now + (r.deadline-now)/2 - checkInterval
-	extension := time.Duration(c.ObjectivePerWork * float64(q.CostHint))
-	r.objectiveDeadline = min(r.deadline, now+c.Objective+extension)
-	r.weight = c.PriorityWeight
-	if q.Tenant >= 0 && q.Tenant < len(b.quotas) {
-		r.quota = &b.quotas[q.Tenant]
-		if !r.quota.Take(now) {
-			r.quota, r.weight = nil, r.weight*b.settings.OverQuotaFraction
-		}
+	class := &b.classes[arrival.Class]
+	if arrival.CostHint > 0 {
+		class.costHint.Add(arrival.CostHint.Seconds())
 	}
-	b.weightSamples = min(b.weightSamples+1, maxWeightSamples)
-	b.meanWeight += (r.weight/c.workPerRequest - b.meanWeight) / b.weightSamples
-	b.arrivals.Add(now, 1)
-	b.enqueue(r)
+	r := b.requests.add(arrival, class)
+	r.setDeadlines(now, &b.settings)
+	b.applyQuota(now, r)
+	b.arrivalWeight.Add(r.weightPerWork())
+	b.arrivalRate.Add(now, 1)
+	b.queue.add(r)
 	b.dispatch(now)
-	b.scheduleCheck(min(now+checkInterval, r.deadline))
+	b.scheduleCheckBy(min(now+checkInterval, r.deadline))
 }
 
-// StreamStarted is told when the answer's stream began: the attempt is the client's now.
+// StreamStarted reports that an attempt's response streams to the client: no attempt or deadline follows.
 func (b *Balancer) StreamStarted(now time.Duration, id RequestID, index int) {
-	r, a := b.findAttempt(id, index)
+	r, a := b.requests.findAttempt(id, index)
 	if r == nil {
 		return
 	}
@@ -142,17 +109,16 @@
 	b.cancelAttempts(r, a)
 }
 
-// ClientDisconnected is told when a client went away: nothing is owed any more.
-func (b *Balancer) ClientDisconnected(now time.Duration, id RequestID) {
-	if r := b.requests[id]; r != nil {
+// ClientDisconnected reports that the client of a request is gone: it gets no final answer.
+func (b *Balancer) ClientDisconnected(_ time.Duration, id RequestID) {
+	if r := b.requests.byID[id]; r != nil {
 		b.complete(r)
 	}
 }
 
-// Outcome takes the end of an attempt: first for the server's health, then for
-// the request.
+// Outcome reports the end of an attempt, which first counts for the server and then for the request.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
-	r, a := b.findAttempt(o.ID, o.Attempt)
+	r, a := b.requests.findAttempt(o.ID, o.Attempt)
 	if r == nil {
 		return
 	}
@@ -165,20 +131,20 @@
 		b.scheduleRetry(now, r)
 	}
 	if r.completed {
-		b.release(r)
+		b.requests.release(r)
 	}
 	b.dispatch(now)
 }
 
-// TerminateAll ends every request that is open: the node is about to go.
+// TerminateAll rejects or fails every active request, for a node that shuts down.
 func (b *Balancer) TerminateAll(now time.Duration) {
-	for len(b.active) > 0 {
-		b.terminateUnserved(b.active[len(b.active)-1])
+	for len(b.requests.active) > 0 {
+		b.terminateUnserved(b.requests.active[len(b.requests.active)-1])
 	}
-	b.dispatch(now) // drops what was held
+	b.dispatch(now) // drops the terminated requests from the queue
 }
 
-// Timer takes a timer set before; one that nobody needs any more does no harm.
+// Timer reports that a timer of Host.SetTimer is due. Outdated and unknown ones are ignored.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	switch token {
 	case timerCheck:
@@ -191,83 +157,56 @@
 	}
 }
 
-// sweepBy has the next sweep come at the given time at the latest.
-func (b *Balancer) scheduleCheck(at time.Duration) {
+func (b *Balancer) scheduleCheckBy(at time.Duration) {
 	if at < b.nextCheckAt {
 		b.nextCheckAt = at
 		b.host.SetTimer(at, timerCheck)
 	}
 }
 
-// sweep looks at every open request. The next one comes when a client's time is up at the
-// latest: the answer may be due sooner after that than a period of sweeps.
+// periodicCheck sheds load and checks every active request. The next one runs by the earliest deadline,
+// since AnswerGrace may be shorter than checkInterval.
 func (b *Balancer) periodicCheck(now time.Duration) {
 	b.refresh(now)
 	b.shedLoad(now)
 	next := now + checkInterval
-	for i := len(b.active) - 1; i >= 0; i-- { // finish moves the last one here, which was seen
-		r := b.active[i]
-		switch {
-		case r.streaming:
-		case r.inFlight > 0:
-			b.detectUnresponsive(now, r)
-		case now >= r.deadline:
-			b.terminateUnserved(r)
-		case r.retryAt > 0 && now >= r.retryAt:
-			r.retryAt = 0
-			b.enqueue(r)
-		}
+	// Backwards, since completing a request moves the last one, already checked, to its index.
+	for i := len(b.requests.active) - 1; i >= 0; i-- {
+		r := b.requests.active[i]
+		b.checkRequest(now, r)
 		if !r.completed && r.inFlight == 0 {
 			next = min(next, r.deadline)
 		}
 	}
 	b.dispatch(now)
-	if len(b.active) > 0 {
-		b.scheduleCheck(next)
+	if len(b.requests.active) > 0 {
+		b.scheduleCheckBy(next)
+	}
+}
+
+func (b *Balancer) checkRequest(now time.Duration, r *request) {
+	switch {
+	case r.streaming:
+	case r.inFlight > 0:
+		b.detectUnresponsive(now, r)
+	case now >= r.deadline:
+		b.terminateUnserved(r)
+	case r.retryAt > 0 && now >= r.retryAt:
+		r.retryAt = 0
+		b.queue.add(r)
 	}
 }
 
-// refresh brings the scores up to date: 0.7 x success + 0.3 x (1 - latency /
-// the highest). A server without outcomes stands at the mean of the others.
+// refresh brings the subset, the scores and all other estimates up to date, once for each time.
 func (b *Balancer) refresh(now time.Duration) {
-	if b.refreshed == now {
+	if !b.outdated && b.refreshedAt == now {
 		return
 	}
-	b.refreshed = now
+	elapsed := now - b.refreshedAt
+	b.outdated, b.refreshedAt = false, now
 	b.renewSubset(now)
 	b.updateMeans(now)
-	if 4*b.warm >= 3*len(b.subset) && len(b.ready) > 0 { // else it stays as known before
-		got := b.sent.PerSecond(now) * float64(b.settings.Nodes) / float64(len(b.ready))
-		b.warmPart += (got - b.warmPart) * min(1, (now-b.meanAt).Seconds()/maxOutcomeAge.Seconds())
-	}
-	b.updateMeanInFlight(now)
-	b.closed, b.awaiting = 0, 0
-	highest := 0.0
-	for _, s := range b.subset {
-		s.estimate(b.meanSuccess, b.meanLatency)
-		if s.breaker == breakerOpen && now >= s.halfOpenAt {
-			s.breaker, s.trial = breakerHalfOpen, nil
-		}
-		switch {
-		case s.breaker == breakerClosed:
-			highest = max(highest, s.relativeLatency)
-			b.closed++
-		case s.breaker == breakerHalfOpen && s.trial == nil:
-			b.awaiting++
-		}
-	}
-	for _, s := range b.subset {
-		s.score = successWeight*s.successRate +
-			latencyWeight*(1-s.relativeLatency/max(highest, s.relativeLatency, 1e-9))
-	}
-}
-
-// fullJitter draws a delay up to the given one, which keeps what began in step apart.
-func (b *Balancer) fullJitter(d time.Duration) time.Duration {
-	return time.Duration(b.random.Float64() * float64(d))
-}
-
-// jitter spreads a delay by a fifth either way, so that doubled delays still grow.
-func (b *Balancer) jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.8 + 0.4*b.random.Float64()))
+	b.updateWarmServerRate(now, elapsed)
+	b.limiter.updateMeanInFlight(elapsed)
+	b.updateScores(now)
 }
--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -8,31 +8,31 @@
 // adjustFor steers the bound for a while at a steady crowding.
 func adjustFor(b *Balancer, from, d time.Duration, crowding float64) {
 	for t := from; t < from+d; t += 10 * ms {
-		b.crowding = crowding
-		b.adjustLimit(t)
+		b.limiter.congestion = crowding
+		b.limiter.adjustOnResponse(t, b.subset.undersampled(), len(b.queue.waiting) > 0)
 	}
 }
 
 func newSteered(t *testing.T) (*rig, *Balancer) {
 	r := newRig(t, testSettings(), 4)
-	r.b.typical, r.b.adjustedAt = 0.1, r.now
-	r.b.queue = append(r.b.queue, &request{completed: true}) // someone waits
+	r.b.limiter.smoothedLatency, r.b.limiter.adjustedAt = 0.1, r.now
+	r.b.queue.waiting = append(r.b.queue.waiting, &request{completed: true}) // someone waits
 	return r, r.b
 }
 
 // Guards against a bound that grows unused in quiet times and is none when a crowd comes.
 func TestBoundGrowsOnlyWhileRequestsWait(t *testing.T) {
 	r, b := newSteered(t)
-	before := b.limit
-	waiting := b.queue
-	b.queue = nil
+	before := b.limiter.limit
+	waiting := b.queue.waiting
+	b.queue.waiting = nil
 	adjustFor(b, r.now, time.Second, 0)
-	if b.limit != before {
-		t.Fatalf("bound went from %v to %v though nothing waits", before, b.limit)
+	if b.limiter.limit != before {
+		t.Fatalf("bound went from %v to %v though nothing waits", before, b.limiter.limit)
 	}
-	b.queue = waiting
+	b.queue.waiting = waiting
 	adjustFor(b, r.now+time.Second, time.Second, 0)
-	if b.limit <= before {
+	if b.limiter.limit <= before {
 		t.Fatal("bound did not grow while requests wait and servers are not crowded")
 	}
 }
@@ -41,14 +41,14 @@
 // that is slow as a whole starving itself.
 func TestBoundShrinksInACrowdButNotFarBelowWhatWasGood(t *testing.T) {
 	r, b := newSteered(t)
-	b.crowded, b.limit, b.limitKnown = true, 8, 4
+	b.limiter.congestionSeen, b.limiter.limit, b.limiter.knownGood = true, 8, 4
 	adjustFor(b, r.now, 5*time.Second, 1)
-	if b.limit >= 8 {
+	if b.limiter.limit >= 8 {
 		t.Fatal("bound did not shrink in a crowd")
 	}
 	adjustFor(b, r.now+5*time.Second, 20*time.Second, 1)
-	if b.limit < 2 || b.limit > 4 {
-		t.Fatalf("bound %v after 25 s of slowness, want it near the known 4", b.limit)
+	if b.limiter.limit < 2 || b.limiter.limit > 4 {
+		t.Fatalf("bound %v after 25 s of slowness, want it near the known 4", b.limiter.limit)
 	}
 }
 
@@ -56,10 +56,10 @@
 // each true to a bound that was good before: the servers could never rest.
 func TestThinNodesLetCrowdedServersRest(t *testing.T) {
 	r, b := newSteered(t)
-	b.crowded, b.limit, b.limitKnown, b.nodesPerServer = true, 8, 8, 2*undersampledFrom
+	b.limiter.congestionSeen, b.limiter.limit, b.limiter.knownGood, b.subset.nodesPerServer = true, 8, 8, 2*undersampledFrom
 	adjustFor(b, r.now, 10*time.Second, 1)
-	if b.limit > 1 {
-		t.Fatalf("bound %v after 10 s in a crowd, want under one request a server", b.limit)
+	if b.limiter.limit > 1 {
+		t.Fatalf("bound %v after 10 s in a crowd, want under one request a server", b.limiter.limit)
 	}
 }
 
@@ -75,9 +75,9 @@
 		r := newRig(t, set, 4)
 		r.b.refresh(r.now)
 		id := r.request(0)
-		q := r.b.requests[id]
+		q := r.b.requests.byID[id]
 		r.end(id, Rejected, ms) // not run, waits for another server
-		r.b.enqueue(q)
+		r.b.queue.add(q)
 		q.objectiveDeadline = r.now + 2*r.b.expectedLatency(q)
 		r.b.shedLoad(r.now)
 		if _, refused := r.h.refused[id]; refused != tc.shed {
@@ -92,14 +92,14 @@
 	set.Nodes = 80
 	r := newRig(t, set, 6)
 	r.b.refresh(r.now)
-	s := r.b.subset[0]
+	s := r.b.subset.servers[0]
 	q := &request{class: &r.b.classes[0]}
 	for range failureThreshold {
 		a := &attempt{server: s, request: q, sentAt: r.now}
-		slow := time.Duration(2 * slowResponseMultiple * r.b.baselineLatency(q) * float64(time.Second))
+		slow := time.Duration(2 * slowResponseMultiple * q.baselineLatency() * float64(time.Second))
 		r.b.recordOutcome(r.now, q, a, Outcome{Status: OK, Latency: slow})
 	}
-	if s.breaker != breakerOpen {
+	if s.breaker.state != breakerOpen {
 		t.Fatal("a server whose answers all come ten times later than alone stays closed")
 	}
 }
@@ -114,21 +114,21 @@
 		set.Nodes = tc.nodes
 		r := newRig(t, set, 12)
 		r.b.refresh(r.now)
-		if want := tc.nodes == 80; r.b.undersampled() != want {
-			t.Fatalf("%d nodes: sparse %v, want %v", tc.nodes, r.b.undersampled(), want)
+		if want := tc.nodes == 80; r.b.subset.undersampled() != want {
+			t.Fatalf("%d nodes: sparse %v, want %v", tc.nodes, r.b.subset.undersampled(), want)
 		}
-		r.b.meanLatency = 3
-		s := r.b.subset[0]
+		r.b.means.relativeLatency = 3
+		s := r.b.subset.servers[0]
 		q := &request{class: &r.b.classes[0]}
-		waited := time.Duration(2 * unresponsiveMultiple * r.b.baselineLatency(q) * float64(time.Second))
+		waited := time.Duration(2 * unresponsiveMultiple * q.baselineLatency() * float64(time.Second))
 		for i := range tc.opens {
-			if s.breaker != breakerClosed {
+			if s.breaker.state != breakerClosed {
 				t.Fatalf("%d nodes: open after %d time-outs, want %d", tc.nodes, i, tc.opens)
 			}
 			a := &attempt{server: s, request: q, sentAt: r.now}
 			r.b.recordOutcome(r.now, q, a, Outcome{Status: Timeout, Latency: waited})
 		}
-		if s.breaker != breakerOpen {
+		if s.breaker.state != breakerOpen {
 			t.Fatalf("%d nodes: closed after %d time-outs in a row", tc.nodes, tc.opens)
 		}
 	}
@@ -141,21 +141,21 @@
 	set.Nodes, set.Node = 100, 37
 	r := newRig(t, set, 40)
 	r.b.refresh(r.now)
-	if n := len(r.b.subset); n != minSubsetSize {
+	if n := len(r.b.subset.servers); n != minSubsetSize {
 		t.Fatalf("a node without traffic uses %d servers, want %d", n, minSubsetSize)
 	}
-	r.b.subset[0].breaker = breakerOpen
-	r.b.subset[1].StartedAt = r.now // cold
-	r.b.subsetStale = true
+	r.b.subset.servers[0].breaker.state = breakerOpen
+	r.b.subset.servers[1].StartedAt = r.now // cold
+	r.b.subset.stale = true
 	r.now += ms
 	r.b.refresh(r.now)
-	if n := len(r.b.subset); n != minSubsetSize+2 {
+	if n := len(r.b.subset.servers); n != minSubsetSize+2 {
 		t.Fatalf("%d servers with one open and one cold, want %d", n, minSubsetSize+2)
 	}
-	r.b.arrivals.Add(r.now, 240)
+	r.b.arrivalRate.Add(r.now, 240)
 	r.now += ms
 	r.b.refresh(r.now)
-	if n := len(r.b.subset); n < 25 {
+	if n := len(r.b.subset.servers); n < 25 {
 		t.Fatalf("a node with 120 requests a second uses %d servers", n)
 	}
 }
@@ -169,7 +169,7 @@
 		set.Nodes, set.Node = nodes, node
 		r := newRig(t, set, servers)
 		r.b.refresh(r.now)
-		for _, s := range r.b.subset {
+		for _, s := range r.b.subset.servers {
 			met[s.Server]++
 		}
 	}
@@ -183,10 +183,10 @@
 // Guards against the overshoot of the start's fast growth, which answers reveal late.
 func TestFirstCrowdTakesTheBoundBackAtOnce(t *testing.T) {
 	r, b := newSteered(t)
-	b.limit, b.nodesPerServer = 10, 2*undersampledFrom
+	b.limiter.limit, b.subset.nodesPerServer = 10, 2*undersampledFrom
 	adjustFor(b, r.now, 10*ms, 1)
-	if b.limit > 7 {
-		t.Fatalf("bound %v after the first sign of a crowd, want well below 10", b.limit)
+	if b.limiter.limit > 7 {
+		t.Fatalf("bound %v after the first sign of a crowd, want well below 10", b.limiter.limit)
 	}
 }
 
@@ -197,7 +197,7 @@
 	set := testSettings()
 	set.Nodes = 80
 	r := newRig(t, set, 20)
-	bound := r.b.limit * 20 / 80 // in flight, its part of the whole
+	bound := r.b.limiter.limit * 20 / 80 // in flight, its part of the whole
 	for range 3 {
 		r.request(0)
 	}
@@ -208,12 +208,12 @@
 	for range 300 { // requests that nobody answers for half a second each
 		id := r.request(0)
 		r.pass(10 * ms)
-		sum += r.b.out
+		sum += r.b.limiter.inFlight
 		if len(r.sendsOf(id)) == 0 {
 			held++
 		}
 		for id := range r.next {
-			a := r.b.requests[id]
+			a := r.b.requests.byID[id]
 			if a == nil || len(a.attempts) == 0 || r.now-a.attempts[0].sentAt < 500*ms {
 				continue
 			}
@@ -232,11 +232,11 @@
 	set := testSettings()
 	set.Nodes = 7
 	r := newRig(t, set, 7)
-	r.b.limit = 2 * r.b.nodesPerServer
-	r.b.arrivals.Add(r.now, 100)
+	r.b.limiter.limit = 2 * r.b.subset.nodesPerServer
+	r.b.arrivalRate.Add(r.now, 100)
 	lone, sends := 0, 0
 	for range 7 {
-		for _, a := range r.b.requests[r.request(0)].attempts {
+		for _, a := range r.b.requests.byID[r.request(0)].attempts {
 			sends++
 			if a.unloaded {
 				lone++
@@ -254,12 +254,12 @@
 	for range 4 {
 		r.request(0)
 	}
-	for _, s := range r.b.ready[:2] {
+	for _, s := range r.b.endpoints.ready[:2] {
 		for range failureThreshold {
 			r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 		}
 	}
-	for _, s := range r.b.ready[2:] {
+	for _, s := range r.b.endpoints.ready[2:] {
 		for _, a := range append([]*attempt(nil), s.inFlight...) {
 			r.end(a.request.ID, OK, 10*ms)
 		}
@@ -285,12 +285,12 @@
 	r := newRig(t, testSettings(), 2)
 	heavy := &request{class: &r.b.classes[0]}
 	for range 50 {
-		r.b.recordLatency(&attempt{server: r.b.ready[0]}, heavy, 0.9) // never alone
+		r.b.recordLatency(&attempt{server: r.b.endpoints.ready[0]}, heavy, 0.9) // never alone
 	}
 	r.request(0) // fills a server, as does the next
 	r.request(0)
 	a, b := r.request(0), r.request(1)
-	if x, y := r.b.requests[a], r.b.requests[b]; x == nil || y == nil || !y.precedes(x) {
+	if x, y := r.b.requests.byID[a], r.b.requests.byID[b]; x == nil || y == nil || !y.precedes(x) {
 		t.Fatal("a class that takes longer for the same value must come second")
 	}
 }
@@ -306,7 +306,7 @@
 	set.Classes = []Class{class, precious}
 	r := newRig(t, set, 60)
 	r.serve(40, 0, 30*ms)
-	if !r.b.undersampled() {
+	if !r.b.subset.undersampled() {
 		t.Fatal("80 nodes at 60 servers are not sparse")
 	}
 	return r
@@ -315,8 +315,8 @@
 // fill has the node at its mean in flight, with none out at this moment.
 func (r *rig) fill() {
 	r.b.refresh(r.now)
-	r.b.limit, r.b.limitKnown, r.b.crowded = 1, 1, true
-	r.b.meanOut = 2 * r.b.limit / r.b.nodesPerServer * float64(r.b.closed)
+	r.b.limiter.limit, r.b.limiter.knownGood, r.b.limiter.congestionSeen = 1, 1, true
+	r.b.limiter.meanInFlight = 2 * r.b.limiter.limit / r.b.subset.nodesPerServer * float64(r.b.subset.closed)
 }
 
 // Guards against refusing the most precious requests first: while a zone was lost, 1,991 of
@@ -337,8 +337,8 @@
 func TestPreciousRequestIsHeldBeyondItsAimButNotPastHalfOfItsTime(t *testing.T) {
 	r := thinRig(t)
 	r.b.refresh(r.now)
-	for _, s := range r.b.subset {
-		r.b.addAttempt(r.now, r.b.addRequest(Request{ID: 1000 + RequestID(s.Server)}, &r.b.classes[0]), s)
+	for _, s := range r.b.subset.servers {
+		r.b.addAttempt(r.now, r.b.requests.add(Request{ID: 1000 + RequestID(s.Server)}, &r.b.classes[0]), s)
 	}
 	began := r.now
 	r.next++
@@ -373,8 +373,8 @@
 		r := newRig(t, set, 20)
 		for range 30 {
 			if refused {
-				for _, s := range r.b.ready {
-					s.breaker, s.halfOpenAt = breakerOpen, maxTime
+				for _, s := range r.b.endpoints.ready {
+					s.breaker.state, s.breaker.halfOpenAt = breakerOpen, maxTime
 				}
 			}
 			id := r.request(0)
@@ -397,15 +397,15 @@
 	var nodes []*Balancer
 	for _, limit := range []float64{0.5, 4} {
 		r := thinRig(t)
-		r.b.crowded, r.b.limit, r.b.limitKnown = true, limit, limit
-		r.b.queue = append(r.b.queue, &request{})
-		r.b.adjustedAt = time.Hour
+		r.b.limiter.congestionSeen, r.b.limiter.limit, r.b.limiter.knownGood = true, limit, limit
+		r.b.queue.waiting = append(r.b.queue.waiting, &request{})
+		r.b.limiter.adjustedAt = time.Hour
 		nodes = append(nodes, r.b)
 	}
 	now := time.Hour
 	for range 400 { // both see the same servers: a crowd once they send too much together
 		crowding := 0.0
-		if nodes[0].limit+nodes[1].limit > 5 {
+		if nodes[0].limiter.limit+nodes[1].limiter.limit > 5 {
 			crowding = 1
 		}
 		for _, b := range nodes {
@@ -413,7 +413,7 @@
 		}
 		now += 100 * ms
 	}
-	if less, more := nodes[0].limit, nodes[1].limit; more > 2*less {
+	if less, more := nodes[0].limiter.limit, nodes[1].limiter.limit; more > 2*less {
 		t.Fatalf("bounds %.2f and %.2f after 40 s with the same servers", less, more)
 	}
 }
@@ -429,7 +429,7 @@
 		set.Nodes = tc.nodes
 		r := newRig(t, set, 20)
 		r.b.refresh(r.now)
-		s := r.b.subset[0]
+		s := r.b.subset.servers[0]
 		s.outcomes.Add(r.now, true, 1)
 		r.now += (maxOutcomeAgeUndersampled + maxOutcomeAge) / 2
 		r.b.refresh(r.now)
--- a/policy/circuit_breaker.go
+++ b/policy/circuit_breaker.go
@@ -1,102 +1,103 @@
 package policy
 
+// The circuit breaker of each server: consecutive failures open it, and a single trial closes it again.
+
 import (
 	"math"
 	"slices"
 	"time"
+
+	"calicohinge/internal/jitter"
 )
 
 const (
-	// failuresToOpen is the number of consecutive failures that opens a breaker.
-	failureThreshold = 5
-	// fewToOpen replaces it for time-outs and failed connections on an undersampled node.
-	noResponseThreshold = 2
-	// failuresMost opens a breaker however often the server is expected to fail.
-	maxFailureThreshold = 12
-	// byChance is the probability, at the server's expected failure rate, below which a run of
-	// failures is taken for an outage.
-	maxChanceProbability = 1e-5
-	// failuresFor is the window that consecutive failures must fall into.
-	failureWindow = 60 * time.Second
-	// openFirst is how long a breaker stays open; it doubles with each failed trial up to openMost.
-	initialOpenDuration = 2 * time.Second
-	maxOpenDuration     = 30 * time.Second
-	// slowAfter is the multiple of the baseline latency from which an undersampled node counts a
-	// response as a failure.
-	slowResponseMultiple = 5.0
+	failureThreshold     = 5                // consecutive failures that open a breaker
+	noResponseThreshold  = 2                // the same for missing responses, on undersampled nodes
+	maxFailureThreshold  = 12               // the same however often the server is expected to fail
+	maxChanceProbability = 1e-5             // of a run of failures: up to it, the run is taken for an outage
+	failureWindow        = 60 * time.Second // that consecutive failures must fall into
+	initialOpenDuration  = 2 * time.Second  // of an open breaker; doubles with each failed trial
+	maxOpenDuration      = 30 * time.Second
+	slowResponseMultiple = 5.0 // of the baseline latency: a response counts as a failure if undersampled
 )
 
 type breakerState uint8
 
 const (
-	breakerClosed breakerState = iota
-	breakerOpen
-	breakerHalfOpen
+	breakerClosed   breakerState = iota // the server gets requests
+	breakerOpen                         // the server gets none
+	breakerHalfOpen                     // the server gets a single trial
 )
 
-// countFailure counts a failure towards opening the breaker. One for want of an answer may be
-// slowness alone and opens it only while fewer than half of the servers are out:
-// when all are slow together, ejecting them would refuse everything.
-func (b *Balancer) recordFailure(now time.Duration, a *attempt, how Status) {
-	s := a.server
-	s.consecutiveFailures = append(s.consecutiveFailures, now)
-	tooOld := func(at time.Duration) bool { return now-at > failureWindow }
-	s.consecutiveFailures = slices.DeleteFunc(s.consecutiveFailures, tooOld)
-	switch {
-	case s.breaker == breakerHalfOpen && s.trial == a:
-		s.openDuration = min(2*s.openDuration, maxOpenDuration)
-	case s.breaker != breakerClosed || !b.reachedFailureThreshold(s, how):
-		return
-	case how == Timeout && 2*(b.countNotClosed()+1) > len(b.subset):
-		return
-	}
-	s.breaker, s.trial = breakerOpen, nil
-	for _, a := range s.inFlight {
-		b.markUnresponsive(a)
-	}
-	b.subsetStale = true
-	s.halfOpenAt = now + b.jitter(s.openDuration)
+func (s breakerState) String() string { return enumName(s, "closed", "open", "half-open") }
+
+// circuitBreaker is the breaker of one server. Only a half-open one has a trial.
+type circuitBreaker struct {
+	state        breakerState
+	failures     []time.Duration // times of the consecutive failures within failureWindow
+	openDuration time.Duration   // how long it stays open when it opens next
+	halfOpenAt   time.Duration   // when an open one turns half-open
+	trial        *attempt        // in flight; nil while a half-open one awaits it
 }
 
-// trips tells whether the failures in a row open a breaker. A sparse node meets a server so
-// seldom that five would take it seconds, in which all nodes fill the server's queue with work
-// that nobody waits for, or have requests wait for connections to a machine that is gone. To
-// get no answer or no connection at all says more than a quick error.
-func (b *Balancer) reachedFailureThreshold(s *server, how Status) bool {
-	if b.undersampled() && (how == Timeout || how == ConnectFailed) {
-		return len(s.consecutiveFailures) >= noResponseThreshold
+func (c *circuitBreaker) becomeHalfOpenIfDue(now time.Duration) {
+	if c.state == breakerOpen && now >= c.halfOpenAt {
+		c.state, c.trial = breakerHalfOpen, nil
 	}
-	return len(s.consecutiveFailures) >= failureThreshold && !b.failuresExpected(s)
 }
 
-// failsUsually tells whether a server fails so often that its present run of failures says
-// nothing new. Its score steers requests away from it then; to open its breaker would
-// take what it still serves from a fleet in which, say, connections break everywhere.
-func (b *Balancer) failuresExpected(s *server) bool {
-	run := len(s.consecutiveFailures)
-	before := float64(max(0, s.outcomes.Failures()-run)) + priorOutcomes*(1-b.meanSuccess)
-	share := before / (float64(max(0, s.outcomes.Len()-run)) + priorOutcomes)
-	return run < maxFailureThreshold && math.Pow(share, float64(run)) > maxChanceProbability
-}
+func (c *circuitBreaker) awaitsTrial() bool { return c.state == breakerHalfOpen && c.trial == nil }
 
-func (b *Balancer) countNotClosed() (count int) {
-	for _, s := range b.subset {
-		if s.breaker != breakerClosed {
-			count++
-		}
-	}
-	return count
-}
+func (c *circuitBreaker) isTrial(a *attempt) bool { return c.state == breakerHalfOpen && c.trial == a }
 
-// succeeded closes the breaker. An answer to an older attempt shows an open
-// server to be alive, so its trial may come at once.
+// recordSuccess closes the breaker after its trial. A response to an older attempt shows that the server
+// is alive, so that the trial may follow at once.
 func (s *server) recordSuccess(now time.Duration, a *attempt) {
-	s.consecutiveFailures = s.consecutiveFailures[:0]
+	s.breaker.failures = s.breaker.failures[:0]
 	s.respondedAt = now
 	switch {
-	case s.breaker == breakerHalfOpen && s.trial == a:
-		s.breaker, s.trial, s.openDuration = breakerClosed, nil, initialOpenDuration
-	case s.breaker == breakerOpen:
-		s.halfOpenAt = now
+	case s.breaker.isTrial(a):
+		s.breaker.state, s.breaker.trial, s.breaker.openDuration = breakerClosed, nil, initialOpenDuration
+	case s.breaker.state == breakerOpen:
+		s.breaker.halfOpenAt = now
 	}
 }
+
+// recordFailure opens the breaker if its trial failed or the threshold is reached. Time-outs may be due to a
+// slowdown of all servers: they open no breaker once half of the subset is ejected.
+func (b *Balancer) recordFailure(now time.Duration, a *attempt, status Status) {
+	s := a.server
+	expired := func(at time.Duration) bool { return now-at > failureWindow }
+	s.breaker.failures = slices.DeleteFunc(append(s.breaker.failures, now), expired)
+	switch {
+	case s.breaker.isTrial(a):
+		s.breaker.openDuration = min(2*s.breaker.openDuration, maxOpenDuration)
+	case s.breaker.state != breakerClosed || !b.reachedFailureThreshold(s, status):
+		return
+	case status == Timeout && 2*(b.subset.countNotClosed()+1) > len(b.subset.servers):
+		return
+	}
+	s.breaker.state, s.breaker.trial = breakerOpen, nil
+	b.limiter.markAllUnresponsive(s)
+	b.subset.stale = true
+	s.breaker.halfOpenAt = now + jitter.Fifth(b.random, s.breaker.openDuration)
+}
+
+// reachedFailureThreshold reports whether the consecutive failures open the breaker. An undersampled node
+// meets a server so rarely that failureThreshold failures would take seconds, while all nodes fill the
+// server's queue; and a missing response or connection is stronger evidence than a quick error.
+func (b *Balancer) reachedFailureThreshold(s *server, status Status) bool {
+	if b.subset.undersampled() && (status == Timeout || status == ConnectFailed) {
+		return len(s.breaker.failures) >= noResponseThreshold
+	}
+	return len(s.breaker.failures) >= failureThreshold && !b.failuresExpected(s)
+}
+
+// failuresExpected reports whether the consecutive failures are likely at the failure rate before them. The
+// score steers requests away then; opening the breaker would lose what the server still serves.
+func (b *Balancer) failuresExpected(s *server) bool {
+	run := len(s.breaker.failures)
+	before := float64(max(0, s.outcomes.Failures()-run)) + priorOutcomes*(1-b.means.successRate)
+	failureRate := before / (float64(max(0, s.outcomes.Len()-run)) + priorOutcomes)
+	return run < maxFailureThreshold && math.Pow(failureRate, float64(run)) > maxChanceProbability
+}
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -163,7 +163,7 @@
 		if f.now >= s.StartedAt+listedAfter {
 			f.sent += q.work
 		}
-		told := n.b.servers[server].StartedAt == s.StartedAt
+		told := n.b.endpoints.byID[server].StartedAt == s.StartedAt
 		f.count(s, coldSend{f.now, classWork[q.class] / meanWork, q.work / meanWork, told})
 	}
 	switch {
--- a/policy/concurrency_limit.go
+++ b/policy/concurrency_limit.go
@@ -1,92 +1,116 @@
 package policy
 
+// The adaptive concurrency limit: no server tells its capacity, but its latency shows congestion.
+
 import (
 	"math"
 	"time"
 )
 
 const (
-	// crowdingGoal is the congestion that the limit steers to: the logarithm of latency over baseline.
-	targetCongestion = 0.3
-	// limitUp is the growth of the limit in one smoothed latency while requests wait for it.
-	limitIncrease = 0.025
-	// startFaster multiplies that growth until congestion shows for the first time.
-	initialIncreaseFactor = 6.0
-	// limitDown is the decrease in one smoothed latency for each unit of excess congestion.
-	limitDecrease = 0.1
-	// restLimit is the floor in requests a server on an undersampled node: below one, servers recover.
-	undersampledLimitFloor = 0.5
-	// limitFor is the time constant, in seconds, with which a limit known to be good is forgotten.
-	knownGoodDecaySeconds = 60.0
-	// meanOutSpan is the time constant, in seconds, of the mean number of attempts in flight.
-	meanInFlightSeconds = 1.0
-	// precious is the multiple of the mean priority weight from which a request is exempt from that mean.
-	highPriorityMultiple = 2.0
+	initialLimit           = 3     // for each server
+	targetCongestion       = 0.3   // logarithm of latency over baseline that the limit steers to
+	limitIncrease          = 0.025 // in one smoothed latency, while requests wait for the limit
+	initialIncreaseFactor  = 6.0   // on the increase until congestion shows for the first time
+	overshootFactor        = 0.6   // on the limit then, on an undersampled node: it sees congestion late
+	limitDecrease          = 0.1   // in one smoothed latency, for each unit of congestion above the target
+	maxExcess              = 0.2   // congestion above the target that counts in one adjustment
+	maxExcessUndersampled  = 1.0   // the same on an undersampled node, which adjusts rarely
+	knownGoodFloor         = 0.9   // of the last good limit: a fleet that is slow as a whole looks congested
+	undersampledLimitFloor = 0.5   // for each server: below one request, congested servers recover
+	knownGoodDecaySeconds  = 60.0  // time constant of forgetting the good limit under congestion
+	meanInFlightSeconds    = 1.0   // time constant of the mean number of attempts in flight
+	highPriorityMultiple   = 2.0   // of the mean priority weight: does not wait for that mean number
+	maxAdjustSeconds       = 0.1   // that one adjustment covers after a pause
+	latencySmoothing       = 64    // responses
+	congestionSmoothing    = 32    // responses
 )
 
-// adjustLimit moves the concurrency limit, the bound on requests in flight. What a server can
-// hold is told nowhere, but crowding shows: requests take longer than lone ones. The limit grows
-// while requests wait for it and no crowd shows, and shrinks in a crowd; but not much below what
-// was good lately, since a fleet that is slow as a whole looks the same.
-func (b *Balancer) adjustLimit(now time.Duration) {
-	seconds := min((now - b.adjustedAt).Seconds(), 0.1)
-	rounds := seconds / b.typical // answers come back once a round; faster steps would swing
-	b.adjustedAt = now
-	excess := b.crowding - targetCongestion
+// concurrencyLimiter holds the limit and the measurements that it follows.
+type concurrencyLimiter struct {
+	inFlight        int     // attempts of this node, not counting unresponsive ones
+	meanInFlight    float64 // its exponential moving average
+	limit           float64 // on all nodes' attempts for each server; may be below 1
+	knownGood       float64 // highest recent limit without congestion
+	congestionSeen  bool    // the limit has left its fast initial growth
+	congestion      float64 // smoothed logarithm of latency over the baseline at the same server
+	smoothedLatency float64 // seconds
+	adjustedAt      time.Duration
+}
+
+func (l *concurrencyLimiter) adjustOnResponse(now time.Duration, undersampled, requestsWait bool) {
+	seconds := min((now - l.adjustedAt).Seconds(), maxAdjustSeconds)
+	rounds := seconds / l.smoothedLatency // a change shows after one; faster steps would oscillate
+	l.adjustedAt = now
+	excess := l.congestion - targetCongestion
 	switch {
-	case excess > 0 && !b.crowded: // the start's fast growth went too far
-		b.crowded = true
-		if b.undersampled() {
-			b.limit *= 0.6 // and answers tell it late
+	case excess > 0 && !l.congestionSeen:
+		l.congestionSeen = true
+		if undersampled {
+			l.limit *= overshootFactor
 		}
-		b.limitKnown = b.limit
+		l.knownGood = l.limit
 	case excess > 0:
-		least, step := max(1, 0.9*b.limitKnown), 0.2
-		if b.undersampled() {
-			least, step = undersampledLimitFloor, 1
-		}
-		b.limit = max(least, b.limit*(1-limitDecrease*min(excess, step)*rounds))
-		b.limitKnown *= 1 - seconds/knownGoodDecaySeconds
-	case len(b.queue) > 0:
-		if !b.crowded {
-			rounds *= initialIncreaseFactor
-		}
-		if b.undersampled() { // by steps: nodes that share servers come to equal parts of them
-			b.limit += limitIncrease * rounds
-		} else {
-			b.limit *= 1 + limitIncrease*rounds
-		}
-		b.limitKnown = max(b.limitKnown, b.limit)
+		l.decrease(excess, rounds, undersampled)
+		l.knownGood *= 1 - seconds/knownGoodDecaySeconds
+	case requestsWait:
+		l.increase(rounds, undersampled)
 	}
 }
 
-// average brings the mean of the requests in flight up to date.
-func (b *Balancer) updateMeanInFlight(now time.Duration) {
-	b.meanOut += (float64(b.out) - b.meanOut) * min((now-b.meanAt).Seconds()/meanInFlightSeconds, 1)
-	b.meanAt = now
+func (l *concurrencyLimiter) decrease(excess, rounds float64, undersampled bool) {
+	floor, largest := max(1, knownGoodFloor*l.knownGood), maxExcess
+	if undersampled {
+		floor, largest = undersampledLimitFloor, maxExcessUndersampled
+	}
+	l.limit = max(floor, l.limit*(1-limitDecrease*min(excess, largest)*rounds))
 }
 
-// room tells whether a server is below the bound on own requests in flight.
-func (b *Balancer) hasCapacity(s *server, now time.Duration) bool {
-	return float64(len(s.inFlight)+1) <= max(1, math.Round(b.limit/b.nodesPerServer)*b.capacityShare(s, now))
+// increase is additive on undersampled nodes, which leads nodes that share servers to equal limits.
+func (l *concurrencyLimiter) increase(rounds float64, undersampled bool) {
+	if !l.congestionSeen {
+		rounds *= initialIncreaseFactor
+	}
+	if undersampled {
+		l.limit += limitIncrease * rounds
+	} else {
+		l.limit *= 1 + limitIncrease*rounds
+	}
+	l.knownGood = max(l.knownGood, l.limit)
 }
 
-// mayAdd tells whether the node may have one more request in flight. Where many share
-// the servers, a node's bound is a few requests or less, which its own arrivals overstep
-// by chance: its mean is held to the bound, since the chances of many nodes even out.
-func (b *Balancer) nodeLimitAdmits(r *request, bound float64) bool {
-	if !b.undersampled() {
-		return float64(b.out+1) <= max(1, bound)
-	}
-	// What is worth most does not wait for the mean, which makes room at the others' expense.
-	return (b.meanOut < bound || r.weight > highPriorityMultiple*b.meanWeight*r.class.workPerRequest) &&
-		float64(b.out+1) <= bound+2*math.Sqrt(bound+1)
+func (l *concurrencyLimiter) updateMeanInFlight(elapsed time.Duration) {
+	l.meanInFlight += (float64(l.inFlight) - l.meanInFlight) * min(elapsed.Seconds()/meanInFlightSeconds, 1)
 }
 
-// silence frees the room of an attempt whose answer hardly comes, or hangs would stop all sends.
-func (b *Balancer) markUnresponsive(a *attempt) {
+// markUnresponsive takes an attempt out of the count, or servers that hang would use up the limit.
+func (l *concurrencyLimiter) markUnresponsive(a *attempt) {
 	if !a.unresponsive {
 		a.unresponsive = true
-		b.out--
+		l.inFlight--
+	}
+}
+
+func (l *concurrencyLimiter) markAllUnresponsive(s *server) {
+	for _, a := range s.inFlight {
+		l.markUnresponsive(a)
+	}
+}
+
+func (b *Balancer) hasCapacity(s *server, now time.Duration) bool {
+	limit := math.Round(b.limiter.limit / b.subset.nodesPerServer)
+	return float64(len(s.inFlight)+1) <= max(1, limit*s.capacityShare(&b.settings.Rules, now))
+}
+
+// nodeLimitAdmits reports whether the node may have one more attempt in flight. The limit of an undersampled
+// node is a few attempts, which its arrivals exceed by chance: it applies to the mean, as chances even out
+// over many nodes, with a bound on the peaks. A request of high priority does not wait for the mean.
+func (b *Balancer) nodeLimitAdmits(r *request) bool {
+	limit := b.limiter.limit / b.subset.nodesPerServer * float64(b.subset.closed)
+	next := float64(b.limiter.inFlight + 1)
+	if !b.subset.undersampled() {
+		return next <= max(1, limit)
 	}
+	highPriority := r.weight > highPriorityMultiple*b.arrivalWeight.Value()*r.class.workEstimate.Value()
+	return (b.limiter.meanInFlight < limit || highPriority) && next <= limit+2*math.Sqrt(limit+1)
 }
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -179,8 +179,8 @@
 			t.Errorf("request %d got %d final answers", id, w.answered[id])
 		}
 	}
-	if len(b.requests) > 0 || len(b.active) > 0 {
-		t.Errorf("%d requests and %d open ones remembered at the end", len(b.requests), len(b.active))
+	if len(b.requests.byID) > 0 || len(b.requests.active) > 0 {
+		t.Errorf("%d requests and %d open ones remembered at the end", len(b.requests.byID), len(b.requests.active))
 	}
 	return w.log
 }
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -1,58 +1,87 @@
 package policy
 
+// The expected latency, from the baseline: the latency of requests that had a server to themselves.
+
 import (
 	"math"
 	"time"
+
+	"calicohinge/internal/runningmean"
+)
+
+const (
+	maxLatencySamples  = 400   // over which a class's latencies are averaged
+	startupSamples     = 12    // taken into a class's baseline whatever the congestion, to correct its guess
+	maxServerSamples   = 16    // over which a server's baseline is averaged
+	maxCostHintSamples = 64    // over which a class's cost hints are averaged
+	minRelativeWork    = 0.25  // by a cost hint, which is a rough estimate
+	maxRelativeWork    = 4     // by a cost hint
+	unloadedPerServer  = 3     // attempts per server over all nodes, up to which an idle one is unloaded
+	minBaseline        = 0.001 // seconds, so that multiples of the baseline stay finite
+	minLatency         = 1e-4  // seconds, so that logarithms stay finite
 )
 
+// requestClass is a class with what was measured of its requests, in seconds.
 type requestClass struct {
-	Class
-	baselineLatency float64 // mean latency of a lone request of mean size, seconds
-	baselineSamples float64
-	workPerRequest  float64 // mean latency of all its served requests; 1 where value counts by work
-	workSamples     float64
-	meanCostHint    float64 // mean hint, seconds
-	costHintSamples float64
+	Class                         // with Objective set
+	baseline     runningmean.Mean // latency of an unloaded request of mean work
+	workEstimate runningmean.Mean // latency of all served requests; 1 with Settings.WeightByWork
+	costHint     runningmean.Mean
 }
 
-// loneLatency is what the request should take on a server of its own, in seconds.
-func (b *Balancer) baselineLatency(r *request) float64 {
-	return r.class.baselineLatency*r.relativeWork() + 0.001
+func newRequestClass(class Class, weightByWork bool) requestClass {
+	if class.Objective == 0 {
+		class.Objective = class.Deadline
+	}
+	c := requestClass{Class: class, costHint: runningmean.New(maxCostHintSamples)}
+	c.baseline = runningmean.NewWithGuess(class.Objective.Seconds()/4, maxLatencySamples)
+	c.workEstimate = c.baseline
+	if weightByWork {
+		c.workEstimate = runningmean.NewWithGuess(1, maxLatencySamples)
+	}
+	return c
 }
 
-// expected is what the request should take at present.
-func (b *Balancer) expectedLatency(r *request) time.Duration {
-	return time.Duration(b.baselineLatency(r) * b.meanLatency * float64(time.Second))
+// recordLatency takes the latency of a served request, in seconds.
+func (b *Balancer) recordLatency(a *attempt, r *request, latency float64) {
+	b.limiter.smoothedLatency += (latency - b.limiter.smoothedLatency) / latencySmoothing
+	if !b.settings.WeightByWork {
+		r.class.workEstimate.Add(latency) // by all responses: unloaded ones are rare in a busy fleet
+	}
+	congestion := b.limiter.congestion
+	if a.unloaded && (r.class.baseline.Samples() < startupSamples || congestion < targetCongestion/2) {
+		// More than a third of the objective is an outlier, which would hide congestion.
+		r.class.baseline.Add(min(latency/r.relativeWork(), r.class.Objective.Seconds()/3))
+	}
+	offset := math.Log(max(latency, minLatency) / (r.class.baseline.Value() * r.relativeWork()))
+	if a.unloaded && congestion < targetCongestion {
+		// The more nodes use the server, the more a sample may be due to their load.
+		a.server.baseline.AddWithPrior(offset, b.subset.nodesPerServer)
+	}
+	b.limiter.congestion += (offset - a.server.baseline.Value() - b.limiter.congestion) / congestionSmoothing
+}
+
+// isUnloaded estimates, from this node's own attempts, whether a server has none of any node.
+func (b *Balancer) isUnloaded(s *server) bool {
+	return len(s.inFlight) == 0 && float64(b.limiter.inFlight)*b.subset.nodesPerServer <=
+		unloadedPerServer*float64(len(b.subset.servers))
 }
 
-// size is the request's work as a multiple of its class's mean, where hinted.
+// relativeWork returns the request's work as a multiple of its class's mean, 1 without a cost hint.
 func (r *request) relativeWork() float64 {
-	if r.CostHint <= 0 || r.class.meanCostHint <= 0 {
+	mean := r.class.costHint.Value()
+	if r.CostHint <= 0 || mean <= 0 {
 		return 1
 	}
-	return min(max(r.CostHint.Seconds()/r.class.meanCostHint, 0.25), 4)
+	return min(max(r.CostHint.Seconds()/mean, minRelativeWork), maxRelativeWork)
 }
 
-// measure takes in how long a served request took, compared to lone ones of its
-// class at its server.
-func (b *Balancer) recordLatency(a *attempt, r *request, latency float64) {
-	c := r.class
-	b.typical += (latency - b.typical) / 64
-	c.workSamples = min(c.workSamples+1, 400)
-	if !b.settings.WeightByWork {
-		// By all responses: unloaded attempts are rare in a busy fleet.
-		c.workPerRequest += (latency - c.workPerRequest) / c.workSamples
-	}
-	if a.unloaded && (c.baselineSamples < 12 || b.crowding < targetCongestion/2) {
-		c.baselineSamples = min(c.baselineSamples+1, 400)
-		sample := min(latency/r.relativeWork(), c.Objective.Seconds()/3)
-		c.baselineLatency += (sample - c.baselineLatency) / c.baselineSamples
-	}
-	relative := math.Log(max(latency, 1e-4) / (c.baselineLatency * r.relativeWork()))
-	if a.unloaded && b.crowding < targetCongestion {
-		a.server.baselineSamples = min(a.server.baselineSamples+1, 16)
-		weight := a.server.baselineSamples + b.nodesPerServer
-		a.server.baselineOffset += (relative - a.server.baselineOffset) / weight
-	}
-	b.crowding += (relative - a.server.baselineOffset - b.crowding) / 32
+// baselineLatency returns the latency of the request without load, in seconds.
+func (r *request) baselineLatency() float64 {
+	return r.class.baseline.Value()*r.relativeWork() + minBaseline
+}
+
+// expectedLatency returns the latency of the request under the current load.
+func (b *Balancer) expectedLatency(r *request) time.Duration {
+	return time.Duration(r.baselineLatency() * b.means.relativeLatency * float64(time.Second))
 }
--- a/policy/leave_test.go
+++ b/policy/leave_test.go
@@ -14,7 +14,7 @@
 		due    func(r *rig)
 	}{
 		"held": {func(r *rig) RequestID {
-			for range r.b.ready {
+			for range r.b.endpoints.ready {
 				r.request(2)
 			}
 			return r.request(0)
@@ -22,7 +22,7 @@
 		"waits for a retry": {func(r *rig) RequestID {
 			id := r.request(0)
 			r.end(id, ServerError, 10*ms)
-			r.now = max(r.now, r.b.requests[id].retryAt)
+			r.now = max(r.now, r.b.requests.byID[id].retryAt)
 			return id
 		}, sweep},
 		"a hedged request": {func(r *rig) RequestID {
@@ -54,7 +54,7 @@
 					r.b.ClientDisconnected(r.now, id)
 				}
 				out := 0
-				if q := r.b.requests[id]; q != nil {
+				if q := r.b.requests.byID[id]; q != nil {
 					out = q.inFlight
 				}
 				if n := r.h.cancels - cancels; cancel && n != out {
@@ -64,8 +64,8 @@
 					r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: ServerError})
 				}
 				r.pass(10 * time.Second)
-				if n := len(r.sendsOf(id)) - began; n != want || r.b.requests[id] != nil {
-					t.Errorf("%s, %s: %d attempts, want %d; still known: %v", name, order, n, want, r.b.requests[id] != nil)
+				if n := len(r.sendsOf(id)) - began; n != want || r.b.requests.byID[id] != nil {
+					t.Errorf("%s, %s: %d attempts, want %d; still known: %v", name, order, n, want, r.b.requests.byID[id] != nil)
 				}
 			}
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"calicohinge/internal/runningmean"
 )
 
 const ms = time.Millisecond
@@ -193,20 +195,20 @@
 }
 
 func (r *rig) breakers() (count [3]int) {
-	for _, s := range r.b.ready {
-		count[s.breaker]++
+	for _, s := range r.b.endpoints.ready {
+		count[s.breaker.state]++
 	}
 	return count
 }
 
 func TestBreakerOpensTriesOneRequestAndCloses(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
-	bad := r.b.ready[0]
+	bad := r.b.endpoints.ready[0]
 	for range failureThreshold {
 		r.b.recordFailure(r.now, &attempt{server: bad}, ServerError)
 	}
-	if bad.breaker != breakerOpen {
-		t.Fatalf("breaker %v after %d failures, want open", bad.breaker, failureThreshold)
+	if bad.breaker.state != breakerOpen {
+		t.Fatalf("breaker %v after %d failures, want open", bad.breaker.state, failureThreshold)
 	}
 	r.serve(20, 0, 50*ms)
 	for _, s := range r.h.sends {
@@ -214,7 +216,7 @@
 			t.Fatal("an open server was sent a request before its time")
 		}
 	}
-	r.pass(bad.halfOpenAt - r.now)
+	r.pass(bad.breaker.halfOpenAt - r.now)
 	trial := r.request(0)
 	if got := r.sendsOf(trial); len(got) != 1 || got[0] != bad.Server {
 		t.Fatalf("trial went to %v, want the half-open server %d", got, bad.Server)
@@ -222,36 +224,36 @@
 	if other := r.sendsOf(r.request(0)); len(other) != 1 || other[0] == bad.Server {
 		t.Fatalf("second request went to %v while the trial is out", other)
 	}
-	before := bad.openDuration
+	before := bad.breaker.openDuration
 	r.end(trial, ServerError, 5*ms)
-	if bad.breaker != breakerOpen || bad.openDuration != 2*before {
+	if bad.breaker.state != breakerOpen || bad.breaker.openDuration != 2*before {
 		t.Fatalf("after a failed trial: breaker %v for %v, want open for %v",
-			bad.breaker, bad.openDuration, 2*before)
+			bad.breaker.state, bad.breaker.openDuration, 2*before)
 	}
-	r.pass(bad.halfOpenAt - r.now)
+	r.pass(bad.breaker.halfOpenAt - r.now)
 	trial = r.request(0)
 	r.end(trial, OK, 50*ms)
-	if bad.breaker != breakerClosed {
-		t.Fatalf("after a good trial: breaker %v, want closed", bad.breaker)
+	if bad.breaker.state != breakerClosed {
+		t.Fatalf("after a good trial: breaker %v, want closed", bad.breaker.state)
 	}
 }
 
 func TestFailuresOpenOnlyInARowWithinTheWindow(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
-	s := r.b.ready[0]
+	s := r.b.endpoints.ready[0]
 	for range failureThreshold - 1 {
 		r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 	}
 	s.recordSuccess(r.now, nil)
 	r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
-	if s.breaker != breakerClosed {
+	if s.breaker.state != breakerClosed {
 		t.Fatal("failures with a success between them opened the breaker")
 	}
 	for range 2 * failureThreshold {
 		r.now += failureWindow / 3
 		r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 	}
-	if s.breaker != breakerClosed {
+	if s.breaker.state != breakerClosed {
 		t.Fatal("failures spread wider than the window opened the breaker")
 	}
 }
@@ -259,9 +261,9 @@
 // Guards against a fleet-wide slowdown that opens every breaker and so refuses all.
 func TestSharedSlownessLeavesHalfOfTheFleetClosed(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
-	r.b.arrivals.Add(r.now, 100) // enough for all servers to be its share
+	r.b.arrivalRate.Add(r.now, 100) // enough for all servers to be its share
 	r.b.refresh(r.now)
-	for _, s := range r.b.ready {
+	for _, s := range r.b.endpoints.ready {
 		for range 2 * failureThreshold {
 			r.b.recordFailure(r.now, &attempt{server: s}, Timeout)
 		}
@@ -273,7 +275,7 @@
 
 func TestAllOpenRefusesAtOnceWithRetryAfter(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
-	for _, s := range r.b.ready {
+	for _, s := range r.b.endpoints.ready {
 		for range failureThreshold {
 			r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 		}
@@ -418,7 +420,7 @@
 		r.list(UpdateSnapshot, entries...)
 		r.now += ms
 	}
-	if n := len(r.b.servers); n > 4 {
+	if n := len(r.b.endpoints.byID); n > 4 {
 		t.Errorf("%d servers are kept, want the 4 listed", n)
 	}
 }
@@ -437,7 +439,7 @@
 	if r.h.watches < 2 {
 		t.Fatal("not asked again after a failure")
 	}
-	if len(r.b.ready) != 3 {
+	if len(r.b.endpoints.ready) != 3 {
 		t.Fatal("a failed call must leave the list in force")
 	}
 }
@@ -457,13 +459,13 @@
 				restarted[i].StartedAt = r.now
 			}
 			r.list(UpdateDelta, restarted...)
-			s, c, rules := r.b.servers[1], &r.b.classes[0], r.b.settings.Rules
+			s, c, rules := r.b.endpoints.byID[1], &r.b.classes[0], r.b.settings.Rules
 			r.b.refresh(r.now)
-			part := r.b.warmPart // what a warm server gets
+			part := r.b.slowStart.warmServerRate // what a warm server gets
 			var sends []time.Duration
 			for start := r.now; r.now < start+rules.SlowStartDuration; r.now += ms { // the gate alone
-				if work := c.baselineLatency + 0.001; r.b.slowStartAdmits(s, r.now, work) {
-					s.slowStartBudget -= work
+				if work := c.baseline.Value() + 0.001; r.b.slowStartAdmits(s, r.now, work) {
+					s.budget.work -= work
 					sends = append(sends, r.now)
 				}
 				within := 0
@@ -472,15 +474,15 @@
 						within++
 					}
 				}
-				most := part * rules.OverloadWindow.Seconds() * rules.OverloadMultiple * r.b.capacityShare(s, r.now)
-				if work := float64(within) * c.baselineLatency; work > most+c.baselineLatency {
+				most := part * rules.OverloadWindow.Seconds() * rules.OverloadMultiple * s.capacityShare(&rules, r.now)
+				if work := float64(within) * c.baseline.Value(); work > most+c.baseline.Value() {
 					t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
 				}
 			}
 			if len(sends) == 0 {
 				t.Error("a cold server must get something, or it never shows that it is warm")
 			}
-			if q := r.b.requests[r.request(0)]; !r.b.attemptPermitted(r.now, q, s) {
+			if q := r.b.requests.byID[r.request(0)]; !r.b.attemptPermitted(r.now, q, s) {
 				t.Error("the budget still holds for a warm server")
 			}
 		})
@@ -501,10 +503,10 @@
 		entries[0].StartedAt = time.Hour
 		b.UpdateEndpoints(time.Hour, UpdateCached, entries)
 		b.refresh(time.Hour)
-		b.warmPart = b.classes[0].baselineLatency // thin traffic: a lone request a second
+		b.slowStart.warmServerRate = b.classes[0].baseline.Value() // thin traffic: a lone request a second
 		wait := time.Duration(0)
 		for ; wait < 10*time.Second; wait += 10 * ms {
-			if b.slowStartAdmits(b.servers[1], time.Hour+wait, b.classes[0].baselineLatency) {
+			if b.slowStartAdmits(b.endpoints.byID[1], time.Hour+wait, b.classes[0].baseline.Value()) {
 				break
 			}
 		}
@@ -520,9 +522,9 @@
 // Guards against sends by the gate itself to a server that is not ready.
 func TestGateRefusesServersThatAreNotReady(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
-	q := r.b.addRequest(Request{ID: 9, Timeout: time.Second}, &r.b.classes[0])
+	q := r.b.requests.add(Request{ID: 9, Timeout: time.Second}, &r.b.classes[0])
 	q.deadline = r.now + time.Second
-	s := r.b.ready[0]
+	s := r.b.endpoints.ready[0]
 	if !r.b.attemptPermitted(r.now, q, s) {
 		t.Fatal("a ready server must pass")
 	}
@@ -538,7 +540,7 @@
 func TestSilentServerIsLeftBeforeAnyTimeout(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
 	r.serve(100, 0, 20*ms)
-	silent := r.b.ready[2]
+	silent := r.b.endpoints.ready[2]
 	for range 60 {
 		id := r.request(0)
 		r.pass(20 * ms)
@@ -570,9 +572,9 @@
 	r.end(id, Rejected, 0)
 	r.pass(ms)
 	r.b.refresh(r.now)
-	for _, s := range r.b.subset {
-		if s.Server != full && s.score <= r.b.servers[full].score {
-			t.Fatalf("the full server scores %.2f, another %.2f", r.b.servers[full].score, s.score)
+	for _, s := range r.b.subset.servers {
+		if s.Server != full && s.score <= r.b.endpoints.byID[full].score {
+			t.Fatalf("the full server scores %.2f, another %.2f", r.b.endpoints.byID[full].score, s.score)
 		}
 	}
 }
@@ -620,7 +622,7 @@
 
 func TestScorePrefersSuccessThenLatencyThenFewerInFlight(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
-	good, slow, failing := r.b.ready[0], r.b.ready[1], r.b.ready[2]
+	good, slow, failing := r.b.endpoints.ready[0], r.b.endpoints.ready[1], r.b.endpoints.ready[2]
 	for range 50 {
 		good.outcomes.Add(r.now, true, 1)
 		slow.outcomes.Add(r.now, true, 5)
@@ -644,11 +646,11 @@
 func TestUnmeasuredServerStandsAtTheMean(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
 	for range 20 {
-		r.b.ready[0].outcomes.Add(r.now, true, 1)
-		r.b.ready[1].outcomes.Add(r.now, true, 3)
+		r.b.endpoints.ready[0].outcomes.Add(r.now, true, 1)
+		r.b.endpoints.ready[1].outcomes.Add(r.now, true, 3)
 	}
 	r.b.refresh(r.now)
-	s := r.b.ready
+	s := r.b.endpoints.ready
 	if !(s[0].score > s[2].score && s[2].score > s[1].score) {
 		t.Fatalf("scores %.2f %.2f, unmeasured %.2f: not between", s[0].score, s[1].score, s[2].score)
 	}
@@ -703,7 +705,7 @@
 			r.request(0) // far more than there is room for
 		}
 		const left = 122*ms + ms/2
-		r.b.classes[2].baselineLatency = 0.0001 // so that it is worth holding to the last
+		r.b.classes[2].baseline = runningmean.NewWithGuess(0.0001, maxLatencySamples) // so that it is worth holding to the last
 		r.next++
 		start := r.now
 		r.b.Request(r.now, Request{ID: r.next, Class: 2, Timeout: left})
@@ -731,15 +733,15 @@
 // Guards against a breaker that never closes again because all traffic is unsafe.
 func TestUnsafeRequestTakesATrialThatNobodyElseTook(t *testing.T) {
 	r := newRig(t, testSettings(), 1)
-	s := r.b.ready[0]
+	s := r.b.endpoints.ready[0]
 	for range failureThreshold {
 		r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
 	}
-	r.now = s.halfOpenAt + ms
+	r.now = s.breaker.halfOpenAt + ms
 	if id := r.request(2); len(r.sendsOf(id)) != 0 {
 		t.Fatal("an unsafe request took the trial at once, where a safe one could come")
 	}
-	r.pass(s.openDuration + ms)
+	r.pass(s.breaker.openDuration + ms)
 	if r.request(2); len(r.h.sends) != 1 {
 		t.Fatal("nobody else took the trial, and an unsafe request did not either")
 	}
@@ -750,8 +752,8 @@
 func TestRestartFreesTheRoomOfTheFormerProcess(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
 	first, second := r.request(0), r.request(0)
-	if r.b.out != 2 {
-		t.Fatalf("%d attempts out, want 2", r.b.out)
+	if r.b.limiter.inFlight != 2 {
+		t.Fatalf("%d attempts out, want 2", r.b.limiter.inFlight)
 	}
 	restarted := ready(1, 2)
 	for i := range restarted {
@@ -759,13 +761,13 @@
 	}
 	r.now += ms
 	r.list(UpdateDelta, restarted...)
-	if r.b.out != 0 || len(r.b.servers[1].inFlight)+len(r.b.servers[2].inFlight) != 0 {
-		t.Fatalf("%d attempts fill the room of new processes", r.b.out)
+	if r.b.limiter.inFlight != 0 || len(r.b.endpoints.byID[1].inFlight)+len(r.b.endpoints.byID[2].inFlight) != 0 {
+		t.Fatalf("%d attempts fill the room of new processes", r.b.limiter.inFlight)
 	}
 	r.end(first, Reset, ms)
 	r.end(second, Timeout, time.Second)
-	if r.b.out < 0 {
-		t.Fatalf("%d attempts out", r.b.out)
+	if r.b.limiter.inFlight < 0 {
+		t.Fatalf("%d attempts out", r.b.limiter.inFlight)
 	}
 }
 
@@ -776,8 +778,8 @@
 	first, second := r.request(0), r.request(2)
 	r.list(UpdateSnapshot, ready(2, 2)...)
 	r.list(UpdateSnapshot, ready(1, 2)...)
-	if len(r.b.ready) != 2 {
-		t.Fatalf("%d servers ready after one came back, want 2", len(r.b.ready))
+	if len(r.b.endpoints.ready) != 2 {
+		t.Fatalf("%d servers ready after one came back, want 2", len(r.b.endpoints.ready))
 	}
 	r.end(first, OK, 20*ms)
 	r.b.ClientDisconnected(r.now, first) // in the batch of its end
@@ -789,8 +791,8 @@
 	r.b.Outcome(r.now, Outcome{ID: second, Status: OK}) // repeated
 	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: ServerError})
 	r.b.StreamStarted(r.now, 999, 0)
-	if r.b.out != 0 || len(r.b.requests) != 0 || len(r.b.active) != 0 {
-		t.Fatalf("%d out, %d known, %d open at the end", r.b.out, len(r.b.requests), len(r.b.active))
+	if r.b.limiter.inFlight != 0 || len(r.b.requests.byID) != 0 || len(r.b.requests.active) != 0 {
+		t.Fatalf("%d out, %d known, %d open at the end", r.b.limiter.inFlight, len(r.b.requests.byID), len(r.b.requests.active))
 	}
 }
 
@@ -813,17 +815,17 @@
 	}
 	r := newRig(t, testSettings(), 4)
 	r.b.refresh(r.now)
-	often, seldom := r.b.servers[1], r.b.servers[2]
+	often, seldom := r.b.endpoints.byID[1], r.b.endpoints.byID[2]
 	outcomes(r.b, often, r.now, strings.Repeat("++-", 20)+"+-----")
-	if often.breaker != breakerClosed {
+	if often.breaker.state != breakerClosed {
 		t.Error("a run of usual failures opened the breaker")
 	}
 	outcomes(r.b, often, r.now, strings.Repeat("-", maxFailureThreshold-5))
-	if often.breaker != breakerOpen {
+	if often.breaker.state != breakerOpen {
 		t.Error("a server that answers no more keeps its breaker closed")
 	}
 	outcomes(r.b, seldom, r.now, strings.Repeat("+", 60)+"-----")
-	if seldom.breaker != breakerOpen {
+	if seldom.breaker.state != breakerOpen {
 		t.Error("five failures in a row of a good server left its breaker closed")
 	}
 }
@@ -869,7 +871,7 @@
 	sends := len(r.h.sends)
 	maySay := map[RequestID]bool{}
 	for _, id := range ids {
-		maySay[id] = r.b.requests[id].safeToReject()
+		maySay[id] = r.b.requests.byID[id].safeToReject()
 	}
 	r.b.TerminateAll(r.now)
 	for _, id := range ids {
@@ -879,7 +881,7 @@
 		}
 	}
 	r.pass(time.Minute)
-	if len(r.h.sends) != sends || len(r.b.active) != 0 {
-		t.Errorf("%d sends more, %d still open", len(r.h.sends)-sends, len(r.b.active))
+	if len(r.h.sends) != sends || len(r.b.requests.active) != 0 {
+		t.Errorf("%d sends more, %d still open", len(r.h.sends)-sends, len(r.b.requests.active))
 	}
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -1,5 +1,7 @@
 package policy
 
+// The records of requests and their attempts.
+
 import (
 	"slices"
 	"time"
@@ -7,137 +9,139 @@
 	"calicohinge/internal/tokenbucket"
 )
 
+// attempt is one send of a request to a server. It keeps the server's place as of the send.
 type attempt struct {
 	server       *server
 	request      *request
 	zone, cell   int
 	sentAt       time.Duration
 	inFlight     bool
-	neverRan     bool
-	unloaded     bool // no other attempt of ours was out at the server
-	unresponsive bool // counted as a failure for its silence
+	neverRan     bool // known not to have been executed
+	unloaded     bool // had the server to itself when it was sent
+	unresponsive bool // not counted as in flight by the limiter any more
 }
 
+// request is a client's request with the state of its attempts.
 type request struct {
 	Request
 	class             *requestClass
-	deadline          time.Duration       // the client gives up
-	objectiveDeadline time.Duration       // an answer after this is worth nothing
-	queueingDeadline  time.Duration       // half of the client's time is over
-	weight            float64             // what an answer is worth now
-	quota             *tokenbucket.Bucket // its tenant's, of which it holds a token; nil if it has none
-	attempts          []attempt
-	inFlight          int
-	retryAt           time.Duration // waits for its backoff if not 0
-	queued            bool
-	streaming         bool
-	completed         bool
-	activeIndex       int // place in Balancer.open
+	deadline          time.Duration       // of the client's final answer
+	objectiveDeadline time.Duration       // of a response of full weight
+	queueingDeadline  time.Duration       // of the first attempt: half of the client's time
+	weight            float64             // priority weight of a response in time
+	quota             *tokenbucket.Bucket // of its tenant, from which it took a token; nil if it did not
+	attempts          []attempt           // never reallocated, since servers point into it
+	inFlight          int                 // attempts in flight
+	retryAt           time.Duration       // end of its backoff; 0 if it is in none
+	queued            bool                // in the admission queue
+	streaming         bool                // the client gets the response of an attempt
+	completed         bool                // not active any more
+	activeIndex       int                 // in requestTable.active
 }
 
-// newRequest adds a request to the open ones.
-func (b *Balancer) addRequest(q Request, c *requestClass) *request {
-	if q.CostHint > 0 {
-		c.costHintSamples = min(c.costHintSamples+1, 64)
-		c.meanCostHint += (q.CostHint.Seconds() - c.meanCostHint) / c.costHintSamples
-	}
+// setDeadlines allows for a final answer that is handled a tick late, of which AnswerGrace covers a part.
+func (r *request) setDeadlines(now time.Duration, settings *Settings) {
+	timeout := min(r.Timeout, r.class.Deadline) - max(0, settings.Tick-settings.Rules.AnswerGrace)
+	r.deadline = now + max(0, timeout)
+	r.queueingDeadline = now + (r.deadline-now)/2 - checkInterval
+	extension := time.Duration(r.class.ObjectivePerWork * float64(r.CostHint))
+	r.objectiveDeadline = min(r.deadline, now+r.class.Objective+extension)
+}
+
+// requestTable holds the active requests, which have no final answer yet, and the completed ones whose
+// attempts are still in flight. Records are reused.
+type requestTable struct {
+	byID        map[RequestID]*request
+	active      []*request
+	free        []*request
+	maxAttempts int
+}
+
+func (t *requestTable) add(arrival Request, class *requestClass) *request {
 	var r *request
-	if n := len(b.freeRequests); n > 0 {
-		r = b.freeRequests[n-1]
-		b.freeRequests = b.freeRequests[:n-1]
+	if n := len(t.free); n > 0 {
+		r = t.free[n-1]
+		t.free = t.free[:n-1]
 	} else {
-		// The attempts are never grown: servers point into them.
-		r = &request{attempts: make([]attempt, 0, b.settings.Limits.MaxAttempts)}
+		r = &request{attempts: make([]attempt, 0, t.maxAttempts)}
 	}
-	*r = request{Request: q, class: c, attempts: r.attempts[:0], activeIndex: len(b.active)}
-	b.requests[q.ID] = r
-	b.active = append(b.active, r)
+	*r = request{Request: arrival, class: class, attempts: r.attempts[:0], activeIndex: len(t.active)}
+	r.weight = class.PriorityWeight
+	t.byID[arrival.ID] = r
+	t.active = append(t.active, r)
 	return r
 }
 
-// find gives the attempt that an event is about; nil if it is not out.
-func (b *Balancer) findAttempt(id RequestID, index int) (*request, *attempt) {
-	r := b.requests[id]
+// findAttempt returns the attempt of an event, or nil if it is not in flight.
+func (t *requestTable) findAttempt(id RequestID, index int) (*request, *attempt) {
+	r := t.byID[id]
 	if r == nil || index < 0 || index >= len(r.attempts) || !r.attempts[index].inFlight {
 		return nil, nil
 	}
 	return r, &r.attempts[index]
 }
 
-// begin puts a new attempt on the books.
-func (b *Balancer) addAttempt(now time.Duration, r *request, s *server) *attempt {
-	r.attempts = append(r.attempts, attempt{
-		server: s, request: r, zone: s.Zone, cell: s.Cell, sentAt: now, inFlight: true,
-		unloaded: len(s.inFlight) == 0 && float64(b.out)*b.nodesPerServer <= 3*float64(len(b.subset)),
-	})
-	a := &r.attempts[len(r.attempts)-1]
-	r.inFlight++
-	b.out++
-	s.inFlight = append(s.inFlight, a)
-	return a
+// release marks a request as completed, and forgets it once no attempt is in flight.
+func (t *requestTable) release(r *request) {
+	if !r.completed {
+		r.completed = true
+		last := t.active[len(t.active)-1]
+		t.active[r.activeIndex] = last
+		last.activeIndex = r.activeIndex
+		t.active = t.active[:len(t.active)-1]
+	}
+	if r.inFlight == 0 && t.byID[r.ID] == r {
+		delete(t.byID, r.ID)
+		if !r.queued { // the queue still refers to it otherwise
+			t.free = append(t.free, r)
+		}
+	}
 }
 
-// send starts an attempt; pick has asked the gate.
+// send starts an attempt that attemptPermitted has admitted.
 func (b *Balancer) send(now time.Duration, r *request, s *server) {
 	a := b.addAttempt(now, r, s)
-	if s.breaker == breakerHalfOpen {
-		s.trial = a
+	if s.breaker.state == breakerHalfOpen {
+		s.breaker.trial = a
 	}
-	b.sent.Add(now, b.baselineLatency(r))
-	s.slowStartBudget -= b.baselineLatency(r) // counts for a cold server only
+	b.slowStart.sentWork.Add(now, r.baselineLatency())
+	s.budget.work -= r.baselineLatency() // has no effect on a warm server
 	b.host.Send(r.ID, s.Server, 0)
 }
 
-// ended takes an attempt off the books.
+func (b *Balancer) addAttempt(now time.Duration, r *request, s *server) *attempt {
+	r.attempts = append(r.attempts, attempt{server: s, request: r, zone: s.Zone, cell: s.Cell, sentAt: now})
+	a := &r.attempts[len(r.attempts)-1]
+	a.inFlight, a.unloaded = true, b.isUnloaded(s)
+	r.inFlight++
+	b.limiter.inFlight++
+	s.inFlight = append(s.inFlight, a)
+	return a
+}
+
 func (b *Balancer) attemptEnded(r *request, a *attempt) {
 	a.inFlight = false
 	r.inFlight--
 	if !a.unresponsive {
-		b.out--
+		b.limiter.inFlight--
 	}
+	// A server that has restarted since does not list the attempt.
 	if i := slices.Index(a.server.inFlight, a); i >= 0 {
 		a.server.inFlight = slices.Delete(a.server.inFlight, i, i+1)
 	}
 }
 
-// cancel stops the attempts that are out but for one.
-func (b *Balancer) cancelAttempts(r *request, kept *attempt) {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.inFlight && a != kept && b.settings.Limits.Cancel {
-			b.host.Cancel(r.ID, i)
-		}
-	}
-}
-
-// finish ends a request; attempts that are still out are cancelled.
 func (b *Balancer) complete(r *request) {
 	if !r.completed {
 		b.cancelAttempts(r, nil)
 	}
-	b.release(r)
+	b.requests.release(r)
 }
 
-// close takes a request off the books once it is done and its attempts are in.
-func (b *Balancer) release(r *request) {
-	if !r.completed {
-		r.completed = true
-		last := b.active[len(b.active)-1]
-		b.active[r.activeIndex] = last
-		last.activeIndex = r.activeIndex
-		b.active = b.active[:len(b.active)-1]
-	}
-	if r.inFlight == 0 && b.requests[r.ID] == r {
-		delete(b.requests, r.ID)
-		if !r.queued { // else dispatch drops it from the queue first
-			b.freeRequests = append(b.freeRequests, r)
+func (b *Balancer) cancelAttempts(r *request, except *attempt) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.inFlight && a != except && b.settings.Limits.Cancel {
+			b.host.Cancel(r.ID, i)
 		}
 	}
 }
-
-// lastUse is when an answer loses its last value.
-func (r *request) retryDeadline() time.Duration {
-	if r.class.LateFraction > 0 {
-		return r.deadline
-	}
-	return r.objectiveDeadline
-}
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -1,133 +1,148 @@
 package policy
 
-import (
-	"time"
-)
+// The choice of a server by scores from past outcomes, with two random choices (Mitzenmacher 2001).
+
+import "time"
 
 const (
-	// outcomesKept is the number of latest outcomes that a server is judged by.
-	outcomesPerServer = 100
-	// outcomesFor is how long an outcome counts; once it expires, an avoided server is tried again.
-	maxOutcomeAge = 10 * time.Second
-	// outcomesSparse replaces it where many nodes move a server's load within seconds.
-	maxOutcomeAgeUndersampled = 4 * time.Second
-	// priorOutcomes is the weight of the mean over all servers beside a server's own outcomes.
-	priorOutcomes = 3.0
-	// successPart and latencyPart are the weights of the two parts of the score.
-	successWeight = 0.7
-	latencyWeight = 0.3
-	// nearTie is the difference of scores up to which the attempts in flight decide.
-	scoreTieMargin = 0.1
+	outcomesPerServer         = 100              // latest outcomes that a server is judged by
+	maxOutcomeAge             = 10 * time.Second // so that an avoided server is tried again
+	maxOutcomeAgeUndersampled = 4 * time.Second  // where many nodes move a server's load within seconds
+	priorOutcomes             = 3.0              // weight of the means beside a server's own outcomes
+	successWeight             = 0.7              // of the success rate in the score
+	latencyWeight             = 0.3              // of the latency in the score
+	scoreTieMargin            = 0.1              // scores this close go by the attempts in flight
 )
 
-// memory is how long an outcome counts.
-func (b *Balancer) outcomeRetention() time.Duration {
-	if b.undersampled() {
-		return maxOutcomeAgeUndersampled
-	}
-	return maxOutcomeAge
-}
-
-// estimate updates a server's success rate and latency from its own outcomes and the means over all
-// servers, which count as priorOutcomes of them.
-func (s *server) estimate(meanSuccess, meanLatency float64) {
-	all, successes := float64(s.outcomes.Len()), float64(s.outcomes.Successes())
-	s.successRate = (successes + priorOutcomes*meanSuccess) / (all + priorOutcomes)
-	s.relativeLatency = (s.outcomes.LatencySum() + priorOutcomes*meanLatency) / (successes + priorOutcomes)
-}
-
-// tally drops outcomes that are too old and sums up the rest over the fleet.
-func (b *Balancer) updateMeans(now time.Duration) {
-	kept, good, latency := 0, 0, 0.0
-	b.warm = 0
-	for _, s := range b.subset {
-		s.outcomes.Expire(now, b.outcomeRetention())
-		if s.breaker == breakerClosed && b.capacityShare(s, now) >= 1 {
-			b.warm++
-		}
-		kept += s.outcomes.Len()
-		good += s.outcomes.Successes()
-		latency += s.outcomes.LatencySum()
-	}
-	if kept > 0 {
-		b.meanSuccess = float64(good) / float64(kept)
-	}
-	if good > 0 {
-		b.meanLatency = latency / float64(good)
-	}
-}
+// outcomeMeans are taken over all servers of the subset, and stay as they are while there are no outcomes.
+type outcomeMeans struct{ successRate, relativeLatency float64 }
 
-// judge takes an outcome into the server's health. A restarted server is not
-// judged by what its former process was sent.
+// recordOutcome counts the outcome of an attempt for its server, unless that has restarted since.
 func (b *Balancer) recordOutcome(now time.Duration, r *request, a *attempt, o Outcome) {
 	s := a.server
 	if a.sentAt < s.StartedAt {
 		return
 	}
-	latency := o.Latency.Seconds() / b.baselineLatency(r)
+	relativeLatency := o.Latency.Seconds() / r.baselineLatency()
 	switch o.Status {
 	case OK:
-		s.outcomes.Add(now, true, latency)
-		if latency > slowResponseMultiple && b.undersampled() { // congested: it needs to recover
-			b.recordFailure(now, a, Timeout)
+		s.outcomes.Add(now, true, relativeLatency)
+		if relativeLatency > slowResponseMultiple && b.subset.undersampled() {
+			b.recordFailure(now, a, Timeout) // congested: it needs time to recover
 		} else {
 			s.recordSuccess(now, a)
 		}
 		b.recordLatency(a, r, o.Latency.Seconds())
-		b.adjustLimit(now)
+		b.limiter.adjustOnResponse(now, b.subset.undersampled(), len(b.queue.waiting) > 0)
 	case ServerError, Reset, ConnectFailed:
-		s.outcomes.Add(now, false, latency)
+		s.outcomes.Add(now, false, relativeLatency)
 		b.recordFailure(now, a, o.Status)
 	case Timeout:
-		// Shorter ones come of impatient clients. The measure is a lone request's latency: the mean
-		// rises with every jammed server, until no client waits long enough to count against one.
-		if !a.unresponsive && latency > unresponsiveMultiple {
-			s.outcomes.Add(now, false, latency)
+		// A shorter one is due to its client. The measure is the baseline: the mean rises with congestion
+		// until no client waits long enough to count.
+		if !a.unresponsive && relativeLatency > unresponsiveMultiple {
+			s.outcomes.Add(now, false, relativeLatency)
 			b.recordFailure(now, a, Timeout)
 		}
-	case Rejected: // without a mark on its score a full server would go on being picked
-		s.outcomes.Add(now, false, latency)
+	case Rejected: // lowers the score, or a full server would be selected again
+		s.outcomes.Add(now, false, relativeLatency)
 	}
-	if s.trial == a {
-		s.trial = nil // no verdict: the next request is the trial
+	if s.breaker.trial == a {
+		s.breaker.trial = nil // inconclusive: the next request is the trial
 	}
 }
 
-// pick chooses a server for the next attempt, or nil: a half-open server that
-// awaits its trial, else the better of two random closed servers for a first
-// send and the best other closed server for a further one.
+func (b *Balancer) updateMeans(now time.Duration) {
+	maxAge := maxOutcomeAge
+	if b.subset.undersampled() {
+		maxAge = maxOutcomeAgeUndersampled
+	}
+	outcomes, successes, latencySum := 0, 0, 0.0
+	for _, s := range b.subset.servers {
+		s.outcomes.Expire(now, maxAge)
+		outcomes += s.outcomes.Len()
+		successes += s.outcomes.Successes()
+		latencySum += s.outcomes.LatencySum()
+	}
+	if outcomes > 0 {
+		b.means.successRate = float64(successes) / float64(outcomes)
+	}
+	if successes > 0 {
+		b.means.relativeLatency = latencySum / float64(successes)
+	}
+}
+
+// updateScores computes the scores: 0.7 x success rate + 0.3 x (1 - latency / the highest latency).
+func (b *Balancer) updateScores(now time.Duration) {
+	b.subset.closed, b.subset.awaitingTrial = 0, 0
+	highest := 0.0
+	for _, s := range b.subset.servers {
+		s.estimate(b.means)
+		s.breaker.becomeHalfOpenIfDue(now)
+		switch {
+		case s.breaker.state == breakerClosed:
+			highest = max(highest, s.relativeLatency)
+			b.subset.closed++
+		case s.breaker.awaitsTrial():
+			b.subset.awaitingTrial++
+		}
+	}
+	for _, s := range b.subset.servers {
+		s.score = successWeight*s.successRate +
+			latencyWeight*(1-s.relativeLatency/max(highest, s.relativeLatency, 1e-9))
+	}
+}
+
+// estimate counts the means as priorOutcomes outcomes, so that a server without outcomes stands at them.
+func (s *server) estimate(means outcomeMeans) {
+	outcomes, successes := float64(s.outcomes.Len()), float64(s.outcomes.Successes())
+	s.successRate = (successes + priorOutcomes*means.successRate) / (outcomes + priorOutcomes)
+	latencySum := s.outcomes.LatencySum() + priorOutcomes*means.relativeLatency
+	s.relativeLatency = latencySum / (successes + priorOutcomes)
+}
+
+// selectServer returns a server for the next attempt, or nil: a half-open server that awaits its trial, else
+// the better of two random candidates for a first attempt and the best of all for a retry.
 func (b *Balancer) selectServer(now time.Duration, r *request) *server {
 	b.refresh(now)
-	b.choices = b.choices[:0]
-	for _, s := range b.subset {
-		if s.breaker == breakerOpen || r.hasTried(s) || !b.attemptPermitted(now, r, s) {
-			continue
-		}
-		if s.breaker == breakerClosed && b.hasCapacity(s, now) {
-			b.choices = append(b.choices, s)
-		} else if s.breaker == breakerHalfOpen && s.trial == nil &&
-			// One that is not idempotent is the trial only when no other came.
-			(r.class.Idempotency != NotIdempotent || now > s.halfOpenAt+s.openDuration) {
-			return s
-		}
+	if trial := b.findCandidates(now, r); trial != nil {
+		return trial
 	}
-	n := len(b.choices)
-	if n == 0 || !b.nodeLimitAdmits(r, b.limit/b.nodesPerServer*float64(b.closed)) {
+	n := len(b.candidates)
+	if n == 0 || !b.nodeLimitAdmits(r) {
 		return nil
 	}
 	if len(r.attempts) == 0 && n > 2 {
 		i := b.random.IntN(n)
 		j := (i + 1 + b.random.IntN(n-1)) % n
-		return betterServer(b.choices[i], b.choices[j])
+		return betterServer(b.candidates[i], b.candidates[j])
 	}
-	best := b.choices[0]
-	for _, s := range b.choices[1:] {
+	best := b.candidates[0]
+	for _, s := range b.candidates[1:] {
 		best = betterServer(best, s)
 	}
 	return best
 }
 
-// better compares by score; near-ties go to fewer own in flight, equal ones to this zone.
+// findCandidates collects the servers that may get the next attempt, or returns one that gets it as a trial.
+func (b *Balancer) findCandidates(now time.Duration, r *request) *server {
+	b.candidates = b.candidates[:0]
+	for _, s := range b.subset.servers {
+		if s.breaker.state == breakerOpen || r.hasTried(s) || !b.attemptPermitted(now, r, s) {
+			continue
+		}
+		if s.breaker.state == breakerClosed && b.hasCapacity(s, now) {
+			b.candidates = append(b.candidates, s)
+		} else if s.breaker.awaitsTrial() &&
+			// One that is not idempotent is the trial only if no other came for as long as it was open.
+			(r.class.Idempotency != NotIdempotent || now > s.breaker.halfOpenAt+s.breaker.openDuration) {
+			return s
+		}
+	}
+	return nil
+}
+
+// betterServer compares by score; near-ties go to fewer attempts in flight, then to this node's zone.
 func betterServer(x, y *server) *server {
 	switch {
 	case x.score > y.score+scoreTieMargin:
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -1,12 +1,9 @@
 package policy
 
-import (
-	"time"
-)
+import "time"
 
-// Defaults gives the settings that hold where a site says nothing: no repeats
-// beyond the first attempt, no hedging, no cancels, and the strictest known
-// figures for drains and cold servers.
+// Defaults returns the settings that hold where the operators give none: no retries, hedged requests or
+// cancellations, and the most careful rules known for polling and slow start. It has no classes.
 func Defaults() Settings {
 	return Settings{
 		Nodes:             1,
--- a/policy/subset.go
+++ b/policy/subset.go
@@ -1,41 +1,61 @@
 package policy
 
-import (
-	"time"
-)
+// The subset of the servers that this node uses: it could not measure all of them with its requests alone.
+
+import "time"
 
 const (
-	// fewPerServer is the number of nodes that share a server, up to which each node's own requests
-	// tell the server's load.
-	undersampledFrom = 5.0
-	// subsetLeast is the least number of servers in a subset whose breaker is not open.
-	minSubsetSize = 4
-	// subsetSpan is the time in which each server of the subset gets one request.
-	subsetRequestInterval = time.Second / 4
+	undersampledFrom      = 5.0             // nodes per server above which their own requests tell little
+	minSubsetSize         = 4               // warm servers whose breaker is not open
+	subsetRequestInterval = time.Second / 4 // in which each server of the subset gets one request
 )
 
-// renewSubset keeps the node to its own subset of the ready servers, so many closed ones that
-// each is met once in subsetSpan. A sparse node would meet the whole fleet too rarely to
-// judge it, and open a connection each time. The parts cover the ring of servers evenly;
-// more traffic takes a longer part, and a node whose servers fail goes on along the ring.
+// subset is a contiguous part of the ring of ready servers.
+type subset struct {
+	servers        []*server
+	nodesPerServer float64 // mean number of nodes that use a server, at least 1
+	wanted         int     // number of warm servers, not counting open breakers, when it was renewed
+	renewedAt      time.Duration
+	stale          bool // the ready servers or their breakers have changed since
+
+	closed, awaitingTrial int // servers by the state of their breaker, as of the last refresh
+}
+
+// renewSubset adapts the subset to servers and traffic. The subsets of all nodes cover the ring evenly.
 func (b *Balancer) renewSubset(now time.Duration) {
-	want := max(minSubsetSize, int(b.arrivals.PerSecond(now)*subsetRequestInterval.Seconds()+0.5))
-	if !b.subsetStale && want <= b.subsetSize && now-b.subsetAt < subsetRequestInterval {
+	wanted := max(minSubsetSize, int(b.arrivalRate.PerSecond(now)*subsetRequestInterval.Seconds()+0.5))
+	if !b.subset.stale && wanted <= b.subset.wanted && now-b.subset.renewedAt < subsetRequestInterval {
 		return
 	}
-	b.subsetStale, b.subsetSize, b.subsetAt = false, want, now
-	b.subset = b.subset[:0]
-	n := len(b.ready)
-	start := int((float64(b.settings.Node%b.settings.Nodes) + 0.5) / float64(b.settings.Nodes) * float64(n))
-	for i, left := 0, float64(want); i < n && left > 0; i++ {
-		s := b.ready[(start+i)%n]
-		b.subset = append(b.subset, s)
-		if s.breaker != breakerOpen {
-			left -= b.capacityShare(s, now) // cold ones alone could not carry the node's traffic
+	b.subset.stale, b.subset.wanted, b.subset.renewedAt = false, wanted, now
+	node, nodes, ready := b.settings.Node%b.settings.Nodes, float64(b.settings.Nodes), len(b.endpoints.ready)
+	start := int((float64(node) + 0.5) / nodes * float64(ready))
+	b.subset.fill(now, b.endpoints.ready, start, &b.settings.Rules)
+	b.subset.nodesPerServer = max(1, nodes*float64(len(b.subset.servers))/float64(max(1, ready)))
+}
+
+// fill takes servers along the ring until the wanted number is reached; a warming one counts in part.
+func (u *subset) fill(now time.Duration, ring []*server, start int, rules *Rules) {
+	u.servers = u.servers[:0]
+	missing := float64(u.wanted)
+	for i := 0; i < len(ring) && missing > 0; i++ {
+		s := ring[(start+i)%len(ring)]
+		u.servers = append(u.servers, s)
+		if s.breaker.state != breakerOpen {
+			missing -= s.capacityShare(rules, now)
 		}
 	}
-	b.nodesPerServer = max(1, float64(b.settings.Nodes)*float64(len(b.subset))/float64(max(1, n)))
 }
 
-// sparse tells whether so many nodes share a server that this one sees little of its load.
-func (b *Balancer) undersampled() bool { return b.nodesPerServer > undersampledFrom }
+// undersampled reports whether so many nodes use each server that this node's own requests are too
+// small a sample of the server's load: it cannot see the congestion that the others cause.
+func (u *subset) undersampled() bool { return u.nodesPerServer > undersampledFrom }
+
+func (u *subset) countNotClosed() (count int) {
+	for _, s := range u.servers {
+		if s.breaker.state != breakerClosed {
+			count++
+		}
+	}
+	return count
+}
--- a/policy/window_test.go
+++ b/policy/window_test.go
@@ -10,7 +10,7 @@
 func TestShortWindow(t *testing.T) {
 	due := func(after time.Duration) func(r *rig, id RequestID) {
 		return func(r *rig, id RequestID) {
-			q := r.b.requests[id]
+			q := r.b.requests.byID[id]
 			r.pass(20 * ms)
 			r.end(id, ServerError, 20*ms)
 			r.now = q.attempts[0].sentAt + after
@@ -31,7 +31,7 @@
 		"shorter than the wait for another attempt": {15 * ms, func(r *rig, id RequestID) { r.end(id, ServerError, 0) }, 1, true},
 		"over while the repeat waits for room": {100 * ms, func(r *rig, id RequestID) {
 			r.request(0) // stays out
-			r.b.limit = 0
+			r.b.limiter.limit = 0
 			r.end(id, ServerError, 0)
 			r.pass(100*ms + 2*checkInterval)
 		}, 1, true},
