--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -1,222 +1,390 @@
 package policy
 
 import (
-	"fmt"
+	"container/heap"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 )
 
-// registry is a discovery service in a world of many Balancers. It takes calls in turn, and
-// works off those that were given up too, as the service that was measured does. While it is
-// down it turns calls away, after a while or at once, or says nothing.
-type registry struct {
-	perCall  time.Duration
-	patience time.Duration // a call that waits longer has failed
-	holds    time.Duration // a call waits so long for news; 0: it is answered at once
-	busy     time.Duration // the queue is worked off then
-
-	down, up time.Duration   // from when to when it is away
-	refusal  time.Duration   // how long it takes to turn a call away then
-	calls    []time.Duration // of those who have no news since its return
-}
-
-// call gives when a call made now ends, and whether with an answer. Its news are of the time
-// when it returned, if it was away: they are told at once to all who call from then on.
-func (d *registry) call(now time.Duration, informed bool) (time.Duration, bool) {
-	if !informed {
-		d.calls = append(d.calls, now)
-	}
-	if d.down <= now && now < d.up {
-		return now + d.refusal, false
-	}
-	d.busy = max(d.busy, now) + d.perCall
-	answer := d.busy
-	if now >= d.up && !informed || d.holds == 0 {
-		if answer-now > d.patience {
-			return now + d.patience, false
+// event is something that happens in a hollowFleet; those of one moment in the order they were set.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// scenario is a run of real Balancers over hollow servers on one virtual clock.
+type scenario struct {
+	nodes, servers int
+	rules          Rules
+	load           float64       // offered work as a share of what all servers can do when warm
+	cold           float64       // share of the servers that start anew,
+	over           time.Duration // one after another in so long,
+	lost           time.Duration // each after being away for so long,
+	replaced       bool          // under a new id instead of the old one
+	burst          float64       // factor on the arrivals once the first is back
+	bad            bool          // a third of the other servers fails or hangs by then
+	late           bool          // a third of the nodes learns of a start 1 to 5 s late
+	fresh          time.Duration // if set: all nodes are restarted so long after the first server stops
+	warmUp         time.Duration
+}
+
+// hollowFleet plays a scenario and keeps what the cold servers were sent.
+type hollowFleet struct {
+	scenario
+	t       *testing.T
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	seq     int
+	events  events
+	nodes   []*hollowNode
+	weights []float64 // of the nodes in the traffic, summed up
+	servers []*hollowServer
+	factor  float64    // on the arrivals
+	news    []Endpoint // changes that no node has heard of yet
+	next    RequestID
+
+	told, drawn float64 // the worst window of FallFor over its limit, of sends by nodes that knew: by mean work; by drawn work
+	broken      int     // sends over the limit with over two thirds of its window from such nodes
+	sent, able  float64 // work sent to cold servers once listed, and what they could do meanwhile
+}
+
+// hollowServer works at one request after another.
+type hollowServer struct {
+	Endpoint
+	speed      float64 // work a second when warm
+	bad, hangs bool
+	queue      []*job
+	busy       *job
+	sends      []coldSend // within FallFor
+}
+
+type coldSend struct {
+	at          time.Duration
+	mean, drawn float64 // work, in requests of mean work
+	told        bool
+}
+
+// job is an attempt at a server.
+type job struct {
+	n     *hollowNode
+	q     *query
+	index int
+	s     *hollowServer
+	sent  time.Duration
+	over  bool
+}
+
+// query is a client's try.
+type query struct {
+	id         RequestID
+	class, try int
+	work       float64 // seconds
+	jobs       []*job
+	done       bool
+}
+
+// hollowNode is the Host of one Balancer.
+type hollowNode struct {
+	f       *hollowFleet
+	b       *Balancer
+	queries map[RequestID]*query
+	dead    bool
+}
+
+const meanWork = 0.04 // seconds
+
+var classWork = []float64{1.1 * meanWork, 0.6 * meanWork, 0.8 * meanWork} // six, one and one in eight
+
+func (f *hollowFleet) at(at time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{at, f.seq, do})
+}
+
+func (f *hollowFleet) after(mean time.Duration, do func()) {
+	f.at(f.now+time.Duration(f.rng.ExpFloat64()*float64(mean)), do)
+}
+
+// share is the present capacity as the settings give it, 1 when warm.
+func (f *hollowFleet) share(s *hollowServer) float64 {
+	if age := f.now - s.StartedAt; s.StartedAt > 0 && age < f.rules.SlowStartDuration {
+		return f.rules.SlowStartShare + (1-f.rules.SlowStartShare)*age.Seconds()/f.rules.SlowStartDuration.Seconds()
+	}
+	return 1
+}
+
+// count takes a send to a cold server into its window.
+func (f *hollowFleet) count(s *hollowServer, x coldSend) {
+	s.sends = append(slices.DeleteFunc(s.sends, func(x coldSend) bool { return f.now-x.at >= f.rules.OverloadWindow }), x)
+	all, told, drawn := 0.0, 0.0, 0.0
+	for _, x := range s.sends {
+		all += x.mean
+		if x.told {
+			told += x.mean
+			drawn += x.drawn
 		}
-		return answer, true
 	}
-	answer += d.holds
-	if now < d.down && answer > d.down { // a watch ends as discovery goes down
-		return d.down, false
+	n := f.rules.OverloadMultiple * s.speed * f.share(s) * f.rules.OverloadWindow.Seconds() / meanWork
+	limit := n + 2*math.Sqrt(n) + 2
+	f.told = max(f.told, told/limit)
+	if n >= 10 { // below, a few heavy requests are the limit by chance, and no node is told their work
+		f.drawn = max(f.drawn, drawn/limit)
+	}
+	if all > limit && told > all*2/3 {
+		f.broken++
 	}
-	return answer, true
 }
 
-// peak gives the most calls in a second from a time on.
-func (d *registry) peak(from time.Duration) (most int) {
-	first := 0
-	for i, at := range d.calls {
-		for d.calls[first] < max(from, at-time.Second+1) && first < i {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
-// member is one node of that world.
-type member struct {
-	*fakeHost
-	b        *Balancer
-	wanted   int // calls that discovery has been told of
-	began    time.Duration
-	answer   time.Duration
-	answered bool // by the call under way
-	waiting  bool
-	told     time.Duration // when it first had what discovery has had since its return
-	rewatch  bool          // an answer is followed by another watch
-}
-
-// step plays one node up to now.
-func (m *member) step(t *testing.T, now time.Duration, d *registry) {
-	t.Helper()
-	m.fire(m.b, now)
-	if m.waiting && now >= m.answer {
-		m.waiting = false
-		if m.answered {
-			if m.told == 0 && m.began >= d.up {
-				m.told = now
-			}
-			m.b.UpdateEndpoints(now, UpdateDelta, nil)
-			if m.rewatch {
-				m.watches++
-			}
-		} else {
-			m.b.WatchFailed(now, m.began+NotificationDeadline)
+func (n *hollowNode) Send(id RequestID, server ServerID, _ time.Duration) {
+	f, q := n.f, n.queries[id]
+	s := f.servers[slices.IndexFunc(f.servers, func(s *hollowServer) bool { return s.Server == server })]
+	j := &job{n: n, q: q, index: len(q.jobs), s: s, sent: f.now}
+	q.jobs = append(q.jobs, j)
+	if s.State == Ready && f.share(s) < 1 {
+		if f.now >= s.StartedAt+listedAfter {
+			f.sent += q.work
 		}
+		told := n.b.endpoints.byID[server].StartedAt == s.StartedAt
+		f.count(s, coldSend{f.now, classWork[q.class] / meanWork, q.work / meanWork, told})
 	}
-	if m.watches > m.wanted {
-		if m.waiting {
-			t.Fatalf("%v: a node calls again while its call is out", now)
-		}
-		m.wanted = m.watches
-		m.began = now
-		m.answer, m.answered = d.call(now, m.told > 0)
-		m.waiting = true
+	switch {
+	case s.State != Ready:
+		f.at(f.now+150*ms, func() { f.end(j, ConnectFailed) })
+	case s.bad:
+		f.at(f.now+2*ms, func() { f.end(j, ServerError) })
+	default:
+		s.queue = append(s.queue, j)
+		f.serve(s)
 	}
 }
 
-// newFleet gives nodes that start in step, with a list that they know.
-func newFleet(t *testing.T, nodes int, change func(set *Settings)) (fleet []*member) {
-	t.Helper()
-	for i := range nodes {
-		set := testSettings()
-		set.Nodes, set.Node, set.PollEndpoints = nodes, i, true
-		if change != nil {
-			change(&set)
-		}
-		m := &member{fakeHost: newHost()}
-		b, err := New(set, uint64(i+1), m)
-		if err != nil {
-			t.Fatal(err)
+func (n *hollowNode) Cancel(id RequestID, attempt int) {
+	j := n.queries[id].jobs[attempt]
+	n.f.at(n.f.now, func() { n.f.end(j, Cancelled) })
+}
+
+func (n *hollowNode) Reject(id RequestID, after time.Duration) { n.turnAway(id, after) }
+
+func (n *hollowNode) Fail(id RequestID) { n.turnAway(id, 0) }
+
+func (n *hollowNode) WatchEndpoints() {}
+
+func (n *hollowNode) SetTimer(at time.Duration, token uint64) {
+	n.f.at(max(at, n.f.now), func() {
+		if !n.dead {
+			n.b.Timer(n.f.now, token)
 		}
-		m.b = b
-		b.UpdateEndpoints(time.Hour, UpdateCached, ready(1, 60))
-		fleet = append(fleet, m)
-	}
-	return fleet
-}
-
-// Guards against nodes that ask for the list in step: of 80 that started together 49 got none
-// for 20 s. Their first calls waited too long, came again before discovery had worked off the
-// queue of those, and so on. The others, which share nothing with them, held theirs.
-func TestAllNodesOfAReleaseGetTheList(t *testing.T) {
-	const nodes = 80
-	d := &registry{perCall: 65 * ms, patience: 2 * time.Second}
-	fleet := newFleet(t, nodes, nil)
-	for now := time.Hour; now < time.Hour+12*time.Second; now += 5 * ms {
-		for _, m := range fleet {
-			m.step(t, now, d)
+	})
+}
+
+// turnAway ends a query unserved; two in three clients come again, twice at most, at any node.
+func (n *hollowNode) turnAway(id RequestID, wait time.Duration) {
+	q := n.queries[id]
+	q.done = true
+	if again := *q; q.try < 2 && n.f.rng.IntN(3) > 0 {
+		n.f.at(n.f.now+wait, func() { n.f.after(50*ms, func() { n.f.ask(again.class, again.try+1, again.work) }) })
+	}
+}
+
+// serve has a server begin what is next in its queue.
+func (f *hollowFleet) serve(s *hollowServer) {
+	for s.busy == nil && len(s.queue) > 0 && !s.hangs && s.State == Ready {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		if j.over {
+			continue
 		}
+		s.busy = j
+		f.at(f.now+time.Duration(j.q.work/(s.speed*f.share(s))*float64(time.Second)), func() {
+			if s.busy == j {
+				s.busy = nil
+				f.end(j, OK)
+				f.serve(s)
+			}
+		})
 	}
-	without := 0
-	for _, m := range fleet {
-		if m.told == 0 {
-			without++
+}
+
+// end tells a node the outcome of an attempt.
+func (f *hollowFleet) end(j *job, status Status) {
+	if j.over || j.n.dead {
+		return
+	}
+	j.over = true
+	j.q.done = j.q.done || status == OK || status == Timeout
+	j.n.b.Outcome(f.now, Outcome{ID: j.q.id, Attempt: j.index, Server: j.s.Server, Status: status,
+		RequestEnded: j.q.done, Latency: f.now - j.sent})
+}
+
+// ask has a client ask a node, and give up when its time is over.
+func (f *hollowFleet) ask(class, try int, work float64) {
+	i, _ := slices.BinarySearch(f.weights, f.rng.Float64()*f.weights[len(f.weights)-1])
+	n := f.nodes[i]
+	f.next++
+	q := &query{id: f.next, class: class, try: try, work: work}
+	n.queries[q.id] = q
+	left := f.set.Classes[class].Deadline
+	n.b.Request(f.now, Request{ID: q.id, Class: class, Timeout: left})
+	f.at(f.now+left, func() {
+		for _, j := range q.jobs {
+			f.end(j, Timeout)
 		}
+		f.at(f.now+time.Second, func() { delete(n.queries, q.id) })
+	})
+}
+
+// arrive has clients ask in an open loop.
+func (f *hollowFleet) arrive() {
+	class := max(0, f.rng.IntN(8)-5)
+	f.ask(class, 0, classWork[class]*f.rng.ExpFloat64())
+	rate := f.load * float64(f.scenario.servers) / meanWork * f.factor
+	f.after(time.Duration(float64(time.Second)/rate), f.arrive)
+}
+
+// boot starts the process of a node, which learns all that is ready from a list.
+func (f *hollowFleet) boot(i int) {
+	if f.nodes[i] != nil {
+		f.nodes[i].dead = true
+	}
+	n := &hollowNode{f: f, queries: map[RequestID]*query{}}
+	set := f.set
+	set.Node = i
+	b, err := New(set, f.rng.Uint64(), n)
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	if without > 0 {
-		t.Fatalf("%d of %d nodes have no list 12 s after their start", without, nodes)
-	}
-}
-
-// Discovery is away for a while, in several ways, and comes back with news: they count as told
-// 6 s later, whatever the calls to it have met. That must not come at the price of a rush: one
-// discovery has to carry the return of 650 nodes that carries their watches, 217 calls a second,
-// and half as many again. Each node makes two calls then: it gets the news, and watches on.
-func TestNewsOfADiscoveryThatReturns(t *testing.T) {
-	const holds = 3 * time.Second // as the real nodes ask
-	for _, away := range []struct {
-		name    string
-		span    time.Duration
-		refusal time.Duration // a call's; 4.5 s is when a node gives its watch up
-	}{
-		{"refused", 9 * time.Second, 0},
-		{"refused for a moment", 10 * ms, 0},
-		{"turned away in turn", 9 * time.Second, 3 * time.Second},
-		{"silent", 9 * time.Second, holds * 3 / 2},
-	} {
-		for _, nodes := range []int{1, 3, 20, 300, 650} {
-			t.Run(fmt.Sprintf("%s/%d", away.name, nodes), func(t *testing.T) {
-				t.Parallel()
-				d := &registry{
-					perCall: 3 * ms, patience: holds * 3 / 2, holds: holds,
-					down: time.Hour + 8*time.Second, refusal: away.refusal,
-				}
-				d.up = d.down + away.span
-				fleet := newFleet(t, nodes, func(set *Settings) { set.Rules.MaxPollInterval = 30 * time.Second })
-				for now := time.Hour; now < d.up+8*time.Second; now += 5 * ms {
-					for _, m := range fleet {
-						m.rewatch = true
-						m.step(t, now, d)
-					}
-				}
-				var lags []time.Duration
-				for _, m := range fleet {
-					if m.told == 0 {
-						m.told = d.up + time.Hour
-					}
-					lags = append(lags, m.told-d.up)
-				}
-				slices.Sort(lags)
-				idle := nodes * int(time.Second) / int(holds)
-				peak, most := d.peak(d.up), 3*max(idle, int(time.Second/watchSpreadPerNode))/2
-				t.Logf("lag: median %v, worst %v; peak %d calls for news a second, idle watches %d", lags[nodes/2], lags[nodes-1], peak, idle)
-				if lags[nodes-1] >= NotificationDeadline {
-					t.Errorf("the last node is told %v after the return", lags[nodes-1])
-				}
-				if peak > most {
-					t.Errorf("%d calls in a second, over %d", peak, most)
-				}
-			})
+	n.b, f.nodes[i] = b, n
+	var entries []Endpoint
+	for _, s := range f.servers {
+		if s.State == Ready {
+			entries = append(entries, s.Endpoint)
 		}
 	}
+	b.UpdateEndpoints(f.now, UpdateSnapshot, entries)
 }
 
-func TestFewNodesAndNodesWithNoListAskAtOnce(t *testing.T) {
-	for _, tc := range []struct {
-		nodes   int
-		entries []Endpoint
-		at      bool
-	}{{3, ready(1, 10), true}, {80, nil, true}, {80, ready(1, 10), false}} {
-		set := testSettings()
-		set.Nodes, set.PollEndpoints = tc.nodes, true
-		h := newHost()
-		b, err := New(set, 1, h)
-		if err != nil {
-			t.Fatal(err)
+const listedAfter = 300 * ms // from a change until some node may hear of it, with others of that time
+
+// tell has all nodes hear of a change.
+func (f *hollowFleet) tell(e Endpoint) {
+	if f.news = append(f.news, e); len(f.news) > 1 {
+		return
+	}
+	f.at(f.now+listedAfter, func() {
+		news := f.news
+		f.news = nil
+		for i := range f.nodes {
+			hear := func() { f.nodes[i].b.UpdateEndpoints(f.now, UpdateDelta, news) }
+			if f.late && i%3 == 0 {
+				f.at(f.now+time.Second+time.Duration(f.rng.Float64()*float64(4*time.Second)), hear)
+			} else {
+				f.after(100*ms, hear)
+			}
+		}
+	})
+}
+
+// restart ends a server and has it, or another one in its place, come back cold.
+func (f *hollowFleet) restart(s *hollowServer) {
+	s.State = Gone
+	if s.busy != nil {
+		s.queue = append(s.queue, s.busy)
+	}
+	for _, j := range s.queue {
+		f.end(j, Reset)
+	}
+	s.queue, s.busy = nil, nil
+	if f.lost > 0 || f.replaced {
+		f.tell(s.Endpoint)
+	}
+	f.at(f.now+f.lost, func() {
+		if f.replaced {
+			s = &hollowServer{Endpoint: s.Endpoint, speed: s.speed}
+			s.Server += 1000
+			f.servers = append(f.servers, s)
 		}
-		b.UpdateEndpoints(time.Hour, UpdateCached, tc.entries)
-		if at := h.watches == 1; at != tc.at {
-			t.Errorf("%d nodes, %d servers known: asks at once: %v, want %v",
-				tc.nodes, len(tc.entries), at, tc.at)
+		s.State, s.StartedAt, s.sends = Ready, f.now, nil
+		f.tell(s.Endpoint)
+	})
+}
+
+// look adds up what the cold servers could do.
+func (f *hollowFleet) look() {
+	const step = 20 * ms
+	for _, s := range f.servers {
+		if share := f.share(s); s.State == Ready && share < 1 && f.now >= s.StartedAt+listedAfter {
+			f.able += s.speed * share * step.Seconds()
 		}
-		latest := time.Hour + set.Rules.MaxPollInterval/2
-		if !tc.at && (len(h.timers) != 1 || h.timers[0].at > latest) {
-			t.Errorf("timers %v, want one by %v", h.timers, latest)
+	}
+	f.at(f.now+step, f.look)
+}
+
+func (c scenario) play(t *testing.T, seed uint64) *hollowFleet {
+	f := &hollowFleet{scenario: c, t: t, set: testSettings(), rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, factor: 1}
+	f.set.Nodes, f.set.Rules = c.nodes, c.rules
+	f.set.Classes = []Class{
+		{Deadline: 600 * ms, Objective: 300 * ms, PriorityWeight: 1, LateFraction: 0.25},
+		{Deadline: 1500 * ms, Objective: 500 * ms, PriorityWeight: 1, LateFraction: 0.25, Idempotency: IdempotentWithKey, KeyRetention: 5 * time.Second},
+		{Deadline: time.Second, Objective: 300 * ms, PriorityWeight: 10, LateFraction: 0.5, Idempotency: NotIdempotent},
+	}
+	for i, e := range ready(1, c.servers) {
+		f.servers = append(f.servers, &hollowServer{Endpoint: e, speed: []float64{1.5, 1.5, 0.9, 0.55, 0.55}[i%5]})
+	}
+	f.rng.Shuffle(c.servers, func(i, j int) { f.servers[i], f.servers[j] = f.servers[j], f.servers[i] })
+	f.nodes = make([]*hollowNode, c.nodes)
+	sum := 0.0
+	for i := range f.nodes {
+		f.boot(i)
+		sum += 0.3 + 0.7*f.rng.ExpFloat64() // some nodes get several times the mean
+		f.weights = append(f.weights, sum)
+	}
+	f.arrive()
+	began := f.now + c.warmUp
+	k := max(1, int(c.cold*float64(c.servers)))
+	for i, s := range f.servers[:k] {
+		f.at(began+c.over*time.Duration(i)/time.Duration(k), func() { f.restart(s) })
+	}
+	others := f.servers[k:]
+	f.at(began+c.lost, func() {
+		f.factor = max(1, c.burst)
+		for i := 0; c.bad && i < len(others)/3; i++ {
+			others[i].bad, others[i].hangs = i%2 == 0, i%2 == 1
 		}
+	})
+	if c.fresh > 0 {
+		f.at(began+c.fresh, func() {
+			for i := range f.nodes {
+				f.boot(i)
+			}
+		})
+	}
+	f.at(began, f.look)
+	for end := began + c.over + c.lost + c.rules.SlowStartDuration; f.now < end; {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
 	}
+	return f
 }
