--- /dev/null
+++ b/policy/api_test.go
@@ -0,0 +1,26 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestEnumeratedValuesHaveNames(t *testing.T) {
+	for _, tc := range []struct {
+		value fmt.Stringer
+		want  string
+	}{
+		{Idempotent, "idempotent"}, {IdempotentWithKey, "idempotent with key"}, {NotIdempotent, "not idempotent"},
+		{KeyScopeAll, "all"}, {KeyScopeZone, "zone"}, {KeyScopeCell, "cell"},
+		{Gone, "gone"}, {Ready, "ready"}, {Draining, "draining"},
+		{UpdateDelta, "delta"}, {UpdateSnapshot, "snapshot"}, {UpdateCached, "cached"},
+		{OK, "ok"}, {ServerError, "server error"}, {Rejected, "rejected"}, {Timeout, "timeout"},
+		{ConnectFailed, "connect failed"}, {Reset, "reset"}, {Cancelled, "cancelled"}, {NotSent, "not sent"},
+		{breakerClosed, "closed"}, {breakerOpen, "open"}, {breakerHalfOpen, "half-open"},
+		{Status(200), "200"},
+	} {
+		if got := tc.value.String(); got != tc.want {
+			t.Errorf("%q, want %q", got, tc.want)
+		}
+	}
+}
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -7,100 +7,92 @@
 	"calicohinge/internal/runningmean"
 )
 
-func TestStaleEventsAreHarmless(t *testing.T) {
-	r := newRig(t, testSettings(), 2)
-	id := r.request(0)
-	r.end(id, OK, 10*ms)
-	before := len(r.h.log)
-	r.b.Outcome(r.now, Outcome{ID: id, Attempt: 0, Status: OK})
-	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: ServerError})
-	r.b.Outcome(r.now, Outcome{ID: id, Attempt: -1, Status: ServerError})
-	r.b.ClientDisconnected(r.now, id)
-	r.b.StreamStarted(r.now, id, 0)
-	r.b.Timer(r.now, 77)
-	r.list(UpdateDelta, Endpoint{Server: 55, State: Gone})
-	if len(r.h.log) != before {
-		t.Fatalf("stale events led to %v", r.h.log[before:])
+func TestStaleEventsHaveNoEffect(t *testing.T) {
+	h := newHarness(t, testSettings(), 2)
+	id := h.request(0)
+	h.endAttempt(id, OK, 10*ms)
+	before := len(h.host.log)
+	h.balancer.Outcome(h.now, Outcome{ID: id, Attempt: 0, Status: OK})
+	h.balancer.Outcome(h.now, Outcome{ID: 999, Attempt: 3, Status: ServerError})
+	h.balancer.Outcome(h.now, Outcome{ID: id, Attempt: -1, Status: ServerError})
+	h.balancer.ClientDisconnected(h.now, id)
+	h.balancer.StreamStarted(h.now, id, 0)
+	h.balancer.Timer(h.now, 77)
+	h.update(UpdateDelta, Endpoint{Server: 55, State: Gone})
+	if len(h.host.log) != before {
+		t.Fatalf("stale events led to %v", h.host.log[before:])
 	}
-	r.b.Request(r.now, Request{ID: 1000, Class: 9, Timeout: time.Second})
-	if _, ok := r.h.refused[1000]; !ok {
-		t.Fatal("a request of an unknown class got no answer")
+	h.balancer.Request(h.now, Request{ID: 1000, Class: 9, Timeout: time.Second})
+	if _, ok := h.host.rejected[1000]; !ok {
+		t.Fatal("a request of an unknown class got no final answer")
 	}
 }
 
-func TestStreamBelongsToTheClientOnceStarted(t *testing.T) {
-	set := testSettings()
-	set.Classes[0].Streaming = true
-	r := newRig(t, set, 4)
-	id := r.request(0)
-	r.b.StreamStarted(r.now, id, 0)
-	r.pass(10 * time.Second) // long after the deadline
-	if len(r.sendsOf(id)) != 1 || r.h.failed[id] || r.h.cancels > 0 {
-		t.Fatalf("a running stream was touched: %v", r.h.log)
+func TestStartedStreamIsNotCancelledOrRetried(t *testing.T) {
+	settings := testSettings()
+	settings.Classes[0].Streaming = true
+	h := newHarness(t, settings, 4)
+	id := h.request(0)
+	h.balancer.StreamStarted(h.now, id, 0)
+	h.advance(10 * time.Second) // long after the deadline
+	if len(h.sendsOf(id)) != 1 || h.host.failed[id] || h.host.cancels > 0 {
+		t.Fatalf("a running stream was touched: %v", h.host.log)
 	}
 }
 
-// A node that ends answers all that is open: a refusal where that promise holds, a failure
-// where the effect may have come about. Nothing is sent or told of it afterwards.
-func TestStopAnswersEverything(t *testing.T) {
-	r := newRig(t, testSettings(), 3)
+// A node that shuts down rejects every active request where that is safe and fails the others. Nothing is sent
+// or answered afterwards.
+func TestTerminateAllAnswersEveryRequest(t *testing.T) {
+	h := newHarness(t, testSettings(), 3)
 	var ids []RequestID
-	for class := range r.b.classes {
+	for class := range h.balancer.classes {
 		for range 10 {
-			ids = append(ids, r.request(class))
+			ids = append(ids, h.request(class))
 		}
 	}
-	sends := len(r.h.sends)
-	maySay := map[RequestID]bool{}
+	sends := len(h.host.sends)
+	safe := map[RequestID]bool{}
 	for _, id := range ids {
-		maySay[id] = r.b.requests.byID[id].safeToReject()
+		safe[id] = h.balancer.requests.byID[id].safeToReject()
 	}
-	r.b.TerminateAll(r.now)
+	h.balancer.TerminateAll(h.now)
 	for _, id := range ids {
-		_, refused := r.h.refused[id]
-		if refused == r.h.failed[id] || refused != maySay[id] {
-			t.Errorf("request %d: refused %v, failed %v", id, refused, r.h.failed[id])
+		_, rejected := h.host.rejected[id]
+		if rejected == h.host.failed[id] || rejected != safe[id] {
+			t.Errorf("request %d: rejected %v, failed %v", id, rejected, h.host.failed[id])
 		}
 	}
-	r.pass(time.Minute)
-	if len(r.h.sends) != sends || len(r.b.requests.active) != 0 {
-		t.Errorf("%d sends more, %d still open", len(r.h.sends)-sends, len(r.b.requests.active))
+	h.advance(time.Minute)
+	if len(h.host.sends) != sends || len(h.balancer.requests.active) != 0 {
+		t.Errorf("%d sends more, %d still active", len(h.host.sends)-sends, len(h.balancer.requests.active))
 	}
 }
 
-// Guards against a final answer after the grace: sweeps come every 10 ms, a grace may
-// be shorter, and a tick may be longer than either.
-func TestAnswerComesInTimeWhateverTheTick(t *testing.T) {
+// Guards against a final answer after the grace: the periodic check runs every 10 ms, a grace may be shorter,
+// and a tick may be longer than either.
+func TestFinalAnswerComesWithinTheGraceForAnyTick(t *testing.T) {
+	const timeout, grace = 122*ms + ms/2, 5 * ms
 	for _, tick := range []time.Duration{ms, 5 * ms, 50 * ms} {
-		set := testSettings()
-		set.Tick, set.Rules.AnswerGrace = tick, 5*ms
-		r := newRig(t, set, 0)
-		r.list(UpdateSnapshot, ready(1, 1)...)
+		settings := testSettings()
+		settings.Tick, settings.Rules.AnswerGrace = tick, grace
+		h := newHarness(t, settings, 0)
+		h.update(UpdateSnapshot, ready(1, 1)...)
 		for range 40 {
-			r.request(0) // far more than there is room for
+			h.request(0) // far more than there is capacity for
 		}
-		const left = 122*ms + ms/2
-		r.b.classes[2].baseline = runningmean.NewWithGuess(0.0001, maxLatencySamples) // so that it is worth holding to the last
-		r.next++
-		start := r.now
-		r.b.Request(r.now, Request{ID: r.next, Class: 2, Timeout: left})
-		for r.now < start+left+set.Rules.AnswerGrace {
-			r.now += tick // batches, and so timers, come a tick apart
-			due := r.h.timers
-			r.h.timers = nil
-			for _, x := range due {
-				if x.at <= r.now {
-					r.b.Timer(r.now, x.token)
-				} else {
-					r.h.timers = append(r.h.timers, x)
-				}
-			}
-			if _, refused := r.h.refused[r.next]; refused {
-				break
-			}
+		// So short that the request is worth queueing to the last.
+		h.balancer.classes[2].baseline = runningmean.NewWithGuess(0.0001, maxLatencySamples)
+		h.lastID++
+		deadline := h.now + timeout
+		h.balancer.Request(h.now, Request{ID: h.lastID, Class: 2, Timeout: timeout})
+		rejected := false
+		for h.now < deadline+grace && !rejected {
+			h.now += tick // events come in batches a tick apart
+			h.host.fire(h.balancer, h.now)
+			_, rejected = h.host.rejected[h.lastID]
 		}
-		if _, refused := r.h.refused[r.next]; !refused || r.now > start+left+set.Rules.AnswerGrace {
-			t.Errorf("tick %v: refused %v, %v after the end", tick, refused, r.now-start-left)
+		if !rejected || h.now > deadline+grace {
+			t.Errorf("tick %v: rejected %v, %v after the deadline", tick, rejected, h.now-deadline)
 		}
 	}
 }
--- a/policy/concurrency_limit_test.go
+++ b/policy/concurrency_limit_test.go
@@ -5,176 +5,182 @@
 	"time"
 )
 
-// adjustFor steers the bound for a while at a steady crowding.
-func adjustFor(b *Balancer, from, d time.Duration, crowding float64) {
+// adjustLimitFor adjusts the limit for some time at a steady congestion.
+func adjustLimitFor(balancer *Balancer, from, d time.Duration, congestion float64) {
 	for t := from; t < from+d; t += 10 * ms {
-		b.limiter.congestion = crowding
-		b.limiter.adjustOnResponse(t, b.subset.undersampled(), len(b.queue.waiting) > 0)
+		balancer.limiter.congestion = congestion
+		balancer.limiter.adjustOnResponse(t, balancer.subset.undersampled(), len(balancer.queue.waiting) > 0)
 	}
 }
 
-func newSteered(t *testing.T) (*rig, *Balancer) {
-	r := newRig(t, testSettings(), 4)
-	r.b.limiter.smoothedLatency, r.b.limiter.adjustedAt = 0.1, r.now
-	r.b.queue.waiting = append(r.b.queue.waiting, &request{completed: true}) // someone waits
-	return r, r.b
+// newLimiterHarness has a request that waits for the limit.
+func newLimiterHarness(t *testing.T) (*harness, *Balancer) {
+	h := newHarness(t, testSettings(), 4)
+	h.balancer.limiter.smoothedLatency, h.balancer.limiter.adjustedAt = 0.1, h.now
+	h.balancer.queue.waiting = append(h.balancer.queue.waiting, &request{completed: true})
+	return h, h.balancer
 }
 
-// Guards against a bound that grows unused in quiet times and is none when a crowd comes.
-func TestBoundGrowsOnlyWhileRequestsWait(t *testing.T) {
-	r, b := newSteered(t)
-	before := b.limiter.limit
-	waiting := b.queue.waiting
-	b.queue.waiting = nil
-	adjustFor(b, r.now, time.Second, 0)
-	if b.limiter.limit != before {
-		t.Fatalf("bound went from %v to %v though nothing waits", before, b.limiter.limit)
-	}
-	b.queue.waiting = waiting
-	adjustFor(b, r.now+time.Second, time.Second, 0)
-	if b.limiter.limit <= before {
-		t.Fatal("bound did not grow while requests wait and servers are not crowded")
+// Guards against a limit that grows unused in quiet times and does not hold when load comes.
+func TestLimitGrowsOnlyWhileRequestsWait(t *testing.T) {
+	h, balancer := newLimiterHarness(t)
+	before := balancer.limiter.limit
+	waiting := balancer.queue.waiting
+	balancer.queue.waiting = nil
+	adjustLimitFor(balancer, h.now, time.Second, 0)
+	if balancer.limiter.limit != before {
+		t.Fatalf("limit went from %v to %v though nothing waits", before, balancer.limiter.limit)
+	}
+	balancer.queue.waiting = waiting
+	adjustLimitFor(balancer, h.now+time.Second, time.Second, 0)
+	if balancer.limiter.limit <= before {
+		t.Fatal("limit did not grow while requests wait without congestion")
 	}
 }
 
-// Guards against servers that get less done the more they hold, and against a fleet
-// that is slow as a whole starving itself.
-func TestBoundShrinksInACrowdButNotFarBelowWhatWasGood(t *testing.T) {
-	r, b := newSteered(t)
-	b.limiter.congestionSeen, b.limiter.limit, b.limiter.knownGood = true, 8, 4
-	adjustFor(b, r.now, 5*time.Second, 1)
-	if b.limiter.limit >= 8 {
-		t.Fatal("bound did not shrink in a crowd")
-	}
-	adjustFor(b, r.now+5*time.Second, 20*time.Second, 1)
-	if b.limiter.limit < 2 || b.limiter.limit > 4 {
-		t.Fatalf("bound %v after 25 s of slowness, want it near the known 4", b.limiter.limit)
+// Guards against servers that get less done the more they have in flight, and against starving a fleet that
+// is slow as a whole.
+func TestLimitShrinksUnderCongestionToNearTheKnownGood(t *testing.T) {
+	h, balancer := newLimiterHarness(t)
+	balancer.limiter.congestionSeen, balancer.limiter.limit, balancer.limiter.knownGood = true, 8, 4
+	adjustLimitFor(balancer, h.now, 5*time.Second, 1)
+	if balancer.limiter.limit >= 8 {
+		t.Fatal("limit did not shrink under congestion")
+	}
+	adjustLimitFor(balancer, h.now+5*time.Second, 20*time.Second, 1)
+	if balancer.limiter.limit < 2 || balancer.limiter.limit > 4 {
+		t.Fatalf("limit %v after 25 s of slowness, want it near the known good 4", balancer.limiter.limit)
 	}
 }
 
-// Guards against a fleet of crowded servers that is kept crowded by many sparse nodes,
-// each true to a bound that was good before: the servers could never rest.
-func TestThinNodesLetCrowdedServersRest(t *testing.T) {
-	r, b := newSteered(t)
-	b.limiter.congestionSeen, b.limiter.limit, b.limiter.knownGood, b.subset.nodesPerServer = true, 8, 8, 2*undersampledFrom
-	adjustFor(b, r.now, 10*time.Second, 1)
-	if b.limiter.limit > 1 {
-		t.Fatalf("bound %v after 10 s in a crowd, want under one request a server", b.limiter.limit)
+// Guards against servers that stay congested by many undersampled nodes, each at a limit that was good before.
+func TestUndersampledNodeLimitFallsBelowOneRequestPerServer(t *testing.T) {
+	h, balancer := newLimiterHarness(t)
+	balancer.limiter.congestionSeen, balancer.limiter.limit, balancer.limiter.knownGood = true, 8, 8
+	balancer.subset.nodesPerServer = 2 * undersampledFrom
+	adjustLimitFor(balancer, h.now, 10*time.Second, 1)
+	if balancer.limiter.limit > 1 {
+		t.Fatalf("limit %v after 10 s of congestion, want below one request for each server", balancer.limiter.limit)
 	}
 }
 
-// Guards against the overshoot of the start's fast growth, which answers reveal late.
-func TestFirstCrowdTakesTheBoundBackAtOnce(t *testing.T) {
-	r, b := newSteered(t)
-	b.limiter.limit, b.subset.nodesPerServer = 10, 2*undersampledFrom
-	adjustFor(b, r.now, 10*ms, 1)
-	if b.limiter.limit > 7 {
-		t.Fatalf("bound %v after the first sign of a crowd, want well below 10", b.limiter.limit)
+// Guards against the overshoot of the fast initial growth, which responses show late.
+func TestFirstCongestionCutsTheInitialGrowth(t *testing.T) {
+	h, balancer := newLimiterHarness(t)
+	balancer.limiter.limit, balancer.subset.nodesPerServer = 10, 2*undersampledFrom
+	adjustLimitFor(balancer, h.now, 10*ms, 1)
+	if balancer.limiter.limit > 7 {
+		t.Fatalf("limit %v after the first sign of congestion, want well below 10", balancer.limiter.limit)
 	}
 }
 
-// Guards against nodes that keep unequal parts of the same servers: those whose bound a crowd
-// had once brought to its floor refused most requests, while others had eight times their room.
-func TestThinNodesThatShareServersComeToEqualBounds(t *testing.T) {
+// Guards against nodes with unequal parts of the same servers: those whose limit had once fallen to its floor
+// rejected most requests, while others had eight times their capacity.
+func TestUndersampledNodesThatShareServersConvergeToEqualLimits(t *testing.T) {
 	var nodes []*Balancer
 	for _, limit := range []float64{0.5, 4} {
-		r := thinRig(t)
-		r.b.limiter.congestionSeen, r.b.limiter.limit, r.b.limiter.knownGood = true, limit, limit
-		r.b.queue.waiting = append(r.b.queue.waiting, &request{})
-		r.b.limiter.adjustedAt = time.Hour
-		nodes = append(nodes, r.b)
+		h := newUndersampledHarness(t)
+		limiter := &h.balancer.limiter
+		limiter.congestionSeen, limiter.limit, limiter.knownGood = true, limit, limit
+		limiter.adjustedAt = time.Hour
+		h.balancer.queue.waiting = append(h.balancer.queue.waiting, &request{})
+		nodes = append(nodes, h.balancer)
 	}
 	now := time.Hour
-	for range 400 { // both see the same servers: a crowd once they send too much together
-		crowding := 0.0
+	for range 400 { // both see the same servers, which are congested once they send too much together
+		congestion := 0.0
 		if nodes[0].limiter.limit+nodes[1].limiter.limit > 5 {
-			crowding = 1
+			congestion = 1
 		}
-		for _, b := range nodes {
-			adjustFor(b, now, 100*ms, crowding)
+		for _, balancer := range nodes {
+			adjustLimitFor(balancer, now, 100*ms, congestion)
 		}
 		now += 100 * ms
 	}
 	if less, more := nodes[0].limiter.limit, nodes[1].limiter.limit; more > 2*less {
-		t.Fatalf("bounds %.2f and %.2f after 40 s with the same servers", less, more)
+		t.Fatalf("limits %.2f and %.2f after 40 s with the same servers", less, more)
 	}
 }
 
-// Guards against one request a server from each of many nodes, which is a crowd, and
-// against a node that waits for room at its own chance peaks, though all nodes together
-// are far from their bound.
-func TestThinNodeKeepsItsMeanInFlightToTheBound(t *testing.T) {
-	set := testSettings()
-	set.Nodes = 80
-	r := newRig(t, set, 20)
-	bound := r.b.limiter.limit * 20 / 80 // in flight, its part of the whole
+// Guards against one request for each server from each of many nodes, which is congestion, and against a node
+// that waits at its own chance peaks though all nodes together are far from the limit.
+func TestUndersampledNodeHoldsItsMeanInFlightToTheLimit(t *testing.T) {
+	settings := testSettings()
+	settings.Nodes = 80
+	h := newHarness(t, settings, 20)
+	limit := h.balancer.limiter.limit * 20 / 80 // in flight, this node's part of the whole
 	for range 3 {
-		r.request(0)
-	}
-	if n := len(r.h.sends); n < 2 {
-		t.Fatalf("%d of 3 requests that came at once were sent, the bound is %.1f", n, bound)
-	}
-	held, sum := 0, 0
-	for range 300 { // requests that nobody answers for half a second each
-		id := r.request(0)
-		r.pass(10 * ms)
-		sum += r.b.limiter.inFlight
-		if len(r.sendsOf(id)) == 0 {
-			held++
-		}
-		for id := range r.next {
-			a := r.b.requests.byID[id]
-			if a == nil || len(a.attempts) == 0 || r.now-a.attempts[0].sentAt < 500*ms {
-				continue
-			}
-			for i := range a.attempts {
-				r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: OK, RequestEnded: true, Latency: 500 * ms})
-			}
+		h.request(0)
+	}
+	if n := len(h.host.sends); n < 2 {
+		t.Fatalf("%d of 3 requests that came at once were sent, the limit is %.1f", n, limit)
+	}
+	queued, sum := 0, 0
+	for range 300 { // requests that get no response for half a second each
+		id := h.request(0)
+		h.advance(10 * ms)
+		sum += h.balancer.limiter.inFlight
+		if len(h.sendsOf(id)) == 0 {
+			queued++
 		}
+		h.succeedOlderThan(500 * ms)
+	}
+	if mean := float64(sum) / 300; queued == 0 || mean > 2*limit+1 {
+		t.Fatalf("%d queued, %.1f in flight on the average; the node's part is %.1f", queued, mean, limit)
 	}
-	if mean := float64(sum) / 300; held == 0 || mean > 2*bound+1 {
-		t.Fatalf("%d held, %.1f in flight on the average; the node's part is %.1f", held, mean, bound)
+}
+
+// succeedOlderThan ends all attempts of the requests that were first sent so long ago.
+func (h *harness) succeedOlderThan(age time.Duration) {
+	for id := range h.lastID {
+		record := h.balancer.requests.byID[id]
+		if record == nil || len(record.attempts) == 0 || h.now-record.attempts[0].sentAt < age {
+			continue
+		}
+		for i := range record.attempts {
+			h.balancer.Outcome(h.now, Outcome{ID: id, Attempt: i, Status: OK, RequestEnded: true, Latency: age})
+		}
 	}
 }
 
-// Guards against a stop of all sends when servers that hold our attempts vanish.
-func TestAttemptsAtOpenServersDoNotFillTheBound(t *testing.T) {
-	r := newRig(t, testSettings(), 4)
+// Guards against a stop of all sends when servers with attempts in flight vanish.
+func TestAttemptsAtOpenBreakersDoNotUseUpTheLimit(t *testing.T) {
+	h := newHarness(t, testSettings(), 4)
 	for range 4 {
-		r.request(0)
+		h.request(0)
 	}
-	for _, s := range r.b.endpoints.ready[:2] {
+	for _, s := range h.balancer.endpoints.ready[:2] {
 		for range failureThreshold {
-			r.b.recordFailure(r.now, &attempt{server: s}, ServerError)
+			h.balancer.recordFailure(h.now, &attempt{server: s}, ServerError)
 		}
 	}
-	for _, s := range r.b.endpoints.ready[2:] {
+	for _, s := range h.balancer.endpoints.ready[2:] {
 		for _, a := range append([]*attempt(nil), s.inFlight...) {
-			r.end(a.request.ID, OK, 10*ms)
+			h.endAttempt(a.request.ID, OK, 10*ms)
 		}
 	}
-	if id := r.request(0); len(r.sendsOf(id)) != 1 {
-		t.Fatal("a free server is left idle because open ones hold attempts")
+	if id := h.request(0); len(h.sendsOf(id)) != 1 {
+		t.Fatal("a server with capacity is left idle because ejected ones have attempts in flight")
 	}
 }
 
-// Guards against a yardstick that grows with the crowd: alone among ours is not alone.
-func TestLoneLatenciesAreLearntOnlyInAQuietFleet(t *testing.T) {
-	set := testSettings()
-	set.Nodes = 7
-	r := newRig(t, set, 7)
-	r.b.limiter.limit = 2 * r.b.subset.nodesPerServer
-	r.b.arrivalRate.Add(r.now, 100)
-	lone, sends := 0, 0
+// Guards against a baseline that grows with congestion: no other attempt of this node does not mean no load.
+func TestOnlyAttemptsInAQuietFleetCountAsUnloaded(t *testing.T) {
+	settings := testSettings()
+	settings.Nodes = 7
+	h := newHarness(t, settings, 7)
+	h.balancer.limiter.limit = 2 * h.balancer.subset.nodesPerServer
+	h.balancer.arrivalRate.Add(h.now, 100)
+	unloaded, sends := 0, 0
 	for range 7 {
-		for _, a := range r.b.requests.byID[r.request(0)].attempts {
+		for _, a := range h.balancer.requests.byID[h.request(0)].attempts {
 			sends++
 			if a.unloaded {
-				lone++
+				unloaded++
 			}
 		}
 	}
-	if lone == 0 || sends < 5 || lone > 4 {
-		t.Fatalf("%d of %d requests count as lone, want the first few", lone, sends)
+	if unloaded == 0 || sends < 5 || unloaded > 4 {
+		t.Fatalf("%d of %d attempts count as unloaded, want the first few", unloaded, sends)
 	}
 }
--- a/policy/disconnect_test.go
+++ b/policy/disconnect_test.go
@@ -5,69 +5,89 @@
 	"time"
 )
 
-// A client leaves at the very time at which the module would make its next attempt: told of
-// it first it makes none; told right after, it cancels what it began. Nothing comes later.
-func TestClientLeavesAsTheNextAttemptIsDue(t *testing.T) {
-	sweep := func(r *rig) { r.now = max(r.now, r.b.nextCheckAt); r.b.Timer(r.now, timerCheck) }
-	for name, c := range map[string]struct {
-		before func(r *rig) RequestID // up to the moment
-		due    func(r *rig)
-	}{
-		"held": {func(r *rig) RequestID {
-			for range r.b.endpoints.ready {
-				r.request(2)
+// disconnectCase is a request whose next attempt is due.
+type disconnectCase struct {
+	name   string
+	before func(h *harness) RequestID // up to the moment
+	due    func(h *harness)           // the event that starts the attempt
+}
+
+// The order of a client's disconnection and the event that starts the next attempt of its request.
+const (
+	staysConnected   = "stays connected"
+	disconnectsFirst = "disconnects first"
+	disconnectsAfter = "disconnects right after"
+)
+
+// A client disconnects at the very time of the next attempt. Reported first, there is none; reported right
+// after, the attempt is cancelled. Nothing follows.
+func TestClientDisconnectsAsTheNextAttemptIsDue(t *testing.T) {
+	check := func(h *harness) {
+		h.now = max(h.now, h.balancer.nextCheckAt)
+		h.balancer.Timer(h.now, timerCheck)
+	}
+	for _, c := range []disconnectCase{
+		{"queued", func(h *harness) RequestID {
+			for range h.balancer.endpoints.ready {
+				h.request(2)
 			}
-			return r.request(0)
-		}, func(r *rig) { r.end(r.next-1, OK, 20*ms) }},
-		"waits for a retry": {func(r *rig) RequestID {
-			id := r.request(0)
-			r.end(id, ServerError, 10*ms)
-			r.now = max(r.now, r.b.requests.byID[id].retryAt)
+			return h.request(0)
+		}, func(h *harness) { h.endAttempt(h.lastID-1, OK, 20*ms) }},
+		{"retry", func(h *harness) RequestID {
+			id := h.request(0)
+			h.endAttempt(id, ServerError, 10*ms)
+			h.now = max(h.now, h.balancer.requests.byID[id].retryAt)
 			return id
-		}, sweep},
-		"a hedged request": {func(r *rig) RequestID {
-			r.serve(100, 0, 20*ms)
-			r.h.timers = nil // the node is busy: none is handled up to the moment
-			id := r.request(0)
-			r.now += 400 * ms
+		}, check},
+		{"hedged request", func(h *harness) RequestID {
+			h.serve(100, 20*ms)
+			h.host.timers = nil // the node is busy: none is handled up to the moment
+			id := h.request(0)
+			h.now += 400 * ms
 			return id
-		}, sweep},
+		}, check},
 	} {
-		for order, want := range map[string]int{"stays": 1, "leaves first": 0, "leaves right after": 1} {
+		for _, order := range []string{staysConnected, disconnectsFirst, disconnectsAfter} {
 			for _, cancel := range []bool{true, false} {
-				set := testSettings()
-				set.Limits.Cancel = cancel
-				r := newRig(t, set, 3)
-				id := c.before(r)
-				began, cancels := len(r.sendsOf(id)), r.h.cancels
-				if order == "leaves first" {
-					r.b.ClientDisconnected(r.now, id)
-				}
-				c.due(r)
-				if order != "leaves first" {
-					if n := len(r.sendsOf(id)) - began; n != 1 {
-						t.Errorf("%s, %s: %d attempts", name, order, n)
-					}
-					if order == "stays" {
-						continue
-					}
-					r.b.ClientDisconnected(r.now, id)
-				}
-				out := 0
-				if q := r.b.requests.byID[id]; q != nil {
-					out = q.inFlight
-				}
-				if n := r.h.cancels - cancels; cancel && n != out {
-					t.Errorf("%s, %s: %d of %d attempts are cancelled", name, order, n, out)
-				}
-				for i := range began + want { // what is out ends in the way that asks for a retry
-					r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Status: ServerError})
-				}
-				r.pass(10 * time.Second)
-				if n := len(r.sendsOf(id)) - began; n != want || r.b.requests.byID[id] != nil {
-					t.Errorf("%s, %s: %d attempts, want %d; still known: %v", name, order, n, want, r.b.requests.byID[id] != nil)
-				}
+				t.Run(c.name+"/"+order, func(t *testing.T) { c.run(t, order, cancel) })
 			}
 		}
 	}
 }
+
+func (c *disconnectCase) run(t *testing.T, order string, cancel bool) {
+	settings := testSettings()
+	settings.Limits.Cancel = cancel
+	h := newHarness(t, settings, 3)
+	id := c.before(h)
+	sends, cancels, wantSends := len(h.sendsOf(id)), h.host.cancels, 1
+	if order == disconnectsFirst {
+		h.balancer.ClientDisconnected(h.now, id)
+		wantSends = 0
+	}
+	c.due(h)
+	if n := len(h.sendsOf(id)) - sends; order != disconnectsFirst && n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+	if order == staysConnected {
+		return
+	}
+	if order == disconnectsAfter {
+		h.balancer.ClientDisconnected(h.now, id)
+	}
+	inFlight := 0
+	if record := h.balancer.requests.byID[id]; record != nil {
+		inFlight = record.inFlight
+	}
+	if n := h.host.cancels - cancels; cancel && n != inFlight {
+		t.Errorf("%d of %d attempts are cancelled", n, inFlight)
+	}
+	for i := range sends + wantSends { // the attempts end in the way that would cause a retry
+		h.balancer.Outcome(h.now, Outcome{ID: id, Attempt: i, Status: ServerError})
+	}
+	h.advance(10 * time.Second)
+	known := h.balancer.requests.byID[id] != nil
+	if n := len(h.sendsOf(id)) - sends; n != wantSends || known {
+		t.Errorf("%d attempts, want %d; still known: %v", n, wantSends, known)
+	}
+}
--- a/policy/discovery_test.go
+++ b/policy/discovery_test.go
@@ -7,49 +7,49 @@
 	"time"
 )
 
-// registry is a discovery service in a world of many Balancers. It takes calls in turn, and
-// works off those that were given up too, as the service that was measured does. While it is
-// down it turns calls away, after a while or at once, or says nothing.
-type registry struct {
-	perCall  time.Duration
-	patience time.Duration // a call that waits longer has failed
-	holds    time.Duration // a call waits so long for news; 0: it is answered at once
-	busy     time.Duration // the queue is worked off then
+// discoveryService simulates the service that many Balancers watch. It answers calls in turn, also those that
+// were given up, like the service that was measured. While it is down it rejects calls, at once or late, or
+// stays silent.
+type discoveryService struct {
+	perCall      time.Duration
+	callTimeout  time.Duration // a call that waits longer has failed
+	watchTimeout time.Duration // a call waits so long for changes; 0: it is answered at once
+	busyUntil    time.Duration // when the last call in the queue is answered
 
-	down, up time.Duration   // from when to when it is away
-	refusal  time.Duration   // how long it takes to turn a call away then
-	calls    []time.Duration // of those who have no news since its return
+	downAt, upAt time.Duration   // it is down between these
+	rejectAfter  time.Duration   // how long it takes to reject a call meanwhile
+	callsForNews []time.Duration // of nodes that are not notified since its return
 }
 
-// call gives when a call made now ends, and whether with an answer. Its news are of the time
-// when it returned, if it was away: they are told at once to all who call from then on.
-func (d *registry) call(now time.Duration, informed bool) (time.Duration, bool) {
+// call returns when a call made now ends, and whether with an answer. The service has changes as of its return,
+// of which a node that is not informed is notified at once.
+func (d *discoveryService) call(now time.Duration, informed bool) (time.Duration, bool) {
 	if !informed {
-		d.calls = append(d.calls, now)
+		d.callsForNews = append(d.callsForNews, now)
 	}
-	if d.down <= now && now < d.up {
-		return now + d.refusal, false
+	if d.downAt <= now && now < d.upAt {
+		return now + d.rejectAfter, false
 	}
-	d.busy = max(d.busy, now) + d.perCall
-	answer := d.busy
-	if now >= d.up && !informed || d.holds == 0 {
-		if answer-now > d.patience {
-			return now + d.patience, false
+	d.busyUntil = max(d.busyUntil, now) + d.perCall
+	answer := d.busyUntil
+	if now >= d.upAt && !informed || d.watchTimeout == 0 {
+		if answer-now > d.callTimeout {
+			return now + d.callTimeout, false
 		}
 		return answer, true
 	}
-	answer += d.holds
-	if now < d.down && answer > d.down { // a watch ends as discovery goes down
-		return d.down, false
+	answer += d.watchTimeout
+	if now < d.downAt && answer > d.downAt { // a watch ends as the service goes down
+		return d.downAt, false
 	}
 	return answer, true
 }
 
-// peak gives the most calls in a second from a time on.
-func (d *registry) peak(from time.Duration) (most int) {
+// peakCalls returns the most calls within a second from a time on.
+func (d *discoveryService) peakCalls(from time.Duration) (most int) {
 	first := 0
-	for i, at := range d.calls {
-		for d.calls[first] < max(from, at-time.Second+1) && first < i {
+	for i, at := range d.callsForNews {
+		for d.callsForNews[first] < max(from, at-time.Second+1) && first < i {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -57,76 +57,76 @@
 	return most
 }
 
-// member is one node of that world.
-type member struct {
+// watchingNode is a node that calls a discoveryService.
+type watchingNode struct {
 	*fakeHost
-	b        *Balancer
-	wanted   int // calls that discovery has been told of
-	began    time.Duration
-	answer   time.Duration
-	answered bool // by the call under way
-	waiting  bool
-	told     time.Duration // when it first had what discovery has had since its return
-	rewatch  bool          // an answer is followed by another watch
+	balancer     *Balancer
+	callsSeen    int // calls that the service has got
+	calledAt     time.Duration
+	answeredAt   time.Duration
+	callSucceeds bool // the call under way
+	calling      bool
+	notifiedAt   time.Duration // of the changes since the return of the service
+	watchesOn    bool          // an answer is followed by another call
 }
 
-// step plays one node up to now.
-func (m *member) step(t *testing.T, now time.Duration, d *registry) {
+// step runs one node up to now.
+func (m *watchingNode) step(t *testing.T, now time.Duration, d *discoveryService) {
 	t.Helper()
-	m.fire(m.b, now)
-	if m.waiting && now >= m.answer {
-		m.waiting = false
-		if m.answered {
-			if m.told == 0 && m.began >= d.up {
-				m.told = now
+	m.fire(m.balancer, now)
+	if m.calling && now >= m.answeredAt {
+		m.calling = false
+		if m.callSucceeds {
+			if m.notifiedAt == 0 && m.calledAt >= d.upAt {
+				m.notifiedAt = now
 			}
-			m.b.UpdateEndpoints(now, UpdateDelta, nil)
-			if m.rewatch {
+			m.balancer.UpdateEndpoints(now, UpdateDelta, nil)
+			if m.watchesOn {
 				m.watches++
 			}
 		} else {
-			m.b.WatchFailed(now, m.began+NotificationDeadline)
+			m.balancer.WatchFailed(now, m.calledAt+NotificationDeadline)
 		}
 	}
-	if m.watches > m.wanted {
-		if m.waiting {
-			t.Fatalf("%v: a node calls again while its call is out", now)
+	if m.watches > m.callsSeen {
+		if m.calling {
+			t.Fatalf("%v: a node calls again while its call is under way", now)
 		}
-		m.wanted = m.watches
-		m.began = now
-		m.answer, m.answered = d.call(now, m.told > 0)
-		m.waiting = true
+		m.callsSeen = m.watches
+		m.calledAt = now
+		m.answeredAt, m.callSucceeds = d.call(now, m.notifiedAt > 0)
+		m.calling = true
 	}
 }
 
-// newFleet gives nodes that start in step, with a list that they know.
-func newFleet(t *testing.T, nodes int, change func(set *Settings)) (fleet []*member) {
+// newWatchingNodes returns nodes that start at the same time with the same cached list.
+func newWatchingNodes(t *testing.T, nodes int, change func(settings *Settings)) (fleet []*watchingNode) {
 	t.Helper()
 	for i := range nodes {
-		set := testSettings()
-		set.Nodes, set.Node, set.PollEndpoints = nodes, i, true
+		settings := testSettings()
+		settings.Nodes, settings.Node, settings.PollEndpoints = nodes, i, true
 		if change != nil {
-			change(&set)
+			change(&settings)
 		}
-		m := &member{fakeHost: newHost()}
-		b, err := New(set, uint64(i+1), m)
+		m := &watchingNode{fakeHost: newHost()}
+		balancer, err := New(settings, uint64(i+1), m)
 		if err != nil {
 			t.Fatal(err)
 		}
-		m.b = b
-		b.UpdateEndpoints(time.Hour, UpdateCached, ready(1, 60))
+		m.balancer = balancer
+		balancer.UpdateEndpoints(time.Hour, UpdateCached, ready(1, 60))
 		fleet = append(fleet, m)
 	}
 	return fleet
 }
 
-// Guards against nodes that ask for the list in step: of 80 that started together 49 got none
-// for 20 s. Their first calls waited too long, came again before discovery had worked off the
-// queue of those, and so on. The others, which share nothing with them, held theirs.
-func TestAllNodesOfAReleaseGetTheList(t *testing.T) {
+// Guards against nodes that call at the same time: of 80 that started together 49 got no list for 20 s. Their
+// first calls timed out and were repeated before the service had answered all of those in its queue, and
+// so on.
+func TestAllNodesOfAReleaseGetTheEndpointList(t *testing.T) {
 	const nodes = 80
-	d := &registry{perCall: 65 * ms, patience: 2 * time.Second}
-	fleet := newFleet(t, nodes, nil)
+	d := &discoveryService{perCall: 65 * ms, callTimeout: 2 * time.Second}
+	fleet := newWatchingNodes(t, nodes, nil)
 	for now := time.Hour; now < time.Hour+12*time.Second; now += 5 * ms {
 		for _, m := range fleet {
 			m.step(t, now, d)
@@ -134,7 +134,7 @@
 	}
 	without := 0
 	for _, m := range fleet {
-		if m.told == 0 {
+		if m.notifiedAt == 0 {
 			without++
 		}
 	}
@@ -143,55 +143,75 @@
 	}
 }
 
-// Discovery is away for a while, in several ways, and comes back with news: they count as told
-// 6 s later, whatever the calls to it have met. That must not come at the price of a rush: one
-// discovery has to carry the return of 650 nodes that carries their watches, 217 calls a second,
-// and half as many again. Each node makes two calls then: it gets the news, and watches on.
-func TestNewsOfADiscoveryThatReturns(t *testing.T) {
-	const holds = 3 * time.Second // as the real nodes ask
-	for _, away := range []struct {
-		name    string
-		span    time.Duration
-		refusal time.Duration // a call's; 4.5 s is when a node gives its watch up
-	}{
-		{"refused", 9 * time.Second, 0},
-		{"refused for a moment", 10 * ms, 0},
-		{"turned away in turn", 9 * time.Second, 3 * time.Second},
-		{"silent", 9 * time.Second, holds * 3 / 2},
+// outage is a time in which a discoveryService is down.
+type outage struct {
+	name        string
+	duration    time.Duration
+	rejectAfter time.Duration // of a call; 4.5 s is when a node gives a call up
+}
+
+// watchTimeout is how long the real nodes ask the service to wait for changes.
+const watchTimeout = 3 * time.Second
+
+// The discovery service is down for a while, in several ways, and returns with changes: every node must be
+// notified 6 s later, whatever its calls have met. That must not cause a rush: a service that carries the
+// watches of 650 nodes, 217 calls per second, has to carry their return with half as many again. Each node
+// makes two calls then: it is notified, and watches on.
+func TestEveryNodeIsNotifiedAfterDiscoveryReturns(t *testing.T) {
+	for _, down := range []outage{
+		{"rejects", 9 * time.Second, 0},
+		{"rejects for a moment", 10 * ms, 0},
+		{"rejects late", 9 * time.Second, 3 * time.Second},
+		{"silent", 9 * time.Second, watchTimeout * 3 / 2},
 	} {
 		for _, nodes := range []int{1, 3, 20, 300, 650} {
-			t.Run(fmt.Sprintf("%s/%d", away.name, nodes), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%d", down.name, nodes), func(t *testing.T) {
 				t.Parallel()
-				d := &registry{
-					perCall: 3 * ms, patience: holds * 3 / 2, holds: holds,
-					down: time.Hour + 8*time.Second, refusal: away.refusal,
-				}
-				d.up = d.down + away.span
-				fleet := newFleet(t, nodes, func(set *Settings) { set.Rules.MaxPollInterval = 30 * time.Second })
-				for now := time.Hour; now < d.up+8*time.Second; now += 5 * ms {
-					for _, m := range fleet {
-						m.rewatch = true
-						m.step(t, now, d)
-					}
-				}
-				var lags []time.Duration
-				for _, m := range fleet {
-					if m.told == 0 {
-						m.told = d.up + time.Hour
-					}
-					lags = append(lags, m.told-d.up)
-				}
-				slices.Sort(lags)
-				idle := nodes * int(time.Second) / int(holds)
-				peak, most := d.peak(d.up), 3*max(idle, int(time.Second/watchSpreadPerNode))/2
-				t.Logf("lag: median %v, worst %v; peak %d calls for news a second, idle watches %d", lags[nodes/2], lags[nodes-1], peak, idle)
-				if lags[nodes-1] >= NotificationDeadline {
-					t.Errorf("the last node is told %v after the return", lags[nodes-1])
-				}
-				if peak > most {
-					t.Errorf("%d calls in a second, over %d", peak, most)
-				}
+				checkReturn(t, down, nodes)
 			})
 		}
 	}
 }
+
+func checkReturn(t *testing.T, down outage, nodes int) {
+	d := &discoveryService{
+		perCall: 3 * ms, callTimeout: watchTimeout * 3 / 2, watchTimeout: watchTimeout,
+		downAt: time.Hour + 8*time.Second, rejectAfter: down.rejectAfter,
+	}
+	d.upAt = d.downAt + down.duration
+	fleet := newWatchingNodes(t, nodes, func(settings *Settings) {
+		settings.Rules.MaxPollInterval = 30 * time.Second
+	})
+	for now := time.Hour; now < d.upAt+8*time.Second; now += 5 * ms {
+		for _, m := range fleet {
+			m.watchesOn = true
+			m.step(t, now, d)
+		}
+	}
+	lags := notificationLags(fleet, d.upAt)
+	worst := lags[nodes-1]
+	idle := nodes * int(time.Second) / int(watchTimeout)
+	peak, most := d.peakCalls(d.upAt), 3*max(idle, int(time.Second/watchSpreadPerNode))/2
+	t.Logf("lag: median %v, worst %v; peak %d calls of nodes not notified per second, idle watches %d",
+		lags[nodes/2], worst, peak, idle)
+	if worst >= NotificationDeadline {
+		t.Errorf("the last node is notified %v after the return", worst)
+	}
+	if peak > most {
+		t.Errorf("%d calls in a second, over %d", peak, most)
+	}
+}
+
+// notificationLags returns the sorted times from the return of the service until each node is notified; an
+// hour for those that are not.
+func notificationLags(fleet []*watchingNode, upAt time.Duration) []time.Duration {
+	var lags []time.Duration
+	for _, m := range fleet {
+		if m.notifiedAt == 0 {
+			m.notifiedAt = upAt + time.Hour
+		}
+		lags = append(lags, m.notifiedAt-upAt)
+	}
+	slices.Sort(lags)
+	return lags
+}
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -10,16 +10,16 @@
 
 // fakeHost records the actions of one Balancer.
 type fakeHost struct {
-	sends   []sent
-	cancels int
-	refused map[RequestID]time.Duration
-	failed  map[RequestID]bool
-	timers  []timer
-	watches int
-	log     []string
+	sends    []sentAttempt
+	cancels  int
+	rejected map[RequestID]time.Duration
+	failed   map[RequestID]bool
+	timers   []timer
+	watches  int
+	log      []string
 }
 
-type sent struct {
+type sentAttempt struct {
 	id     RequestID
 	server ServerID
 }
@@ -30,40 +30,40 @@
 }
 
 func newHost() *fakeHost {
-	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+	return &fakeHost{rejected: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
 }
 
-func (h *fakeHost) note(format string, args ...any) {
+func (h *fakeHost) logAction(format string, args ...any) {
 	h.log = append(h.log, fmt.Sprintf(format, args...))
 }
 
 func (h *fakeHost) Send(id RequestID, server ServerID, timeout time.Duration) {
-	h.note("send %d %d %v", id, server, timeout)
-	h.sends = append(h.sends, sent{id, server})
+	h.logAction("send %d %d %v", id, server, timeout)
+	h.sends = append(h.sends, sentAttempt{id, server})
 }
 
 func (h *fakeHost) Cancel(id RequestID, attempt int) {
-	h.note("cancel %d %d", id, attempt)
+	h.logAction("cancel %d %d", id, attempt)
 	h.cancels++
 }
 
 func (h *fakeHost) Reject(id RequestID, after time.Duration) {
-	h.note("refuse %d %v", id, after)
-	h.refused[id] = after
+	h.logAction("reject %d %v", id, after)
+	h.rejected[id] = after
 }
 
 func (h *fakeHost) Fail(id RequestID) {
-	h.note("fail %d", id)
+	h.logAction("fail %d", id)
 	h.failed[id] = true
 }
 
 func (h *fakeHost) SetTimer(at time.Duration, token uint64) {
-	h.note("timer %v %d", at, token)
+	h.logAction("timer %v %d", at, token)
 	h.timers = append(h.timers, timer{at, token})
 }
 
-// fire gives a Balancer the timers that are due.
-func (h *fakeHost) fire(b *Balancer, now time.Duration) {
+// fire runs the timers that are due.
+func (h *fakeHost) fire(balancer *Balancer, now time.Duration) {
 	var due []timer
 	kept := h.timers[:0]
 	for _, t := range h.timers {
@@ -75,23 +75,23 @@
 	}
 	h.timers = kept
 	for _, t := range due {
-		b.Timer(now, t.token)
+		balancer.Timer(now, t.token)
 	}
 }
 
 func (h *fakeHost) WatchEndpoints() {
-	h.note("watch")
+	h.logAction("watch")
 	h.watches++
 }
 
-// testSettings has a safe, a keyed and an unsafe class, in this order.
+// testSettings has an idempotent class, one with an idempotency key and one that is not idempotent, in this order.
 func testSettings() Settings {
 	s := Defaults()
 	class := Class{Deadline: 2 * time.Second, Objective: 800 * ms, PriorityWeight: 1}
-	keyed, unsafe := class, class
-	keyed.Idempotency, keyed.KeyScope, keyed.KeyRetention = IdempotentWithKey, KeyScopeCell, time.Second
-	unsafe.Idempotency = NotIdempotent
-	s.Classes = []Class{class, keyed, unsafe}
+	withKey, notIdempotent := class, class
+	withKey.Idempotency, withKey.KeyScope, withKey.KeyRetention = IdempotentWithKey, KeyScopeCell, time.Second
+	notIdempotent.Idempotency = NotIdempotent
+	s.Classes = []Class{class, withKey, notIdempotent}
 	s.Limits = Limits{MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: time.Second}
 	s.Rules = Rules{
 		SlowStartShare: 0.2, SlowStartDuration: 10 * time.Second, OverloadMultiple: 3, OverloadWindow: time.Second,
@@ -100,29 +100,29 @@
 	return s
 }
 
-// rig drives a Balancer against a fakeHost, its clock in hand.
-type rig struct {
-	t    *testing.T
-	b    *Balancer
-	h    *fakeHost
-	now  time.Duration
-	next RequestID
-	done map[RequestID]int // outcomes given, by request
+// harness drives a Balancer with a fakeHost on a virtual clock.
+type harness struct {
+	t             *testing.T
+	balancer      *Balancer
+	host          *fakeHost
+	now           time.Duration
+	lastID        RequestID
+	outcomesGiven map[RequestID]int // by request
 }
 
-func newRig(t *testing.T, set Settings, servers int) *rig {
+func newHarness(t *testing.T, settings Settings, servers int) *harness {
 	t.Helper()
-	h := newHost()
-	b, err := New(set, 1, h)
+	host := newHost()
+	balancer, err := New(settings, 1, host)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, b: b, h: h, now: time.Hour, done: map[RequestID]int{}}
-	r.list(UpdateCached, ready(1, servers)...)
-	return r
+	h := &harness{t: t, balancer: balancer, host: host, now: time.Hour, outcomesGiven: map[RequestID]int{}}
+	h.update(UpdateCached, ready(1, servers)...)
+	return h
 }
 
-// ready gives entries for servers first to last, two to a cell, five to a zone.
+// ready returns ready endpoints for the servers first to last, two to a cell and five to a zone.
 func ready(first, last int) []Endpoint {
 	var entries []Endpoint
 	for i := first; i <= last; i++ {
@@ -133,18 +133,20 @@
 	return entries
 }
 
-func (r *rig) list(kind UpdateKind, entries ...Endpoint) { r.b.UpdateEndpoints(r.now, kind, entries) }
+func (h *harness) update(kind UpdateKind, entries ...Endpoint) {
+	h.balancer.UpdateEndpoints(h.now, kind, entries)
+}
 
-func (r *rig) request(class int) RequestID {
-	r.next++
-	r.b.Request(r.now, Request{ID: r.next, Class: class, Timeout: 2 * time.Second})
-	return r.next
+func (h *harness) request(class int) RequestID {
+	h.lastID++
+	h.balancer.Request(h.now, Request{ID: h.lastID, Class: class, Timeout: 2 * time.Second})
+	return h.lastID
 }
 
-// sendsOf lists the servers that a request was sent to.
-func (r *rig) sendsOf(id RequestID) []ServerID {
+// sendsOf returns the servers that a request was sent to.
+func (h *harness) sendsOf(id RequestID) []ServerID {
 	var servers []ServerID
-	for _, s := range r.h.sends {
+	for _, s := range h.host.sends {
 		if s.id == id {
 			servers = append(servers, s.server)
 		}
@@ -152,72 +154,77 @@
 	return servers
 }
 
-// end gives the next outcome of a request.
-func (r *rig) end(id RequestID, status Status, latency time.Duration) {
-	i := r.done[id]
-	r.done[id]++
-	r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Server: r.sendsOf(id)[i], Status: status, Latency: latency,
-		RequestEnded: status == OK})
+// endAttempt gives the outcome of the next attempt of a request.
+func (h *harness) endAttempt(id RequestID, status Status, latency time.Duration) {
+	i := h.outcomesGiven[id]
+	h.outcomesGiven[id]++
+	h.balancer.Outcome(h.now, Outcome{
+		ID: id, Attempt: i, Server: h.sendsOf(id)[i], Status: status, Latency: latency, RequestEnded: status == OK,
+	})
 }
 
-// pass lets time go by, firing the timers that fall due.
-func (r *rig) pass(d time.Duration) {
-	for end := r.now + d; ; {
+// advance moves the clock and runs the timers that fall due.
+func (h *harness) advance(d time.Duration) {
+	for end := h.now + d; ; {
 		due := -1
-		for i, t := range r.h.timers {
-			if t.at <= end && (due < 0 || t.at < r.h.timers[due].at) {
+		for i, t := range h.host.timers {
+			if t.at <= end && (due < 0 || t.at < h.host.timers[due].at) {
 				due = i
 			}
 		}
 		if due < 0 {
-			r.now = end
+			h.now = end
 			return
 		}
-		t := r.h.timers[due]
-		r.h.timers = append(r.h.timers[:due], r.h.timers[due+1:]...)
-		r.now = max(r.now, t.at)
-		r.b.Timer(r.now, t.token)
+		t := h.host.timers[due]
+		h.host.timers = append(h.host.timers[:due], h.host.timers[due+1:]...)
+		h.now = max(h.now, t.at)
+		h.balancer.Timer(h.now, t.token)
 	}
 }
 
-// serve has n requests of a class answered in a steady time, spread over time.
-func (r *rig) serve(n, class int, latency time.Duration) {
+// serve has n requests of class 0 succeed with the same latency, one after another.
+func (h *harness) serve(n int, latency time.Duration) {
 	for range n {
-		id := r.request(class)
-		r.pass(latency)
-		if r.done[id] < len(r.sendsOf(id)) {
-			r.end(id, OK, latency)
+		id := h.request(0)
+		h.advance(latency)
+		if h.outcomesGiven[id] < len(h.sendsOf(id)) {
+			h.endAttempt(id, OK, latency)
 		}
 	}
 }
 
-func (r *rig) breakers() (count [3]int) {
-	for _, s := range r.b.endpoints.ready {
+// breakers counts the breakers by state.
+func (h *harness) breakers() (count [3]int) {
+	for _, s := range h.balancer.endpoints.ready {
 		count[s.breaker.state]++
 	}
 	return count
 }
 
-// thinRig has many nodes, a cheap class 0 and a precious class 1 whose late answers still
-// earn half, and a fleet that the node has got to know as one that answers in time.
-func thinRig(t *testing.T) *rig {
-	set := testSettings()
-	set.Nodes = 80
-	set.Limits.MaxRetryAfter = 750 * ms
+// newUndersampledHarness has many nodes and warm measurements. Class 0 has a low priority weight, class 1 a
+// high one, of which late responses still earn half.
+func newUndersampledHarness(t *testing.T) *harness {
+	settings := testSettings()
+	settings.Nodes = 80
+	settings.Limits.MaxRetryAfter = 750 * ms
 	class := Class{Deadline: 400 * ms, Objective: 160 * ms, PriorityWeight: 1, LateFraction: 0.25}
-	precious := Class{Deadline: 530 * ms, Objective: 160 * ms, PriorityWeight: 10, LateFraction: 0.5, Idempotency: NotIdempotent}
-	set.Classes = []Class{class, precious}
-	r := newRig(t, set, 60)
-	r.serve(40, 0, 30*ms)
-	if !r.b.subset.undersampled() {
-		t.Fatal("80 nodes at 60 servers are not sparse")
+	highPriority := Class{
+		Deadline: 530 * ms, Objective: 160 * ms, PriorityWeight: 10, LateFraction: 0.5, Idempotency: NotIdempotent,
+	}
+	settings.Classes = []Class{class, highPriority}
+	h := newHarness(t, settings, 60)
+	h.serve(40, 30*ms)
+	if !h.balancer.subset.undersampled() {
+		t.Fatal("80 nodes at 60 servers are not undersampled")
 	}
-	return r
+	return h
 }
 
-// fill has the node at its mean in flight, with none out at this moment.
-func (r *rig) fill() {
-	r.b.refresh(r.now)
-	r.b.limiter.limit, r.b.limiter.knownGood, r.b.limiter.congestionSeen = 1, 1, true
-	r.b.limiter.meanInFlight = 2 * r.b.limiter.limit / r.b.subset.nodesPerServer * float64(r.b.subset.closed)
+// fillToLimit sets the mean number of attempts in flight above the limit, with none in flight now.
+func (h *harness) fillToLimit() {
+	h.balancer.refresh(h.now)
+	limiter, subset := &h.balancer.limiter, &h.balancer.subset
+	limiter.limit, limiter.knownGood, limiter.congestionSeen = 1, 1, true
+	limiter.meanInFlight = 2 * limiter.limit / subset.nodesPerServer * float64(subset.closed)
 }
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -8,213 +8,217 @@
 	"time"
 )
 
-// world plays a random script against one Balancer and checks the rules on each
-// action: one final answer in time, no effect twice, no send after a notice, no
-// attempt too many.
-type world struct {
+// invariantChecker generates random events for one Balancer and checks each action: one final answer in time,
+// no execution against the idempotency, no send to a server that is not ready, no attempt beyond the limit.
+type invariantChecker struct {
 	*fakeHost
-	t        *testing.T
-	rng      *rand.Rand
-	b        *Balancer
-	now      time.Duration
-	open     map[RequestID]*played
-	answered map[RequestID]int
-	state    map[ServerID]Endpoint
+	t            *testing.T
+	rng          *rand.Rand
+	balancer     *Balancer
+	now          time.Duration
+	requests     map[RequestID]*checkedRequest
+	finalAnswers map[RequestID]int
+	endpoints    map[ServerID]Endpoint
 }
 
-type played struct {
-	class    Class
-	end      time.Duration
-	attempts []*playedAttempt
-	done     bool
+// checkedRequest is a request as the checker knows it.
+type checkedRequest struct {
+	class     Class
+	deadline  time.Duration
+	attempts  []*checkedAttempt
+	completed bool
 }
 
-type playedAttempt struct {
+type checkedAttempt struct {
 	server   Endpoint
-	sent     time.Duration
-	out      bool
+	sentAt   time.Duration
+	inFlight bool
 	neverRan bool
 }
 
-func (w *world) Send(id RequestID, server ServerID, timeout time.Duration) {
+func (w *invariantChecker) Send(id RequestID, server ServerID, timeout time.Duration) {
 	w.fakeHost.Send(id, server, timeout)
-	p, s := w.open[id], w.state[server]
+	checked, s := w.requests[id], w.endpoints[server]
 	switch {
-	case p == nil || p.done:
-		w.t.Errorf("%v: sent request %d, which is finished", w.now, id)
+	case checked == nil || checked.completed:
+		w.t.Errorf("%v: sent request %d, which is completed", w.now, id)
 		return
 	case s.State != Ready:
-		w.t.Errorf("%v: sent request %d to server %d in state %d", w.now, id, server, s.State)
-	case len(p.attempts) >= 4:
+		w.t.Errorf("%v: sent request %d to server %d in state %v", w.now, id, server, s.State)
+	case len(checked.attempts) >= 4:
 		w.t.Errorf("%v: request %d has too many attempts", w.now, id)
 	}
-	for _, a := range p.attempts {
+	for _, a := range checked.attempts {
 		if a.neverRan {
 			continue
 		}
-		if p.class.Idempotency == NotIdempotent {
-			w.t.Errorf("%v: unsafe request %d sent again though it may have run", w.now, id)
+		if checked.class.Idempotency == NotIdempotent {
+			w.t.Errorf("%v: request %d, not idempotent, sent again though it may have run", w.now, id)
 		}
-		if p.class.Idempotency == IdempotentWithKey && (a.server.Cell != s.Cell || w.now-a.sent >= p.class.KeyRetention) {
-			w.t.Errorf("%v: keyed request %d repeated out of its group or window", w.now, id)
+		keyKnown := a.server.Cell == s.Cell && w.now-a.sentAt < checked.class.KeyRetention
+		if checked.class.Idempotency == IdempotentWithKey && !keyKnown {
+			w.t.Errorf("%v: request %d retried where or when its key is not known", w.now, id)
 		}
 	}
-	p.attempts = append(p.attempts, &playedAttempt{server: s, sent: w.now, out: true})
+	checked.attempts = append(checked.attempts, &checkedAttempt{server: s, sentAt: w.now, inFlight: true})
 }
 
-func (w *world) answer(id RequestID) *played {
-	w.answered[id]++
-	p := w.open[id]
-	if p == nil || p.done {
+func (w *invariantChecker) recordAnswer(id RequestID) *checkedRequest {
+	w.finalAnswers[id]++
+	checked := w.requests[id]
+	if checked == nil || checked.completed {
 		w.t.Errorf("%v: request %d answered twice", w.now, id)
-		return &played{}
+		return &checkedRequest{}
 	}
-	if w.now > p.end+20*ms {
-		w.t.Errorf("%v: request %d answered after its end at %v", w.now, id, p.end)
+	if w.now > checked.deadline+20*ms {
+		w.t.Errorf("%v: request %d answered after its deadline at %v", w.now, id, checked.deadline)
 	}
-	p.done = true
-	return p
+	checked.completed = true
+	return checked
 }
 
-func (w *world) Reject(id RequestID, after time.Duration) {
+func (w *invariantChecker) Reject(id RequestID, after time.Duration) {
 	w.fakeHost.Reject(id, after)
-	p := w.answer(id)
-	for _, a := range p.attempts {
-		if !a.neverRan && p.class.Idempotency != Idempotent {
-			w.t.Errorf("%v: request %d refused though it may have run", w.now, id)
+	checked := w.recordAnswer(id)
+	for _, a := range checked.attempts {
+		if !a.neverRan && checked.class.Idempotency != Idempotent {
+			w.t.Errorf("%v: request %d rejected though it may have run", w.now, id)
 		}
 	}
 }
 
-func (w *world) Fail(id RequestID) {
+func (w *invariantChecker) Fail(id RequestID) {
 	w.fakeHost.Fail(id)
-	w.answer(id)
+	w.recordAnswer(id)
 }
 
 // outcome ends attempt i of a request with a random status, or by its deadline.
-func (w *world) outcome(id RequestID, p *played, i int) {
-	a := p.attempts[i]
+func (w *invariantChecker) outcome(id RequestID, checked *checkedRequest, i int) {
+	a := checked.attempts[i]
 	status := []Status{OK, OK, OK, ServerError, Rejected, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
-	if w.now >= p.end {
+	if w.now >= checked.deadline {
 		status = Timeout
 	}
-	if p.done {
+	if checked.completed {
 		status = Cancelled
 	}
-	a.out = false
+	a.inFlight = false
 	a.neverRan = status == Rejected || status == ConnectFailed
 	if status == OK {
-		w.answer(id)
+		w.recordAnswer(id)
 	}
-	w.b.Outcome(w.now, Outcome{ID: id, Attempt: i, Server: a.server.Server, Status: status,
-		Latency: w.now - a.sent, RequestEnded: p.done})
+	w.balancer.Outcome(w.now, Outcome{ID: id, Attempt: i, Server: a.server.Server, Status: status,
+		Latency: w.now - a.sentAt, RequestEnded: checked.completed})
 }
 
-func (w *world) step(ids []RequestID) {
+func (w *invariantChecker) step(ids []RequestID) {
 	for _, id := range ids {
-		p := w.open[id]
-		for i, a := range p.attempts {
-			if a.out && (w.now >= p.end || p.done || w.rng.IntN(12) == 0) {
-				w.outcome(id, p, i)
+		checked := w.requests[id]
+		for i, a := range checked.attempts {
+			if a.inFlight && (w.now >= checked.deadline || checked.completed || w.rng.IntN(12) == 0) {
+				w.outcome(id, checked, i)
 			}
 		}
-		if !p.done && w.rng.IntN(400) == 0 {
-			p.done = true
-			w.answered[id]++
-			w.b.ClientDisconnected(w.now, id)
+		if !checked.completed && w.rng.IntN(400) == 0 {
+			checked.completed = true
+			w.finalAnswers[id]++
+			w.balancer.ClientDisconnected(w.now, id)
 		}
 	}
-	w.fire(w.b, w.now)
+	w.fire(w.balancer, w.now)
 }
 
-// change drains, removes, restarts or adds a server.
-func (w *world) change(start time.Duration) {
+// changeEndpoint drains, removes, restarts or adds a server.
+func (w *invariantChecker) changeEndpoint(start time.Duration) {
 	id := ServerID(1 + w.rng.IntN(12))
 	e := Endpoint{Server: id, Cell: int(id) / 3, Weight: 1, State: EndpointState(w.rng.IntN(3))}
 	if w.rng.IntN(3) == 0 {
 		e.State, e.StartedAt = Ready, start
 	}
-	w.state[id] = e
-	w.b.UpdateEndpoints(w.now, UpdateDelta, []Endpoint{e})
+	w.endpoints[id] = e
+	w.balancer.UpdateEndpoints(w.now, UpdateDelta, []Endpoint{e})
 }
 
-func playScript(t *testing.T, seed uint64) []string {
-	set := testSettings()
-	set.Classes[0].LateFraction = 0.5
-	set.Tenants = []Tenant{{QuotaPerS: 50}}
-	w := &world{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
-		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Endpoint{}}
-	b, err := New(set, seed, w)
+// runRandomEvents returns the log of the actions.
+func runRandomEvents(t *testing.T, seed uint64) []string {
+	settings := testSettings()
+	settings.Classes[0].LateFraction = 0.5
+	settings.Tenants = []Tenant{{QuotaPerS: 50}}
+	w := &invariantChecker{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
+		requests: map[RequestID]*checkedRequest{}, finalAnswers: map[RequestID]int{},
+		endpoints: map[ServerID]Endpoint{}}
+	balancer, err := New(settings, seed, w)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.b = b
+	w.balancer = balancer
 	entries := ready(1, 8)
 	for i := range entries {
 		entries[i].Cell = int(entries[i].Server) / 3
-		w.state[entries[i].Server] = entries[i]
+		w.endpoints[entries[i].Server] = entries[i]
 	}
-	b.UpdateEndpoints(w.now, UpdateCached, entries)
+	balancer.UpdateEndpoints(w.now, UpdateCached, entries)
 	var ids []RequestID
 	for step := range 4000 {
 		w.now += 5 * ms
 		for range w.rng.IntN(4) {
 			if step >= 3500 {
-				break // let it run dry
+				break // let the requests end
 			}
 			id := RequestID(len(ids) + 1)
 			class := w.rng.IntN(3)
 			left := time.Duration(300+w.rng.IntN(1700)) * ms
 			ids = append(ids, id)
-			w.open[id] = &played{class: set.Classes[class], end: w.now + left}
-			b.Request(w.now, Request{ID: id, Class: class, Timeout: left})
+			w.requests[id] = &checkedRequest{class: settings.Classes[class], deadline: w.now + left}
+			balancer.Request(w.now, Request{ID: id, Class: class, Timeout: left})
 		}
 		if w.rng.IntN(60) == 0 {
-			w.change(w.now)
+			w.changeEndpoint(w.now)
 		}
 		w.step(ids)
 	}
 	for _, id := range ids {
-		if w.answered[id] != 1 {
-			t.Errorf("request %d got %d final answers", id, w.answered[id])
+		if w.finalAnswers[id] != 1 {
+			t.Errorf("request %d got %d final answers", id, w.finalAnswers[id])
 		}
 	}
-	if len(b.requests.byID) > 0 || len(b.requests.active) > 0 {
-		t.Errorf("%d requests and %d open ones remembered at the end", len(b.requests.byID), len(b.requests.active))
+	if known, active := len(balancer.requests.byID), len(balancer.requests.active); known > 0 || active > 0 {
+		t.Errorf("%d requests and %d active ones known at the end", known, active)
 	}
 	return w.log
 }
 
-func TestRulesHoldUnderRandomEvents(t *testing.T) {
+func TestInvariantsHoldUnderRandomEvents(t *testing.T) {
 	for seed := range uint64(6) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playScript(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomEvents(t, seed) })
 	}
 }
 
 func TestSameEventsAndSeedGiveTheSameActions(t *testing.T) {
-	one, two := playScript(t, 3), playScript(t, 3)
-	if a, b := strings.Join(one, "\n"), strings.Join(two, "\n"); a != b {
-		t.Fatal("two runs of the same script differ")
+	one, two := runRandomEvents(t, 3), runRandomEvents(t, 3)
+	if strings.Join(one, "\n") != strings.Join(two, "\n") {
+		t.Fatal("two runs of the same events differ")
 	}
 }
 
 func TestInterleavedInstancesActAsEachAlone(t *testing.T) {
-	drive := func(rigs ...*rig) {
+	drive := func(harnesses ...*harness) {
 		for i := range 300 {
-			for _, r := range rigs {
-				id := r.request(i % 3)
-				r.pass(7 * ms)
-				if n := len(r.sendsOf(id)); n > r.done[id] {
-					r.end(id, OK, 7*ms)
+			for _, h := range harnesses {
+				id := h.request(i % 3)
+				h.advance(7 * ms)
+				if n := len(h.sendsOf(id)); n > h.outcomesGiven[id] {
+					h.endAttempt(id, OK, 7*ms)
 				}
 			}
 		}
 	}
-	alone, a, b := newRig(t, testSettings(), 5), newRig(t, testSettings(), 5), newRig(t, testSettings(), 5)
+	alone := newHarness(t, testSettings(), 5)
+	first, second := newHarness(t, testSettings(), 5), newHarness(t, testSettings(), 5)
 	drive(alone)
-	drive(a, b)
-	want := strings.Join(alone.h.log, "\n")
-	if strings.Join(a.h.log, "\n") != want || strings.Join(b.h.log, "\n") != want {
+	drive(first, second)
+	want := strings.Join(alone.host.log, "\n")
+	if strings.Join(first.host.log, "\n") != want || strings.Join(second.host.log, "\n") != want {
 		t.Fatal("instances that take turns act unlike one alone")
 	}
 }
--- a/policy/key_retention_test.go
+++ b/policy/key_retention_test.go
@@ -1,63 +1,70 @@
 package policy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
 
-// Repeats of a keyed request are dropped for a short time only. Each row ends the first attempt
-// of one, lets time go by and tells how often it was sent, and when it was answered.
-func TestShortWindow(t *testing.T) {
-	due := func(after time.Duration) func(r *rig, id RequestID) {
-		return func(r *rig, id RequestID) {
-			q := r.b.requests.byID[id]
-			r.pass(20 * ms)
-			r.end(id, ServerError, 20*ms)
-			r.now = q.attempts[0].sentAt + after
-			q.retryAt = r.now
-			r.b.periodicCheck(r.now)
-			r.pass(checkInterval)
+// Each case ends the first attempt of a request whose idempotency key is kept for a short time, lets time
+// pass, and tells how often the request is sent and whether it is terminated.
+func TestShortKeyRetentionBoundsRetries(t *testing.T) {
+	due := func(after time.Duration) func(h *harness, id RequestID) {
+		return func(h *harness, id RequestID) {
+			record := h.balancer.requests.byID[id]
+			h.advance(20 * ms)
+			h.endAttempt(id, ServerError, 20*ms)
+			h.now = record.attempts[0].sentAt + after
+			record.retryAt = h.now
+			h.balancer.periodicCheck(h.now)
+			h.advance(checkInterval)
 		}
 	}
 	for name, tc := range map[string]struct {
-		window   time.Duration
-		play     func(r *rig, id RequestID)
-		sends    int
-		answered bool
+		retention  time.Duration
+		play       func(h *harness, id RequestID)
+		sends      int
+		terminated bool
 	}{
-		"a repeat due inside it":                    {100 * ms, due(99 * ms), 2, false},
-		"due at its end":                            {100 * ms, due(100 * ms), 1, true},
-		"due behind it":                             {100 * ms, due(101 * ms), 1, true},
-		"shorter than the wait for another attempt": {15 * ms, func(r *rig, id RequestID) { r.end(id, ServerError, 0) }, 1, true},
-		"over while the repeat waits for room": {100 * ms, func(r *rig, id RequestID) {
-			r.request(0) // stays out
-			r.b.limiter.limit = 0
-			r.end(id, ServerError, 0)
-			r.pass(100*ms + 2*checkInterval)
+		"retry due within retention": {100 * ms, due(99 * ms), 2, false},
+		"retry due at its end":       {100 * ms, due(100 * ms), 1, true},
+		"retry due after it":         {100 * ms, due(101 * ms), 1, true},
+		"retention shorter than the backoff": {15 * ms, func(h *harness, id RequestID) {
+			h.endAttempt(id, ServerError, 0)
 		}, 1, true},
-		"counted from the first that may have run": {100 * ms, func(r *rig, id RequestID) {
-			r.pass(90 * ms)
-			r.end(id, Rejected, 90*ms)
-			r.pass(40 * ms)
-			r.end(id, ServerError, 5*ms)
-			r.pass(75 * ms)
+		"retention ends while the retry is queued": {100 * ms, func(h *harness, id RequestID) {
+			h.request(0) // stays in flight
+			h.balancer.limiter.limit = 0
+			h.endAttempt(id, ServerError, 0)
+			h.advance(100*ms + 2*checkInterval)
+		}, 1, true},
+		"counted from the first attempt that may have run": {100 * ms, func(h *harness, id RequestID) {
+			h.advance(90 * ms)
+			h.endAttempt(id, Rejected, 90*ms)
+			h.advance(40 * ms)
+			h.endAttempt(id, ServerError, 5*ms)
+			h.advance(75 * ms)
 		}, 3, false},
 	} {
 		for _, scope := range []KeyScope{KeyScopeAll, KeyScopeCell} {
-			t.Run(name+map[KeyScope]string{KeyScopeAll: ", refused", KeyScopeCell: ", failed"}[scope], func(t *testing.T) {
-				set := testSettings()
-				set.Limits.Hedging = false
-				set.Classes[1].KeyRetention, set.Classes[1].KeyScope, set.Classes[1].Objective = tc.window, scope, 400*ms
-				r := newRig(t, set, 1)
-				r.list(UpdateSnapshot, Endpoint{Server: 1, State: Ready}, Endpoint{Server: 2, State: Ready}, Endpoint{Server: 3, State: Ready})
-				id := r.request(1)
-				tc.play(r, id)
-				_, refused := r.h.refused[id]
-				if n := len(r.sendsOf(id)); n != tc.sends {
+			t.Run(fmt.Sprintf("%s/key scope %v", name, scope), func(t *testing.T) {
+				settings := testSettings()
+				settings.Limits.Hedging = false
+				class := &settings.Classes[1]
+				class.KeyRetention, class.KeyScope, class.Objective = tc.retention, scope, 400*ms
+				h := newHarness(t, settings, 1)
+				h.update(UpdateSnapshot, Endpoint{Server: 1, State: Ready}, Endpoint{Server: 2, State: Ready},
+					Endpoint{Server: 3, State: Ready})
+				id := h.request(1)
+				tc.play(h, id)
+				_, rejected := h.host.rejected[id]
+				if n := len(h.sendsOf(id)); n != tc.sends {
 					t.Errorf("%d sends, want %d", n, tc.sends)
 				}
-				if refused != (tc.answered && scope == KeyScopeAll) || r.h.failed[id] != (tc.answered && scope == KeyScopeCell) {
-					t.Errorf("refused %v, failed %v; want an answer: %v", refused, r.h.failed[id], tc.answered)
+				wantRejected := tc.terminated && scope == KeyScopeAll // the client may retry anywhere
+				wantFailed := tc.terminated && scope == KeyScopeCell
+				if failed := h.host.failed[id]; rejected != wantRejected || failed != wantFailed {
+					t.Errorf("rejected %v, failed %v; want %v, %v", rejected, failed, wantRejected, wantFailed)
 				}
 			})
 		}
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Guards against a second effect and against a false promise, under every outcome.
-func TestEffectsUnderEveryOutcome(t *testing.T) {
-	const retried, refused, failed = "retried", "refused", "failed"
+// Guards against a second execution and a false guarantee of Host.Reject, for every status.
+func TestRetryRejectOrFailFollowsIdempotencyForEveryStatus(t *testing.T) {
+	const retried, failed = "retried", "failed"
 	for _, tc := range []struct {
 		class  int
 		status Status
@@ -21,125 +21,131 @@
 		{2, ServerError, failed}, {2, Rejected, retried}, {2, Timeout, failed}, {2, ConnectFailed, retried},
 		{2, Reset, failed}, {2, NotSent, retried},
 	} {
-		t.Run(fmt.Sprintf("class %d status %d", tc.class, tc.status), func(t *testing.T) {
-			set := testSettings()
-			set.Limits.Hedging = false
-			r := newRig(t, set, 9)
-			id := r.request(tc.class)
-			r.pass(20 * ms)
-			r.end(id, tc.status, 20*ms)
-			r.pass(200 * ms)
-			got := "held"
-			_, isRefused := r.h.refused[id]
-			switch {
-			case len(r.sendsOf(id)) == 2:
-				got = retried
-			case isRefused:
-				got = refused
-			case r.h.failed[id]:
-				got = failed
-			}
-			if got != tc.want {
+		t.Run(fmt.Sprintf("class %d %v", tc.class, tc.status), func(t *testing.T) {
+			settings := testSettings()
+			settings.Limits.Hedging = false
+			h := newHarness(t, settings, 9)
+			id := h.request(tc.class)
+			h.advance(20 * ms)
+			h.endAttempt(id, tc.status, 20*ms)
+			h.advance(200 * ms)
+			if got := h.resultOf(id); got != tc.want {
 				t.Fatalf("got %s, want %s", got, tc.want)
 			}
-			if s := r.sendsOf(id); len(s) == 2 {
-				if s[0] == s[1] {
-					t.Fatal("retried at the server that failed")
-				}
-				ran := tc.status == ServerError || tc.status == Timeout || tc.status == Reset
-				if tc.class == 1 && ran && s[0]/2 != s[1]/2 {
-					t.Fatalf("keyed request left its cell: %v", s)
-				}
+			servers := h.sendsOf(id)
+			if len(servers) < 2 {
+				return
+			}
+			if servers[0] == servers[1] {
+				t.Fatal("retried at the server that failed")
+			}
+			mayHaveRun := tc.status == ServerError || tc.status == Timeout || tc.status == Reset
+			if tc.class == 1 && mayHaveRun && servers[0]/2 != servers[1]/2 {
+				t.Fatalf("a request with an idempotency key left its cell: %v", servers)
 			}
 		})
 	}
 }
 
-// Guards against repeating a keyed request that its group has forgotten.
-func TestKeyedWindow(t *testing.T) {
-	set := testSettings()
-	set.Limits.Hedging = false
-	set.Classes[1].KeyRetention = 100 * ms
-	r := newRig(t, set, 9)
-	id := r.request(1)
-	r.pass(150 * ms)
-	r.end(id, ServerError, 150*ms)
-	r.pass(300 * ms)
-	if n := len(r.sendsOf(id)); n != 1 || !r.h.failed[id] {
-		t.Fatalf("%d sends, failed %v; want one send and a failure", n, r.h.failed[id])
+// resultOf tells what became of a request after its first attempt.
+func (h *harness) resultOf(id RequestID) string {
+	_, rejected := h.host.rejected[id]
+	switch {
+	case len(h.sendsOf(id)) == 2:
+		return "retried"
+	case rejected:
+		return "rejected"
+	case h.host.failed[id]:
+		return "failed"
+	}
+	return "queued"
+}
+
+// Guards against a retry whose idempotency key the servers have forgotten.
+func TestNoRetryAfterKeyRetention(t *testing.T) {
+	settings := testSettings()
+	settings.Limits.Hedging = false
+	settings.Classes[1].KeyRetention = 100 * ms
+	h := newHarness(t, settings, 9)
+	id := h.request(1)
+	h.advance(150 * ms)
+	h.endAttempt(id, ServerError, 150*ms)
+	h.advance(300 * ms)
+	if n := len(h.sendsOf(id)); n != 1 || !h.host.failed[id] {
+		t.Fatalf("%d sends, failed %v; want one send and a failure", n, h.host.failed[id])
 	}
 }
 
-func TestBackoffGrowsAndFitsTheTimeLeft(t *testing.T) {
-	set := testSettings()
-	set.Limits.Hedging = false
-	r := newRig(t, set, 9)
-	id := r.request(0)
+func TestBackoffGrowsAndMustFitTheTimeLeft(t *testing.T) {
+	settings := testSettings()
+	settings.Limits.Hedging = false
+	h := newHarness(t, settings, 9)
+	id := h.request(0)
 	var waits []time.Duration
 	for i := range 3 {
-		from := r.now
-		r.end(id, ServerError, ms)
-		for len(r.sendsOf(id)) == i+1 && r.now < from+time.Second {
-			r.pass(ms)
+		from := h.now
+		h.endAttempt(id, ServerError, ms)
+		for len(h.sendsOf(id)) == i+1 && h.now < from+time.Second {
+			h.advance(ms)
 		}
-		waits = append(waits, r.now-from)
+		waits = append(waits, h.now-from)
 	}
-	if !(waits[0] < waits[1] && waits[1] < waits[2]) || waits[0] < 20*ms {
+	if waits[0] >= waits[1] || waits[1] >= waits[2] || waits[0] < 20*ms {
 		t.Fatalf("waits %v do not grow", waits)
 	}
-	late := r.request(0)
-	r.pass(790 * ms)
-	r.end(late, ServerError, 790*ms)
-	if _, ok := r.h.refused[late]; !ok {
-		t.Fatal("a retry that cannot be in time must be refused at once")
+	late := h.request(0)
+	h.advance(790 * ms)
+	h.endAttempt(late, ServerError, 790*ms)
+	if _, ok := h.host.rejected[late]; !ok {
+		t.Fatal("a retry that cannot be in time must be rejected at once")
 	}
-	r.b.settings.Limits.MaxAttempts = 1
-	last := r.request(0)
-	r.end(last, ServerError, ms)
-	if _, ok := r.h.refused[last]; !ok {
-		t.Fatal("a request that has had all of its attempts must be refused at once")
+	h.balancer.settings.Limits.MaxAttempts = 1
+	last := h.request(0)
+	h.endAttempt(last, ServerError, ms)
+	if _, ok := h.host.rejected[last]; !ok {
+		t.Fatal("a request that has had all of its attempts must be rejected at once")
 	}
 }
 
-// Guards against counting on a server that answers nothing until its time-outs.
-func TestSilentServerIsLeftBeforeAnyTimeout(t *testing.T) {
-	r := newRig(t, testSettings(), 6)
-	r.serve(100, 0, 20*ms)
-	silent := r.b.endpoints.ready[2]
+// Guards against relying on an unresponsive server until its attempts time out.
+func TestUnresponsiveServerIsAvoidedBeforeAnyTimeout(t *testing.T) {
+	h := newHarness(t, testSettings(), 6)
+	h.serve(100, 20*ms)
+	unresponsive := h.balancer.endpoints.ready[2]
 	for range 60 {
-		id := r.request(0)
-		r.pass(20 * ms)
-		for _, s := range r.sendsOf(id)[r.done[id]:] {
-			if s != silent.Server {
-				r.done[id] = len(r.sendsOf(id)) - 1
-				r.end(id, OK, 20*ms)
+		id := h.request(0)
+		h.advance(20 * ms)
+		for _, s := range h.sendsOf(id)[h.outcomesGiven[id]:] {
+			if s != unresponsive.Server {
+				h.outcomesGiven[id] = len(h.sendsOf(id)) - 1
+				h.endAttempt(id, OK, 20*ms)
 				break
 			}
 		}
 	}
-	if n := len(silent.inFlight); n > 3 {
-		t.Fatalf("%d requests wait at a server that answers nothing", n)
+	if n := len(unresponsive.inFlight); n > 3 {
+		t.Fatalf("%d requests wait at an unresponsive server", n)
 	}
-	for _, a := range silent.inFlight {
+	for _, a := range unresponsive.inFlight {
 		if len(a.request.attempts) != 2 {
-			t.Fatal("no hedged request was sent for a request that got no answer")
+			t.Fatal("no hedged request was sent for a request without a response")
 		}
 	}
 }
 
-// Guards against sends by the gate itself to a server that is not ready.
-func TestGateRefusesServersThatAreNotReady(t *testing.T) {
-	r := newRig(t, testSettings(), 2)
-	q := r.b.requests.add(Request{ID: 9, Timeout: time.Second}, &r.b.classes[0])
-	q.deadline = r.now + time.Second
-	s := r.b.endpoints.ready[0]
-	if !r.b.attemptPermitted(r.now, q, s) {
-		t.Fatal("a ready server must pass")
+// Guards against attempts at a server that is not ready.
+func TestAttemptPermittedOnlyAtReadyServer(t *testing.T) {
+	h := newHarness(t, testSettings(), 2)
+	record := h.balancer.requests.add(Request{ID: 9, Timeout: time.Second}, &h.balancer.classes[0])
+	record.deadline = h.now + time.Second
+	s := h.balancer.endpoints.ready[0]
+	if !h.balancer.attemptPermitted(h.now, record, s) {
+		t.Fatal("an attempt at a ready server must be permitted")
 	}
 	for _, state := range []EndpointState{Draining, Gone} {
 		s.State = state
-		if r.b.attemptPermitted(r.now, q, s) {
-			t.Errorf("state %d passes the gate", state)
+		if h.balancer.attemptPermitted(h.now, record, s) {
+			t.Errorf("an attempt at a server in state %v is permitted", state)
 		}
 	}
 }
--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -1,37 +1,36 @@
 package policy
 
-import (
-	"testing"
-)
+import "testing"
 
-// Guards against taking a server that turns requests away for an idle one: it took
-// 38 of 100 sends on a day when two servers had hung and were full.
-func TestFullServerLosesItsScore(t *testing.T) {
-	r := newRig(t, testSettings(), 3)
-	r.serve(30, 0, 20*ms)
-	id := r.request(0)
-	full := r.sendsOf(id)[0]
-	r.end(id, Rejected, 0)
-	r.pass(ms)
-	r.b.refresh(r.now)
-	for _, s := range r.b.subset.servers {
-		if s.Server != full && s.score <= r.b.endpoints.byID[full].score {
-			t.Fatalf("the full server scores %.2f, another %.2f", r.b.endpoints.byID[full].score, s.score)
+// Guards against taking a server that rejects requests for an idle one: two full servers once got 38 of 100
+// sends.
+func TestRejectionLowersTheScore(t *testing.T) {
+	h := newHarness(t, testSettings(), 3)
+	h.serve(30, 20*ms)
+	id := h.request(0)
+	full := h.sendsOf(id)[0]
+	h.endAttempt(id, Rejected, 0)
+	h.advance(ms)
+	h.balancer.refresh(h.now)
+	for _, s := range h.balancer.subset.servers {
+		if s.Server != full && s.score <= h.balancer.endpoints.byID[full].score {
+			t.Fatalf("the rejecting server scores %.2f, another %.2f", h.balancer.endpoints.byID[full].score, s.score)
 		}
 	}
 }
 
 func TestScorePrefersSuccessThenLatencyThenFewerInFlight(t *testing.T) {
-	r := newRig(t, testSettings(), 3)
-	good, slow, failing := r.b.endpoints.ready[0], r.b.endpoints.ready[1], r.b.endpoints.ready[2]
+	h := newHarness(t, testSettings(), 3)
+	servers := h.balancer.endpoints.ready
+	good, slow, failing := servers[0], servers[1], servers[2]
 	for range 50 {
-		good.outcomes.Add(r.now, true, 1)
-		slow.outcomes.Add(r.now, true, 5)
-		failing.outcomes.Add(r.now, true, 1)
-		failing.outcomes.Add(r.now, false, 0)
+		good.outcomes.Add(h.now, true, 1)
+		slow.outcomes.Add(h.now, true, 5)
+		failing.outcomes.Add(h.now, true, 1)
+		failing.outcomes.Add(h.now, false, 0)
 	}
-	r.b.refresh(r.now)
-	if !(good.score > slow.score && good.score > failing.score) {
+	h.balancer.refresh(h.now)
+	if good.score <= slow.score || good.score <= failing.score {
 		t.Fatalf("scores: good %.2f slow %.2f failing %.2f", good.score, slow.score, failing.score)
 	}
 	if betterServer(good, slow) != good || betterServer(failing, good) != good {
@@ -44,49 +43,49 @@
 	}
 }
 
-func TestUnmeasuredServerStandsAtTheMean(t *testing.T) {
-	r := newRig(t, testSettings(), 3)
+func TestServerWithoutOutcomesScoresTheMean(t *testing.T) {
+	h := newHarness(t, testSettings(), 3)
 	for range 20 {
-		r.b.endpoints.ready[0].outcomes.Add(r.now, true, 1)
-		r.b.endpoints.ready[1].outcomes.Add(r.now, true, 3)
+		h.balancer.endpoints.ready[0].outcomes.Add(h.now, true, 1)
+		h.balancer.endpoints.ready[1].outcomes.Add(h.now, true, 3)
 	}
-	r.b.refresh(r.now)
-	s := r.b.endpoints.ready
-	if !(s[0].score > s[2].score && s[2].score > s[1].score) {
+	h.balancer.refresh(h.now)
+	s := h.balancer.endpoints.ready
+	if s[0].score <= s[2].score || s[2].score <= s[1].score {
 		t.Fatalf("scores %.2f %.2f, unmeasured %.2f: not between", s[0].score, s[1].score, s[2].score)
 	}
-	r.b.refresh(r.now + 2*maxOutcomeAge)
+	h.balancer.refresh(h.now + 2*maxOutcomeAge)
 	if s[0].score != s[1].score {
-		t.Fatal("old outcomes still count: a server that was bad once is never met again")
+		t.Fatal("old outcomes still count: a server that was bad once is never tried again")
 	}
 }
 
 func TestEqualServersGoByZone(t *testing.T) {
-	near, far := &server{sameZone: true}, &server{}
-	if betterServer(far, near) != near || betterServer(near, far) != near {
-		t.Fatal("among equals the own zone must win")
+	sameZone, otherZone := &server{sameZone: true}, &server{}
+	if betterServer(otherZone, sameZone) != sameZone || betterServer(sameZone, otherZone) != sameZone {
+		t.Fatal("among equals the server in the same zone must win")
 	}
-	near.inFlight = append(near.inFlight, &attempt{})
-	if betterServer(near, far) != far {
+	sameZone.inFlight = append(sameZone.inFlight, &attempt{})
+	if betterServer(sameZone, otherZone) != otherZone {
 		t.Fatal("fewer in flight must win over the zone")
 	}
 }
 
-// Guards against scores that still praise a server seconds after it was jammed: many nodes
-// move a server's load faster than one of them gets to know of it.
-func TestThinNodesForgetOutcomesSooner(t *testing.T) {
+// Guards against scores that favour a server seconds after it became congested: many nodes move a server's
+// load faster than one of them measures it.
+func TestUndersampledNodeForgetsOutcomesSooner(t *testing.T) {
 	for _, tc := range []struct {
 		nodes int
 		keeps bool
 	}{{1, true}, {80, false}} {
-		set := testSettings()
-		set.Nodes = tc.nodes
-		r := newRig(t, set, 20)
-		r.b.refresh(r.now)
-		s := r.b.subset.servers[0]
-		s.outcomes.Add(r.now, true, 1)
-		r.now += (maxOutcomeAgeUndersampled + maxOutcomeAge) / 2
-		r.b.refresh(r.now)
+		settings := testSettings()
+		settings.Nodes = tc.nodes
+		h := newHarness(t, settings, 20)
+		h.balancer.refresh(h.now)
+		s := h.balancer.subset.servers[0]
+		s.outcomes.Add(h.now, true, 1)
+		h.now += (maxOutcomeAgeUndersampled + maxOutcomeAge) / 2
+		h.balancer.refresh(h.now)
 		if kept := s.outcomes.Len() == 1; kept != tc.keeps {
 			t.Errorf("%d nodes: an outcome of 7 s ago counts: %v, want %v", tc.nodes, kept, tc.keeps)
 		}
--- a/policy/slow_start_fleet_test.go
+++ b/policy/slow_start_fleet_test.go
@@ -5,60 +5,84 @@
 	"time"
 )
 
-// Guards against cold servers that fall under the sum of what many nodes send, none of which
-// sees the others, and against a ramp that keeps them idle. A server that is sent more than
-// N + 2 x root of N + 2 requests of mean work in FallFor falls, N being FallMultiple x its present
-// capacity. The floors are two thirds of the least of five seeds, or lower.
-func TestRampHoldsForTheFleet(t *testing.T) {
-	usual := Rules{SlowStartShare: 0.3, SlowStartDuration: 9 * time.Second, OverloadMultiple: 4, OverloadWindow: time.Second, MaxPollInterval: 10 * time.Second}
-	tight := Rules{SlowStartShare: 0.2, SlowStartDuration: 6 * time.Second, OverloadMultiple: 2, OverloadWindow: 500 * ms, MaxPollInterval: 10 * time.Second}
+// Guards against warming servers that are overloaded by the sum of what many nodes send, none of which sees the
+// others, and against a slow start that keeps them idle. A server is overloaded by more than
+// N + 2 x root of N + 2 requests of mean work in OverloadWindow, where N is OverloadMultiple x its present
+// capacity. The least uses are two thirds of the least of five seeds, or lower.
+func TestSlowStartHoldsForManyNodes(t *testing.T) {
+	const s = time.Second
+	usual := Rules{
+		SlowStartShare: 0.3, SlowStartDuration: 9 * s, OverloadMultiple: 4, OverloadWindow: s, MaxPollInterval: 10 * s,
+	}
+	tight := Rules{
+		SlowStartShare: 0.2, SlowStartDuration: 6 * s, OverloadMultiple: 2, OverloadWindow: 500 * ms,
+		MaxPollInterval: 10 * s,
+	}
 	short := usual
 	short.SlowStartDuration = 2500 * ms
-	const s = time.Second
+	replaced := func(nodes int, rules Rules) scenario {
+		return scenario{nodes: nodes, restarted: 0.6, restartSpan: 7 * s, replaced: true, rules: rules}
+	}
+	zone := func(nodes int, rules Rules) scenario {
+		return scenario{nodes: nodes, load: 0.75, restarted: 0.5, downtime: 5 * s, rules: rules}
+	}
+	lateZone, replacedUnderNewNodes := zone(30, usual), replaced(30, usual)
+	lateZone.lateNotice = true
+	replacedUnderNewNodes.nodesRestartAfter = 3 * s
+	largeReplaced, largeZone := replaced(300, short), zone(300, short)
+	largeReplaced.servers, largeReplaced.warmUp, largeReplaced.restartSpan = 200, 2*s, 2*s
+	largeZone.servers, largeZone.warmUp, largeZone.downtime = 200, 2*s, 2*s
 	for _, tc := range []struct {
 		name string
 		c    scenario
-		used float64 // of what the cold servers can do: the least that has to be sent
+		used float64 // least share of what the warming servers can do that has to be sent
 	}{
-		{"one restarts under two nodes", scenario{nodes: 2, cold: 0.05}, 0.05},
-		{"one restarts in a calm fleet", scenario{nodes: 20, cold: 0.05}, 0.05},
-		{"one restarts, tight rules", scenario{nodes: 20, cold: 0.05, rules: tight}, 0.05},
-		{"half as much again comes in the ramp", scenario{nodes: 20, cold: 0.2, burst: 1.5}, 0.25},
-		{"six in ten are replaced under 8 nodes", scenario{nodes: 8, cold: 0.6, over: 7 * s, replaced: true}, 0.25},
-		{"six in ten are replaced under 30 nodes", scenario{nodes: 30, cold: 0.6, over: 7 * s, replaced: true}, 0.25},
-		{"six in ten are replaced, tight rules", scenario{nodes: 30, cold: 0.6, over: 7 * s, replaced: true, rules: tight}, 0.15},
-		{"a zone returns under 2 nodes", scenario{nodes: 2, load: 0.75, cold: 0.5, lost: 5 * s}, 0.4},
-		{"a zone returns under 30 nodes", scenario{nodes: 30, load: 0.75, cold: 0.5, lost: 5 * s}, 0.35},
-		{"a zone returns, tight rules", scenario{nodes: 20, load: 0.75, cold: 0.5, lost: 5 * s, rules: tight}, 0.25},
-		{"others fail or hang", scenario{nodes: 20, cold: 0.2, bad: true}, 0.25},
-		{"a third hears late of starts", scenario{nodes: 20, cold: 0.2, late: true}, 0.2},
-		{"a third hears late of a zone", scenario{nodes: 30, load: 0.75, cold: 0.5, lost: 5 * s, late: true}, 0.35},
-		{"nodes restart in a calm fleet", scenario{nodes: 20, cold: 0.2, fresh: s}, 0.1},
-		{"nodes restart among replaced servers", scenario{nodes: 30, cold: 0.6, over: 7 * s, replaced: true, fresh: 3 * s}, 0.12},
-		{"all restart, 2 nodes", scenario{nodes: 2, cold: 1, fresh: s}, 0.28},
-		{"all restart, 30 nodes", scenario{nodes: 30, cold: 1, fresh: s}, 0.28},
-		{"300 nodes, six in ten replaced", scenario{nodes: 300, servers: 200, cold: 0.6, over: 2 * s, replaced: true, rules: short, warmUp: 2 * s}, 0.1},
-		{"300 nodes, a zone returns", scenario{nodes: 300, servers: 200, load: 0.75, cold: 0.5, lost: 2 * s, rules: short, warmUp: 2 * s}, 0.25},
+		{"one restarts under two nodes", scenario{nodes: 2, restarted: 0.05}, 0.05},
+		{"one restarts in a calm fleet", scenario{nodes: 20, restarted: 0.05}, 0.05},
+		{"one restarts, tight rules", scenario{nodes: 20, restarted: 0.05, rules: tight}, 0.05},
+		{"half as much again comes in the slow start", scenario{nodes: 20, restarted: 0.2, burst: 1.5}, 0.25},
+		{"six in ten are replaced under 8 nodes", replaced(8, usual), 0.25},
+		{"six in ten are replaced under 30 nodes", replaced(30, usual), 0.25},
+		{"six in ten are replaced, tight rules", replaced(30, tight), 0.15},
+		{"a zone returns under 2 nodes", zone(2, usual), 0.4},
+		{"a zone returns under 30 nodes", zone(30, usual), 0.35},
+		{"a zone returns, tight rules", zone(20, tight), 0.25},
+		{"others fail or hang", scenario{nodes: 20, restarted: 0.2, othersFail: true}, 0.25},
+		{"a third is notified late of starts", scenario{nodes: 20, restarted: 0.2, lateNotice: true}, 0.2},
+		{"a third is notified late of a zone", lateZone, 0.35},
+		{"nodes restart in a calm fleet", scenario{nodes: 20, restarted: 0.2, nodesRestartAfter: s}, 0.1},
+		{"nodes restart among replaced servers", replacedUnderNewNodes, 0.12},
+		{"all restart, 2 nodes", scenario{nodes: 2, restarted: 1, nodesRestartAfter: s}, 0.28},
+		{"all restart, 30 nodes", scenario{nodes: 30, restarted: 1, nodesRestartAfter: s}, 0.28},
+		{"300 nodes, six in ten replaced", largeReplaced, 0.1},
+		{"300 nodes, a zone returns", largeZone, 0.25},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := tc.c
-			if c.load == 0 {
-				c.load = 0.5
-			}
-			if c.servers == 0 {
-				c.servers, c.warmUp = 20, 10*s
+			f := tc.c.withDefaults(usual).simulate(t, 1)
+			used := f.workSent / f.workPossible
+			t.Logf("worst window %.2f of the limit (drawn work: %.2f), used %.2f",
+				f.worstInformed, f.worstInformedDrawn, used)
+			if f.worstInformed > 1 || f.worstInformedDrawn > 1 || f.overloads > 0 {
+				t.Errorf("notified nodes sent %.2f of the limit (drawn work: %.2f), and overloaded a server %d times",
+					f.worstInformed, f.worstInformedDrawn, f.overloads)
 			}
-			if c.rules == (Rules{}) {
-				c.rules = usual
-			}
-			f := c.play(t, 1)
-			t.Logf("worst window %.2f of the limit (drawn work: %.2f), used %.2f", f.told, f.drawn, f.sent/f.able)
-			if f.told > 1 || f.drawn > 1 || f.broken > 0 {
-				t.Errorf("nodes that knew sent %.2f of the limit (drawn work: %.2f), and let it fall %d times", f.told, f.drawn, f.broken)
-			}
-			if f.sent < tc.used*f.able {
-				t.Errorf("cold servers were sent %.2f of what they could do, want %.2f", f.sent/f.able, tc.used)
+			if f.workSent < tc.used*f.workPossible {
+				t.Errorf("warming servers were sent %.2f of what they could do, want %.2f", used, tc.used)
 			}
 		})
 	}
 }
+
+// withDefaults fills in what a scenario leaves open.
+func (c scenario) withDefaults(rules Rules) scenario {
+	if c.load == 0 {
+		c.load = 0.5
+	}
+	if c.servers == 0 {
+		c.servers, c.warmUp = 20, 10*time.Second
+	}
+	if c.rules == (Rules{}) {
+		c.rules = rules
+	}
+	return c
+}
--- a/policy/slow_start_test.go
+++ b/policy/slow_start_test.go
@@ -5,69 +5,83 @@
 	"time"
 )
 
-// Guards against pushing a cold server over, by a burst right after its start
-// and while most of the fleet restarts.
-func TestColdBudget(t *testing.T) {
+// Guards against overloading a warming server, by a burst right after its start and while most of the
+// fleet restarts.
+func TestSlowStartBudgetStaysBelowOverload(t *testing.T) {
 	for _, tc := range []struct {
-		name string
-		cold int // of ten servers
+		name      string
+		restarted int // of ten servers
 	}{{"one server", 1}, {"most of the fleet", 8}, {"all of the fleet", 10}} {
 		t.Run(tc.name, func(t *testing.T) {
-			r := newRig(t, testSettings(), 10)
-			r.serve(200, 0, 10*ms)
-			restarted := ready(1, tc.cold)
-			for i := range restarted {
-				restarted[i].StartedAt = r.now
+			h := newHarness(t, testSettings(), 10)
+			h.serve(200, 10*ms)
+			h.restart(tc.restarted)
+			s := h.balancer.endpoints.byID[1]
+			h.balancer.refresh(h.now)
+			if h.sendThroughSlowStart(s) == 0 {
+				t.Error("a warming server must get something, or it never shows that it is warm")
 			}
-			r.list(UpdateDelta, restarted...)
-			s, c, rules := r.b.endpoints.byID[1], &r.b.classes[0], r.b.settings.Rules
-			r.b.refresh(r.now)
-			part := r.b.slowStart.warmServerRate // what a warm server gets
-			var sends []time.Duration
-			for start := r.now; r.now < start+rules.SlowStartDuration; r.now += ms { // the gate alone
-				if work := c.baseline.Value() + 0.001; r.b.slowStartAdmits(s, r.now, work) {
-					s.budget.work -= work
-					sends = append(sends, r.now)
-				}
-				within := 0
-				for _, at := range sends {
-					if r.now-at < rules.OverloadWindow {
-						within++
-					}
-				}
-				most := part * rules.OverloadWindow.Seconds() * rules.OverloadMultiple * s.capacityShare(&rules, r.now)
-				if work := float64(within) * c.baseline.Value(); work > most+c.baseline.Value() {
-					t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
-				}
-			}
-			if len(sends) == 0 {
-				t.Error("a cold server must get something, or it never shows that it is warm")
-			}
-			if q := r.b.requests.byID[r.request(0)]; !r.b.attemptPermitted(r.now, q, s) {
-				t.Error("the budget still holds for a warm server")
+			if record := h.balancer.requests.byID[h.request(0)]; !h.balancer.attemptPermitted(h.now, record, s) {
+				t.Error("the budget still limits a warm server")
 			}
 		})
 	}
 }
 
-// Guards against one send from each of many nodes at once, as soon as the list tells
-// of a start.
-func TestFirstSendsToAColdServerAreSpread(t *testing.T) {
+// restart gives the first servers a new process.
+func (h *harness) restart(servers int) {
+	endpoints := ready(1, servers)
+	for i := range endpoints {
+		endpoints[i].StartedAt = h.now
+	}
+	h.update(UpdateDelta, endpoints...)
+}
+
+// sendThroughSlowStart sends to a server all that the budget admits until it is warm, and checks the work in
+// each overload window. It returns the number of sends.
+func (h *harness) sendThroughSlowStart(s *server) int {
+	h.t.Helper()
+	rules, baseline := h.balancer.settings.Rules, h.balancer.classes[0].baseline.Value()
+	warmServerRate := h.balancer.slowStart.warmServerRate
+	var sends []time.Duration
+	for start := h.now; h.now < start+rules.SlowStartDuration; h.now += ms {
+		if work := baseline + 0.001; h.balancer.slowStartAdmits(s, h.now, work) {
+			s.budget.work -= work
+			sends = append(sends, h.now)
+		}
+		within := 0
+		for _, at := range sends {
+			if h.now-at < rules.OverloadWindow {
+				within++
+			}
+		}
+		most := warmServerRate * rules.OverloadWindow.Seconds() * rules.OverloadMultiple *
+			s.capacityShare(&rules, h.now)
+		if work := float64(within) * baseline; work > most+baseline {
+			h.t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
+		}
+	}
+	return len(sends)
+}
+
+// Guards against one send from each of many nodes at once, as soon as they are notified of a start.
+func TestFirstSendsToWarmingServerAreSpread(t *testing.T) {
 	const nodes = 40
 	inTenth := map[time.Duration]int{}
 	for seed := range uint64(nodes) {
-		b, err := New(testSettings(), seed, newHost())
+		balancer, err := New(testSettings(), seed, newHost())
 		if err != nil {
 			t.Fatal(err)
 		}
 		entries := ready(1, 3)
 		entries[0].StartedAt = time.Hour
-		b.UpdateEndpoints(time.Hour, UpdateCached, entries)
-		b.refresh(time.Hour)
-		b.slowStart.warmServerRate = b.classes[0].baseline.Value() // thin traffic: a lone request a second
+		balancer.UpdateEndpoints(time.Hour, UpdateCached, entries)
+		balancer.refresh(time.Hour)
+		work := balancer.classes[0].baseline.Value()
+		balancer.slowStart.warmServerRate = work // one unloaded request per second
 		wait := time.Duration(0)
 		for ; wait < 10*time.Second; wait += 10 * ms {
-			if b.slowStartAdmits(b.endpoints.byID[1], time.Hour+wait, b.classes[0].baseline.Value()) {
+			if balancer.slowStartAdmits(balancer.endpoints.byID[1], time.Hour+wait, work) {
 				break
 			}
 		}
--- a/policy/subset_test.go
+++ b/policy/subset_test.go
@@ -1,51 +1,49 @@
 package policy
 
-import (
-	"testing"
-)
+import "testing"
 
-// Guards against nodes that meet the whole fleet and so know none of it, and against a
-// share of cold machines alone.
-func TestShareGrowsWithTrafficAndSkipsOpenAndColdServers(t *testing.T) {
-	set := testSettings()
-	set.Nodes, set.Node = 100, 37
-	r := newRig(t, set, 40)
-	r.b.refresh(r.now)
-	if n := len(r.b.subset.servers); n != minSubsetSize {
+// Guards against nodes that use the whole fleet and so measure none of it, and against a subset of warming
+// servers alone.
+func TestSubsetGrowsWithTrafficAndReplacesOpenAndWarmingServers(t *testing.T) {
+	settings := testSettings()
+	settings.Nodes, settings.Node = 100, 37
+	h := newHarness(t, settings, 40)
+	h.balancer.refresh(h.now)
+	if n := len(h.balancer.subset.servers); n != minSubsetSize {
 		t.Fatalf("a node without traffic uses %d servers, want %d", n, minSubsetSize)
 	}
-	r.b.subset.servers[0].breaker.state = breakerOpen
-	r.b.subset.servers[1].StartedAt = r.now // cold
-	r.b.subset.stale = true
-	r.now += ms
-	r.b.refresh(r.now)
-	if n := len(r.b.subset.servers); n != minSubsetSize+2 {
-		t.Fatalf("%d servers with one open and one cold, want %d", n, minSubsetSize+2)
+	h.balancer.subset.servers[0].breaker.state = breakerOpen
+	h.balancer.subset.servers[1].StartedAt = h.now // warming up
+	h.balancer.subset.stale = true
+	h.now += ms
+	h.balancer.refresh(h.now)
+	if n := len(h.balancer.subset.servers); n != minSubsetSize+2 {
+		t.Fatalf("%d servers with one open breaker and one warming up, want %d", n, minSubsetSize+2)
 	}
-	r.b.arrivalRate.Add(r.now, 240)
-	r.now += ms
-	r.b.refresh(r.now)
-	if n := len(r.b.subset.servers); n < 25 {
+	h.balancer.arrivalRate.Add(h.now, 240)
+	h.now += ms
+	h.balancer.refresh(h.now)
+	if n := len(h.balancer.subset.servers); n < 25 {
 		t.Fatalf("a node with 120 requests a second uses %d servers", n)
 	}
 }
 
-// Guards against shares that pile up on some servers and leave others idle.
-func TestSharesCoverTheServersEvenly(t *testing.T) {
+// Guards against subsets that overlap at some servers and leave others idle.
+func TestSubsetsCoverTheServersEvenly(t *testing.T) {
 	const nodes, servers = 90, 30
-	met := map[ServerID]int{}
+	uses := map[ServerID]int{}
 	for node := range nodes {
-		set := testSettings()
-		set.Nodes, set.Node = nodes, node
-		r := newRig(t, set, servers)
-		r.b.refresh(r.now)
-		for _, s := range r.b.subset.servers {
-			met[s.Server]++
+		settings := testSettings()
+		settings.Nodes, settings.Node = nodes, node
+		h := newHarness(t, settings, servers)
+		h.balancer.refresh(h.now)
+		for _, s := range h.balancer.subset.servers {
+			uses[s.Server]++
 		}
 	}
 	for id := ServerID(1); id <= servers; id++ {
-		if n := met[id]; n < 11 || n > 13 {
-			t.Errorf("server %d is in %d shares, want 12 or so", id, n)
+		if n := uses[id]; n < 11 || n > 13 {
+			t.Errorf("server %d is in %d subsets, want 12 or so", id, n)
 		}
 	}
 }
