Give the decision module's parameters and locals whole names

Requests, servers and attempts were r, s and a through functions of twenty lines. They now have whole names; single letters are left to receivers, loop variables and one-line functions.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -16,10 +16,10 @@
 // admissionQueue holds the requests that wait for capacity, which are marked as queued, sorted by precedes.
 type admissionQueue struct{ waiting []*request }
 
-func (q *admissionQueue) add(r *request) {
-	index := sort.Search(len(q.waiting), func(i int) bool { return r.precedes(q.waiting[i]) })
-	q.waiting = slices.Insert(q.waiting, index, r)
-	r.queued = true
+func (q *admissionQueue) add(request *request) {
+	index := sort.Search(len(q.waiting), func(i int) bool { return request.precedes(q.waiting[i]) })
+	q.waiting = slices.Insert(q.waiting, index, request)
+	request.queued = true
 }
 
 func (r *request) precedes(other *request) bool {
@@ -30,14 +30,14 @@
 func (r *request) weightPerWork() float64 { return r.weight / r.class.workEstimate.Value() }
 
 // applyQuota takes a token of the tenant's quota, or lowers the weight of a request beyond it.
-func (b *Balancer) applyQuota(now time.Duration, r *request) {
-	if r.Tenant < 0 || r.Tenant >= len(b.quotas) {
+func (b *Balancer) applyQuota(now time.Duration, request *request) {
+	if request.Tenant < 0 || request.Tenant >= len(b.quotas) {
 		return
 	}
-	if quota := &b.quotas[r.Tenant]; quota.Take(now) {
-		r.quota = quota
+	if quota := &b.quotas[request.Tenant]; quota.Take(now) {
+		request.quota = quota
 	} else {
-		r.weight *= b.settings.OverQuotaFraction
+		request.weight *= b.settings.OverQuotaFraction
 	}
 }
 
@@ -48,22 +48,22 @@
 	}
 	b.refresh(now)
 	kept, full := b.queue.waiting[:0], false
-	for _, r := range b.queue.waiting {
-		var s *server
-		if !r.completed && !full {
-			s = b.selectServer(now, r)
+	for _, request := range b.queue.waiting {
+		var selected *server
+		if !request.completed && !full {
+			selected = b.selectServer(now, request)
 		}
 		switch {
-		case r.completed:
-		case s != nil:
-			r.queued = false
-			b.send(now, r, s)
+		case request.completed:
+		case selected != nil:
+			request.queued = false
+			b.send(now, request, selected)
 		case b.subset.closed+b.subset.awaitingTrial == 0:
-			r.queued = false
-			b.terminateUnserved(r)
+			request.queued = false
+			b.terminateUnserved(request)
 		default:
-			kept = append(kept, r)
-			full = full || len(r.attempts) == 0 // for any that is not bound to the scope of its key
+			kept = append(kept, request)
+			full = full || len(request.attempts) == 0 // for any that is not bound to the scope of its key
 		}
 	}
 	b.queue.waiting = kept
@@ -71,52 +71,52 @@
 
 // shedLoad terminates queued requests that cannot be served in time; dispatch drops the completed ones.
 func (b *Balancer) shedLoad(now time.Duration) {
-	b.queue.waiting = slices.DeleteFunc(b.queue.waiting, func(r *request) bool {
-		if r.completed || !b.mustShed(now, r) {
+	b.queue.waiting = slices.DeleteFunc(b.queue.waiting, func(request *request) bool {
+		if request.completed || !b.mustShed(now, request) {
 			return false
 		}
-		r.queued = false
-		b.terminateUnserved(r)
+		request.queued = false
+		b.terminateUnserved(request)
 		return true
 	})
 }
 
 // mustShed also returns a request that was not sent by its queueing deadline: its client can ask elsewhere.
-func (b *Balancer) mustShed(now time.Duration, r *request) bool {
-	return b.attemptsExhausted(r, now) ||
-		now >= r.queueingDeadline && !r.mayHaveRun() ||
-		now+b.requiredServiceTime(r) > b.sheddingDeadline(r)
+func (b *Balancer) mustShed(now time.Duration, request *request) bool {
+	return b.attemptsExhausted(request, now) ||
+		now >= request.queueingDeadline && !request.mayHaveRun() ||
+		now+b.requiredServiceTime(request) > b.sheddingDeadline(request)
 }
 
 // sheddingDeadline returns the time by which a queued request must be served. On an undersampled node, which
 // has capacity rarely, a late response of high weight may still earn more than another in time.
-func (b *Balancer) sheddingDeadline(r *request) time.Duration {
-	lateWeight := r.weight * r.class.LateFraction
-	if b.subset.undersampled() && lateWeight >= b.arrivalWeight.Value()*r.class.workEstimate.Value() {
-		return r.deadline
+func (b *Balancer) sheddingDeadline(request *request) time.Duration {
+	lateWeight := request.weight * request.class.LateFraction
+	if b.subset.undersampled() && lateWeight >= b.arrivalWeight.Value()*request.class.workEstimate.Value() {
+		return request.deadline
 	}
-	return r.objectiveDeadline
+	return request.objectiveDeadline
 }
 
-func (b *Balancer) requiredServiceTime(r *request) time.Duration {
-	if b.subset.undersampled() && b.sheddingDeadline(r) == r.objectiveDeadline {
-		return time.Duration(sheddingMargin * float64(b.expectedLatency(r)))
+func (b *Balancer) requiredServiceTime(request *request) time.Duration {
+	if b.subset.undersampled() && b.sheddingDeadline(request) == request.objectiveDeadline {
+		return time.Duration(sheddingMargin * float64(b.expectedLatency(request)))
 	}
-	return b.expectedLatency(r)
+	return b.expectedLatency(request)
 }
 
 // terminateUnserved rejects a request, or fails it if it may have been executed and must not be again.
-func (b *Balancer) terminateUnserved(r *request) {
+func (b *Balancer) terminateUnserved(request *request) {
 	// Its client asks again. Unserved requests would use up an undersampled node's small part of a quota.
-	if b.subset.undersampled() && r.quota != nil {
-		r.quota.Return()
+	if b.subset.undersampled() && request.quota != nil {
+		request.quota.Return()
 	}
-	if r.safeToReject() {
-		b.host.Reject(r.ID, min(r.class.Objective/2, b.settings.Limits.MaxRetryAfter))
+	if request.safeToReject() {
+		b.host.Reject(request.ID, min(request.class.Objective/2, b.settings.Limits.MaxRetryAfter))
 	} else {
-		b.host.Fail(r.ID)
+		b.host.Fail(request.ID)
 	}
-	b.complete(r)
+	b.complete(request)
 }
 
 // safeToReject reports whether the client may retry the request at any node.
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	settings.Limits.MaxAttempts = min(settings.Limits.MaxAttempts, maxAttemptsPerRequest)
-	b := &Balancer{
+	balancer := &Balancer{
 		settings: settings, host: host, random: rand.New(rand.NewPCG(seed, 0)),
 
 		requests:  requestTable{byID: map[RequestID]*request{}, maxAttempts: settings.Limits.MaxAttempts},
@@ -65,14 +65,14 @@
 		nextCheckAt: maxTime, outdated: true,
 	}
 	for _, class := range settings.Classes {
-		b.classes = append(b.classes, newRequestClass(class, settings.WeightByWork))
+		balancer.classes = append(balancer.classes, newRequestClass(class, settings.WeightByWork))
 	}
 	for _, tenant := range settings.Tenants {
-		b.quotas = append(b.quotas, tokenbucket.New(tenant.QuotaPerS/float64(settings.Nodes)))
+		balancer.quotas = append(balancer.quotas, tokenbucket.New(tenant.QuotaPerS/float64(settings.Nodes)))
 	}
-	b.limiter.limit = float64(min(initialLimit, settings.Nodes))
-	b.limiter.smoothedLatency = b.classes[0].baseline.Value()
-	return b, nil
+	balancer.limiter.limit = float64(min(initialLimit, settings.Nodes))
+	balancer.limiter.smoothedLatency = balancer.classes[0].baseline.Value()
+	return balancer, nil
 }
 
 // Request handles the arrival of a client's request. One of an unknown class is rejected.
@@ -88,25 +88,25 @@
 	if arrival.CostHint > 0 {
 		class.costHint.Add(arrival.CostHint.Seconds())
 	}
-	r := b.requests.add(arrival, class)
-	r.setDeadlines(now, &b.settings)
-	b.applyQuota(now, r)
-	b.arrivalWeight.Add(r.weightPerWork())
+	request := b.requests.add(arrival, class)
+	request.setDeadlines(now, &b.settings)
+	b.applyQuota(now, request)
+	b.arrivalWeight.Add(request.weightPerWork())
 	b.arrivalRate.Add(now, 1)
-	b.queue.add(r)
+	b.queue.add(request)
 	b.dispatch(now)
-	b.scheduleCheckBy(min(now+checkInterval, r.deadline))
+	b.scheduleCheckBy(min(now+checkInterval, request.deadline))
 }
 
 // StreamStarted reports that an attempt's response streams to the client: no attempt or deadline follows.
 func (b *Balancer) StreamStarted(now time.Duration, id RequestID, index int) {
-	r, a := b.requests.findAttempt(id, index)
-	if r == nil {
+	request, attempt := b.requests.findAttempt(id, index)
+	if request == nil {
 		return
 	}
-	r.streaming = true
-	a.server.recordSuccess(now, a)
-	b.cancelAttempts(r, a)
+	request.streaming = true
+	attempt.server.recordSuccess(now, attempt)
+	b.cancelAttempts(request, attempt)
 }
 
 // ClientDisconnected reports that the client of a request is gone: it gets no final answer.
@@ -117,21 +117,21 @@
 }
 
 // Outcome reports the end of an attempt, which first counts for the server and then for the request.
-func (b *Balancer) Outcome(now time.Duration, o Outcome) {
-	r, a := b.requests.findAttempt(o.ID, o.Attempt)
-	if r == nil {
+func (b *Balancer) Outcome(now time.Duration, outcome Outcome) {
+	request, attempt := b.requests.findAttempt(outcome.ID, outcome.Attempt)
+	if request == nil {
 		return
 	}
-	b.attemptEnded(r, a)
-	a.neverRan = o.Status.NeverRan()
-	b.recordOutcome(now, r, a, o)
-	if o.RequestEnded || o.Status == OK {
-		b.complete(r)
-	} else if !r.completed && r.inFlight == 0 {
-		b.scheduleRetry(now, r)
+	b.attemptEnded(request, attempt)
+	attempt.neverRan = outcome.Status.NeverRan()
+	b.recordOutcome(now, request, attempt, outcome)
+	if outcome.RequestEnded || outcome.Status == OK {
+		b.complete(request)
+	} else if !request.completed && request.inFlight == 0 {
+		b.scheduleRetry(now, request)
 	}
-	if r.completed {
-		b.requests.release(r)
+	if request.completed {
+		b.requests.release(request)
 	}
 	b.dispatch(now)
 }
@@ -184,16 +184,16 @@
 	}
 }
 
-func (b *Balancer) checkRequest(now time.Duration, r *request) {
+func (b *Balancer) checkRequest(now time.Duration, request *request) {
 	switch {
-	case r.streaming:
-	case r.inFlight > 0:
-		b.detectUnresponsive(now, r)
-	case now >= r.deadline:
-		b.terminateUnserved(r)
-	case r.retryAt > 0 && now >= r.retryAt:
-		r.retryAt = 0
-		b.queue.add(r)
+	case request.streaming:
+	case request.inFlight > 0:
+		b.detectUnresponsive(now, request)
+	case now >= request.deadline:
+		b.terminateUnserved(request)
+	case request.retryAt > 0 && now >= request.retryAt:
+		request.retryAt = 0
+		b.queue.add(request)
 	}
 }
 
--- a/policy/circuit_breaker.go
+++ b/policy/circuit_breaker.go
@@ -52,11 +52,11 @@
 
 // recordSuccess closes the breaker after its trial. A response to an older attempt shows that the server
 // is alive, so that the trial may follow at once.
-func (s *server) recordSuccess(now time.Duration, a *attempt) {
+func (s *server) recordSuccess(now time.Duration, attempt *attempt) {
 	s.breaker.failures = s.breaker.failures[:0]
 	s.respondedAt = now
 	switch {
-	case s.breaker.isTrial(a):
+	case s.breaker.isTrial(attempt):
 		s.breaker.state, s.breaker.trial, s.breaker.openDuration = breakerClosed, nil, initialOpenDuration
 	case s.breaker.state == breakerOpen:
 		s.breaker.halfOpenAt = now
@@ -65,39 +65,39 @@
 
 // recordFailure opens the breaker if its trial failed or the threshold is reached. Time-outs may be due to a
 // slowdown of all servers: they open no breaker once half of the subset is ejected.
-func (b *Balancer) recordFailure(now time.Duration, a *attempt, status Status) {
-	s := a.server
+func (b *Balancer) recordFailure(now time.Duration, attempt *attempt, status Status) {
+	server := attempt.server
 	expired := func(at time.Duration) bool { return now-at > failureWindow }
-	s.breaker.failures = slices.DeleteFunc(append(s.breaker.failures, now), expired)
+	server.breaker.failures = slices.DeleteFunc(append(server.breaker.failures, now), expired)
 	switch {
-	case s.breaker.isTrial(a):
-		s.breaker.openDuration = min(2*s.breaker.openDuration, maxOpenDuration)
-	case s.breaker.state != breakerClosed || !b.reachedFailureThreshold(s, status):
+	case server.breaker.isTrial(attempt):
+		server.breaker.openDuration = min(2*server.breaker.openDuration, maxOpenDuration)
+	case server.breaker.state != breakerClosed || !b.reachedFailureThreshold(server, status):
 		return
 	case status == Timeout && 2*(b.subset.countNotClosed()+1) > len(b.subset.servers):
 		return
 	}
-	s.breaker.state, s.breaker.trial = breakerOpen, nil
-	b.limiter.markAllUnresponsive(s)
+	server.breaker.state, server.breaker.trial = breakerOpen, nil
+	b.limiter.markAllUnresponsive(server)
 	b.subset.stale = true
-	s.breaker.halfOpenAt = now + jitter.Fifth(b.random, s.breaker.openDuration)
+	server.breaker.halfOpenAt = now + jitter.Fifth(b.random, server.breaker.openDuration)
 }
 
 // reachedFailureThreshold reports whether the consecutive failures open the breaker. An undersampled node
 // meets a server so rarely that failureThreshold failures would take seconds, while all nodes fill the
 // server's queue; and a missing response or connection is stronger evidence than a quick error.
-func (b *Balancer) reachedFailureThreshold(s *server, status Status) bool {
+func (b *Balancer) reachedFailureThreshold(server *server, status Status) bool {
 	if b.subset.undersampled() && (status == Timeout || status == ConnectFailed) {
-		return len(s.breaker.failures) >= noResponseThreshold
+		return len(server.breaker.failures) >= noResponseThreshold
 	}
-	return len(s.breaker.failures) >= failureThreshold && !b.failuresExpected(s)
+	return len(server.breaker.failures) >= failureThreshold && !b.failuresExpected(server)
 }
 
 // failuresExpected reports whether the consecutive failures are likely at the failure rate before them. The
 // score steers requests away then; opening the breaker would lose what the server still serves.
-func (b *Balancer) failuresExpected(s *server) bool {
-	run := len(s.breaker.failures)
-	before := float64(max(0, s.outcomes.Failures()-run)) + priorOutcomes*(1-b.means.successRate)
-	failureRate := before / (float64(max(0, s.outcomes.Len()-run)) + priorOutcomes)
+func (b *Balancer) failuresExpected(server *server) bool {
+	run := len(server.breaker.failures)
+	before := float64(max(0, server.outcomes.Failures()-run)) + priorOutcomes*(1-b.means.successRate)
+	failureRate := before / (float64(max(0, server.outcomes.Len()-run)) + priorOutcomes)
 	return run < maxFailureThreshold && math.Pow(failureRate, float64(run)) > maxChanceProbability
 }
--- a/policy/concurrency_limit.go
+++ b/policy/concurrency_limit.go
@@ -84,33 +84,34 @@
 }
 
 // markUnresponsive takes an attempt out of the count, or servers that hang would use up the limit.
-func (l *concurrencyLimiter) markUnresponsive(a *attempt) {
-	if !a.unresponsive {
-		a.unresponsive = true
+func (l *concurrencyLimiter) markUnresponsive(attempt *attempt) {
+	if !attempt.unresponsive {
+		attempt.unresponsive = true
 		l.inFlight--
 	}
 }
 
-func (l *concurrencyLimiter) markAllUnresponsive(s *server) {
-	for _, a := range s.inFlight {
+func (l *concurrencyLimiter) markAllUnresponsive(server *server) {
+	for _, a := range server.inFlight {
 		l.markUnresponsive(a)
 	}
 }
 
-func (b *Balancer) hasCapacity(s *server, now time.Duration) bool {
+func (b *Balancer) hasCapacity(server *server, now time.Duration) bool {
 	limit := math.Round(b.limiter.limit / b.subset.nodesPerServer)
-	return float64(len(s.inFlight)+1) <= max(1, limit*s.capacityShare(&b.settings.Rules, now))
+	return float64(len(server.inFlight)+1) <= max(1, limit*server.capacityShare(&b.settings.Rules, now))
 }
 
 // nodeLimitAdmits reports whether the node may have one more attempt in flight. The limit of an undersampled
 // node is a few attempts, which its arrivals exceed by chance: it applies to the mean, as chances even out
 // over many nodes, with a bound on the peaks. A request of high priority does not wait for the mean.
-func (b *Balancer) nodeLimitAdmits(r *request) bool {
+func (b *Balancer) nodeLimitAdmits(request *request) bool {
 	limit := b.limiter.limit / b.subset.nodesPerServer * float64(b.subset.closed)
 	next := float64(b.limiter.inFlight + 1)
 	if !b.subset.undersampled() {
 		return next <= max(1, limit)
 	}
-	highPriority := r.weight > highPriorityMultiple*b.arrivalWeight.Value()*r.class.workEstimate.Value()
+	highPriority := request.weight >
+		highPriorityMultiple*b.arrivalWeight.Value()*request.class.workEstimate.Value()
 	return (b.limiter.meanInFlight < limit || highPriority) && next <= limit+2*math.Sqrt(limit+1)
 }
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -99,22 +99,22 @@
 }
 
 // updateEndpoint applies one entry of the list. A server keeps its measurements while its process lives.
-func (b *Balancer) updateEndpoint(e Endpoint) {
-	s := b.endpoints.byID[e.Server]
-	if s == nil {
-		s = newServer(hashring.Position(uint64(e.Cell), uint64(e.Server)))
-		b.endpoints.byID[e.Server] = s
-	} else if e.StartedAt != s.StartedAt {
-		b.limiter.markAllUnresponsive(s) // the former process does not respond any more
-		former := s.Endpoint
-		*s = *newServer(s.ringPosition)
-		s.Endpoint = former
+func (b *Balancer) updateEndpoint(endpoint Endpoint) {
+	server := b.endpoints.byID[endpoint.Server]
+	if server == nil {
+		server = newServer(hashring.Position(uint64(endpoint.Cell), uint64(endpoint.Server)))
+		b.endpoints.byID[endpoint.Server] = server
+	} else if endpoint.StartedAt != server.StartedAt {
+		b.limiter.markAllUnresponsive(server) // the former process does not respond any more
+		former := server.Endpoint
+		*server = *newServer(server.ringPosition)
+		server.Endpoint = former
 	}
-	if e.State == Ready && s.State != Ready {
-		b.endpoints.ready = append(b.endpoints.ready, s)
+	if endpoint.State == Ready && server.State != Ready {
+		b.endpoints.ready = append(b.endpoints.ready, server)
 	}
-	s.Endpoint = e
-	s.sameZone = e.Zone == b.settings.Zone
+	server.Endpoint = endpoint
+	server.sameZone = endpoint.Zone == b.settings.Zone
 }
 
 // markAllGone covers the draining endpoints too, which may be left out of all later lists.
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -33,37 +33,37 @@
 	if class.Objective == 0 {
 		class.Objective = class.Deadline
 	}
-	c := requestClass{Class: class, costHint: runningmean.New(maxCostHintSamples)}
-	c.baseline = runningmean.NewWithGuess(class.Objective.Seconds()/4, maxLatencySamples)
-	c.workEstimate = c.baseline
+	measured := requestClass{Class: class, costHint: runningmean.New(maxCostHintSamples)}
+	measured.baseline = runningmean.NewWithGuess(class.Objective.Seconds()/4, maxLatencySamples)
+	measured.workEstimate = measured.baseline
 	if weightByWork {
-		c.workEstimate = runningmean.NewWithGuess(1, maxLatencySamples)
+		measured.workEstimate = runningmean.NewWithGuess(1, maxLatencySamples)
 	}
-	return c
+	return measured
 }
 
 // recordLatency takes the latency of a served request, in seconds.
-func (b *Balancer) recordLatency(a *attempt, r *request, latency float64) {
+func (b *Balancer) recordLatency(attempt *attempt, request *request, latency float64) {
 	b.limiter.smoothedLatency += (latency - b.limiter.smoothedLatency) / latencySmoothing
 	if !b.settings.WeightByWork {
-		r.class.workEstimate.Add(latency) // by all responses: unloaded ones are rare in a busy fleet
+		request.class.workEstimate.Add(latency) // by all responses: unloaded ones are rare in a busy fleet
 	}
-	congestion := b.limiter.congestion
-	if a.unloaded && (r.class.baseline.Samples() < startupSamples || congestion < targetCongestion/2) {
+	class, congestion := request.class, b.limiter.congestion
+	if attempt.unloaded && (class.baseline.Samples() < startupSamples || congestion < targetCongestion/2) {
 		// More than a third of the objective is an outlier, which would hide congestion.
-		r.class.baseline.Add(min(latency/r.relativeWork(), r.class.Objective.Seconds()/3))
+		class.baseline.Add(min(latency/request.relativeWork(), class.Objective.Seconds()/3))
 	}
-	offset := math.Log(max(latency, minLatency) / (r.class.baseline.Value() * r.relativeWork()))
-	if a.unloaded && congestion < targetCongestion {
+	offset := math.Log(max(latency, minLatency) / (class.baseline.Value() * request.relativeWork()))
+	if attempt.unloaded && congestion < targetCongestion {
 		// The more nodes use the server, the more a sample may be due to their load.
-		a.server.baseline.AddWithPrior(offset, b.subset.nodesPerServer)
+		attempt.server.baseline.AddWithPrior(offset, b.subset.nodesPerServer)
 	}
-	b.limiter.congestion += (offset - a.server.baseline.Value() - b.limiter.congestion) / congestionSmoothing
+	b.limiter.congestion += (offset - attempt.server.baseline.Value() - congestion) / congestionSmoothing
 }
 
 // isUnloaded estimates, from this node's own attempts, whether a server has none of any node.
-func (b *Balancer) isUnloaded(s *server) bool {
-	return len(s.inFlight) == 0 && float64(b.limiter.inFlight)*b.subset.nodesPerServer <=
+func (b *Balancer) isUnloaded(server *server) bool {
+	return len(server.inFlight) == 0 && float64(b.limiter.inFlight)*b.subset.nodesPerServer <=
 		unloadedPerServer*float64(len(b.subset.servers))
 }
 
@@ -82,6 +82,6 @@
 }
 
 // expectedLatency returns the latency of the request under the current load.
-func (b *Balancer) expectedLatency(r *request) time.Duration {
-	return time.Duration(r.baselineLatency() * b.means.relativeLatency * float64(time.Second))
+func (b *Balancer) expectedLatency(request *request) time.Duration {
+	return time.Duration(request.baselineLatency() * b.means.relativeLatency * float64(time.Second))
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -48,8 +48,7 @@
 	r.objectiveDeadline = min(r.deadline, now+r.class.Objective+extension)
 }
 
-// requestTable holds the active requests, which have no final answer yet, and the completed ones whose
-// attempts are still in flight. Records are reused.
+// requestTable holds the active requests and the completed ones with attempts in flight. It reuses records.
 type requestTable struct {
 	byID        map[RequestID]*request
 	active      []*request
@@ -58,90 +57,91 @@
 }
 
 func (t *requestTable) add(arrival Request, class *requestClass) *request {
-	var r *request
+	var record *request
 	if n := len(t.free); n > 0 {
-		r = t.free[n-1]
+		record = t.free[n-1]
 		t.free = t.free[:n-1]
 	} else {
-		r = &request{attempts: make([]attempt, 0, t.maxAttempts)}
+		record = &request{attempts: make([]attempt, 0, t.maxAttempts)}
 	}
-	*r = request{Request: arrival, class: class, attempts: r.attempts[:0], activeIndex: len(t.active)}
-	r.weight = class.PriorityWeight
-	t.byID[arrival.ID] = r
-	t.active = append(t.active, r)
-	return r
+	*record = request{Request: arrival, class: class, attempts: record.attempts[:0]}
+	record.weight, record.activeIndex = class.PriorityWeight, len(t.active)
+	t.byID[arrival.ID] = record
+	t.active = append(t.active, record)
+	return record
 }
 
 // findAttempt returns the attempt of an event, or nil if it is not in flight.
 func (t *requestTable) findAttempt(id RequestID, index int) (*request, *attempt) {
-	r := t.byID[id]
-	if r == nil || index < 0 || index >= len(r.attempts) || !r.attempts[index].inFlight {
+	request := t.byID[id]
+	if request == nil || index < 0 || index >= len(request.attempts) || !request.attempts[index].inFlight {
 		return nil, nil
 	}
-	return r, &r.attempts[index]
+	return request, &request.attempts[index]
 }
 
 // release marks a request as completed, and forgets it once no attempt is in flight.
-func (t *requestTable) release(r *request) {
-	if !r.completed {
-		r.completed = true
+func (t *requestTable) release(request *request) {
+	if !request.completed {
+		request.completed = true
 		last := t.active[len(t.active)-1]
-		t.active[r.activeIndex] = last
-		last.activeIndex = r.activeIndex
+		t.active[request.activeIndex] = last
+		last.activeIndex = request.activeIndex
 		t.active = t.active[:len(t.active)-1]
 	}
-	if r.inFlight == 0 && t.byID[r.ID] == r {
-		delete(t.byID, r.ID)
-		if !r.queued { // the queue still refers to it otherwise
-			t.free = append(t.free, r)
+	if request.inFlight == 0 && t.byID[request.ID] == request {
+		delete(t.byID, request.ID)
+		if !request.queued { // the queue still refers to it otherwise
+			t.free = append(t.free, request)
 		}
 	}
 }
 
 // send starts an attempt that attemptPermitted has admitted.
-func (b *Balancer) send(now time.Duration, r *request, s *server) {
-	a := b.addAttempt(now, r, s)
-	if s.breaker.state == breakerHalfOpen {
-		s.breaker.trial = a
+func (b *Balancer) send(now time.Duration, request *request, server *server) {
+	attempt := b.addAttempt(now, request, server)
+	if server.breaker.state == breakerHalfOpen {
+		server.breaker.trial = attempt
 	}
-	b.slowStart.sentWork.Add(now, r.baselineLatency())
-	s.budget.work -= r.baselineLatency() // has no effect on a warm server
-	b.host.Send(r.ID, s.Server, 0)
+	b.slowStart.sentWork.Add(now, request.baselineLatency())
+	server.budget.work -= request.baselineLatency() // has no effect on a warm server
+	b.host.Send(request.ID, server.Server, 0)
 }
 
-func (b *Balancer) addAttempt(now time.Duration, r *request, s *server) *attempt {
-	r.attempts = append(r.attempts, attempt{server: s, request: r, zone: s.Zone, cell: s.Cell, sentAt: now})
-	a := &r.attempts[len(r.attempts)-1]
-	a.inFlight, a.unloaded = true, b.isUnloaded(s)
-	r.inFlight++
+func (b *Balancer) addAttempt(now time.Duration, request *request, server *server) *attempt {
+	request.attempts = append(request.attempts, attempt{server: server, request: request, sentAt: now})
+	added := &request.attempts[len(request.attempts)-1]
+	added.zone, added.cell = server.Zone, server.Cell
+	added.inFlight, added.unloaded = true, b.isUnloaded(server)
+	request.inFlight++
 	b.limiter.inFlight++
-	s.inFlight = append(s.inFlight, a)
-	return a
+	server.inFlight = append(server.inFlight, added)
+	return added
 }
 
-func (b *Balancer) attemptEnded(r *request, a *attempt) {
-	a.inFlight = false
-	r.inFlight--
-	if !a.unresponsive {
+func (b *Balancer) attemptEnded(request *request, attempt *attempt) {
+	attempt.inFlight = false
+	request.inFlight--
+	if !attempt.unresponsive {
 		b.limiter.inFlight--
 	}
 	// A server that has restarted since does not list the attempt.
-	if i := slices.Index(a.server.inFlight, a); i >= 0 {
-		a.server.inFlight = slices.Delete(a.server.inFlight, i, i+1)
+	if i := slices.Index(attempt.server.inFlight, attempt); i >= 0 {
+		attempt.server.inFlight = slices.Delete(attempt.server.inFlight, i, i+1)
 	}
 }
 
-func (b *Balancer) complete(r *request) {
-	if !r.completed {
-		b.cancelAttempts(r, nil)
+func (b *Balancer) complete(request *request) {
+	if !request.completed {
+		b.cancelAttempts(request, nil)
 	}
-	b.requests.release(r)
+	b.requests.release(request)
 }
 
-func (b *Balancer) cancelAttempts(r *request, except *attempt) {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.inFlight && a != except && b.settings.Limits.Cancel {
-			b.host.Cancel(r.ID, i)
+func (b *Balancer) cancelAttempts(request *request, except *attempt) {
+	for i := range request.attempts {
+		if a := &request.attempts[i]; a.inFlight && a != except && b.settings.Limits.Cancel {
+			b.host.Cancel(request.ID, i)
 		}
 	}
 }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -16,14 +16,14 @@
 )
 
 // scheduleRetry starts the backoff before a retry, or terminates the request if no retry fits.
-func (b *Balancer) scheduleRetry(now time.Duration, r *request) {
-	first := time.Duration(float64(r.class.Objective) * initialBackoffShare)
-	retryAt := now + jitter.Fifth(b.random, min(first<<(len(r.attempts)-1), maxBackoff))
-	if b.attemptsExhausted(r, retryAt) || retryAt+b.expectedLatency(r) > r.retryDeadline() {
-		b.terminateUnserved(r)
+func (b *Balancer) scheduleRetry(now time.Duration, request *request) {
+	first := time.Duration(float64(request.class.Objective) * initialBackoffShare)
+	retryAt := now + jitter.Fifth(b.random, min(first<<(len(request.attempts)-1), maxBackoff))
+	if b.attemptsExhausted(request, retryAt) || retryAt+b.expectedLatency(request) > request.retryDeadline() {
+		b.terminateUnserved(request)
 		return
 	}
-	r.retryAt = retryAt
+	request.retryAt = retryAt
 	b.scheduleCheckBy(now + checkInterval)
 }
 
@@ -35,10 +35,10 @@
 	return r.objectiveDeadline
 }
 
-func (b *Balancer) attemptsExhausted(r *request, at time.Duration) bool {
-	executed := r.firstExecuted()
-	return len(r.attempts) >= b.settings.Limits.MaxAttempts ||
-		executed != nil && !r.class.mayRepeatAfter(at-executed.sentAt)
+func (b *Balancer) attemptsExhausted(request *request, at time.Duration) bool {
+	executed := request.firstExecuted()
+	return len(request.attempts) >= b.settings.Limits.MaxAttempts ||
+		executed != nil && !request.class.mayRepeatAfter(at-executed.sentAt)
 }
 
 func (c *requestClass) mayRepeatAfter(age time.Duration) bool {
@@ -46,44 +46,44 @@
 }
 
 // attemptPermitted is the gate for every attempt: it enforces deadlines, limits, idempotency and slow start.
-func (b *Balancer) attemptPermitted(now time.Duration, r *request, s *server) bool {
-	if r.completed || r.streaming || now >= r.deadline || b.attemptsExhausted(r, now) || s.State != Ready {
+func (b *Balancer) attemptPermitted(now time.Duration, request *request, server *server) bool {
+	if request.completed || request.streaming || now >= request.deadline || server.State != Ready ||
+		b.attemptsExhausted(request, now) {
 		return false
 	}
-	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.neverRan && !b.mayFollowExecuted(r, a, s) {
+	for i := range request.attempts {
+		if a := &request.attempts[i]; !a.neverRan && !b.mayFollowExecuted(request, a, server) {
 			return false
 		}
 	}
-	return b.slowStartAdmits(s, now, r.baselineLatency())
+	return b.slowStartAdmits(server, now, request.baselineLatency())
 }
 
-func (b *Balancer) mayFollowExecuted(r *request, earlier *attempt, s *server) bool {
+func (b *Balancer) mayFollowExecuted(request *request, earlier *attempt, server *server) bool {
 	return (!earlier.inFlight || b.settings.Limits.Hedging) &&
-		(r.class.Idempotency != IdempotentWithKey || r.class.sharesKeyScope(earlier, s))
+		(request.class.Idempotency != IdempotentWithKey || request.class.sharesKeyScope(earlier, server))
 }
 
 // sharesKeyScope reports whether a server recognizes the idempotency keys of an earlier attempt.
-func (c *requestClass) sharesKeyScope(earlier *attempt, s *server) bool {
-	return c.KeyScope == KeyScopeAll || c.KeyScope == KeyScopeZone && earlier.zone == s.Zone ||
-		c.KeyScope == KeyScopeCell && earlier.cell == s.Cell
+func (c *requestClass) sharesKeyScope(earlier *attempt, server *server) bool {
+	return c.KeyScope == KeyScopeAll || c.KeyScope == KeyScopeZone && earlier.zone == server.Zone ||
+		c.KeyScope == KeyScopeCell && earlier.cell == server.Cell
 }
 
-// detectUnresponsive counts attempts as failures whose server has not responded to anything since. Where
-// allowed it sends a hedged request: the time-out would come too late.
-func (b *Balancer) detectUnresponsive(now time.Duration, r *request) {
-	expected := b.expectedLatency(r)
-	for i := range r.attempts {
-		a := &r.attempts[i]
-		if !a.becameUnresponsive(now, expected) {
+// detectUnresponsive counts attempts without a response as failures and, where allowed, hedges the request.
+func (b *Balancer) detectUnresponsive(now time.Duration, request *request) {
+	expected := b.expectedLatency(request)
+	for i := range request.attempts {
+		attempt := &request.attempts[i]
+		if !attempt.becameUnresponsive(now, expected) {
 			continue
 		}
-		b.limiter.markUnresponsive(a)
-		a.server.outcomes.Add(now, false, 0)
-		b.recordFailure(now, a, Timeout)
-		if r.inFlight == 1 && b.settings.Limits.Hedging && now+expected <= r.objectiveDeadline {
-			if s := b.selectServer(now, r); s != nil {
-				b.send(now, r, s)
+		b.limiter.markUnresponsive(attempt)
+		attempt.server.outcomes.Add(now, false, 0)
+		b.recordFailure(now, attempt, Timeout)
+		if request.inFlight == 1 && b.settings.Limits.Hedging && now+expected <= request.objectiveDeadline {
+			if server := b.selectServer(now, request); server != nil {
+				b.send(now, request, server)
 			}
 		}
 	}
@@ -106,6 +106,6 @@
 
 func (r *request) mayHaveRun() bool { return r.firstExecuted() != nil }
 
-func (r *request) hasTried(s *server) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+func (r *request) hasTried(server *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == server })
 }
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -18,37 +18,37 @@
 type outcomeMeans struct{ successRate, relativeLatency float64 }
 
 // recordOutcome counts the outcome of an attempt for its server, unless that has restarted since.
-func (b *Balancer) recordOutcome(now time.Duration, r *request, a *attempt, o Outcome) {
-	s := a.server
-	if a.sentAt < s.StartedAt {
+func (b *Balancer) recordOutcome(now time.Duration, request *request, attempt *attempt, outcome Outcome) {
+	server := attempt.server
+	if attempt.sentAt < server.StartedAt {
 		return
 	}
-	relativeLatency := o.Latency.Seconds() / r.baselineLatency()
-	switch o.Status {
+	relativeLatency := outcome.Latency.Seconds() / request.baselineLatency()
+	switch outcome.Status {
 	case OK:
-		s.outcomes.Add(now, true, relativeLatency)
+		server.outcomes.Add(now, true, relativeLatency)
 		if relativeLatency > slowResponseMultiple && b.subset.undersampled() {
-			b.recordFailure(now, a, Timeout) // congested: it needs time to recover
+			b.recordFailure(now, attempt, Timeout) // congested: it needs time to recover
 		} else {
-			s.recordSuccess(now, a)
+			server.recordSuccess(now, attempt)
 		}
-		b.recordLatency(a, r, o.Latency.Seconds())
+		b.recordLatency(attempt, request, outcome.Latency.Seconds())
 		b.limiter.adjustOnResponse(now, b.subset.undersampled(), len(b.queue.waiting) > 0)
 	case ServerError, Reset, ConnectFailed:
-		s.outcomes.Add(now, false, relativeLatency)
-		b.recordFailure(now, a, o.Status)
+		server.outcomes.Add(now, false, relativeLatency)
+		b.recordFailure(now, attempt, outcome.Status)
 	case Timeout:
 		// A shorter one is due to its client. The measure is the baseline: the mean rises with congestion
 		// until no client waits long enough to count.
-		if !a.unresponsive && relativeLatency > unresponsiveMultiple {
-			s.outcomes.Add(now, false, relativeLatency)
-			b.recordFailure(now, a, Timeout)
+		if !attempt.unresponsive && relativeLatency > unresponsiveMultiple {
+			server.outcomes.Add(now, false, relativeLatency)
+			b.recordFailure(now, attempt, Timeout)
 		}
 	case Rejected: // lowers the score, or a full server would be selected again
-		s.outcomes.Add(now, false, relativeLatency)
+		server.outcomes.Add(now, false, relativeLatency)
 	}
-	if s.breaker.trial == a {
-		s.breaker.trial = nil // inconclusive: the next request is the trial
+	if server.breaker.trial == attempt {
+		server.breaker.trial = nil // inconclusive: the next request is the trial
 	}
 }
 
@@ -103,16 +103,16 @@
 
 // selectServer returns a server for the next attempt, or nil: a half-open server that awaits its trial, else
 // the better of two random candidates for a first attempt and the best of all for a retry.
-func (b *Balancer) selectServer(now time.Duration, r *request) *server {
+func (b *Balancer) selectServer(now time.Duration, request *request) *server {
 	b.refresh(now)
-	if trial := b.findCandidates(now, r); trial != nil {
+	if trial := b.findCandidates(now, request); trial != nil {
 		return trial
 	}
 	n := len(b.candidates)
-	if n == 0 || !b.nodeLimitAdmits(r) {
+	if n == 0 || !b.nodeLimitAdmits(request) {
 		return nil
 	}
-	if len(r.attempts) == 0 && n > 2 {
+	if len(request.attempts) == 0 && n > 2 {
 		i := b.random.IntN(n)
 		j := (i + 1 + b.random.IntN(n-1)) % n
 		return betterServer(b.candidates[i], b.candidates[j])
@@ -125,17 +125,17 @@
 }
 
 // findCandidates collects the servers that may get the next attempt, or returns one that gets it as a trial.
-func (b *Balancer) findCandidates(now time.Duration, r *request) *server {
+func (b *Balancer) findCandidates(now time.Duration, request *request) *server {
 	b.candidates = b.candidates[:0]
 	for _, s := range b.subset.servers {
-		if s.breaker.state == breakerOpen || r.hasTried(s) || !b.attemptPermitted(now, r, s) {
+		if s.breaker.state == breakerOpen || request.hasTried(s) || !b.attemptPermitted(now, request, s) {
 			continue
 		}
 		if s.breaker.state == breakerClosed && b.hasCapacity(s, now) {
 			b.candidates = append(b.candidates, s)
-		} else if s.breaker.awaitsTrial() &&
-			// One that is not idempotent is the trial only if no other came for as long as it was open.
-			(r.class.Idempotency != NotIdempotent || now > s.breaker.halfOpenAt+s.breaker.openDuration) {
+		} else if s.breaker.awaitsTrial() && (request.class.Idempotency != NotIdempotent ||
+			// No other request became the trial for as long as the breaker was open.
+			now > s.breaker.halfOpenAt+s.breaker.openDuration) {
 			return s
 		}
 	}
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -55,14 +55,14 @@
 // slowStartAdmits reports whether a server may get more work. A node does not see the other nodes' sends: its
 // budget grows at its own part of the rate that would overload the server. It starts with a random debt
 // of up to one request, since a send from each node at once could overload the server.
-func (b *Balancer) slowStartAdmits(s *server, now time.Duration, work float64) bool {
+func (b *Balancer) slowStartAdmits(server *server, now time.Duration, work float64) bool {
 	rules := &b.settings.Rules
-	share := s.capacityShare(rules, now)
+	share := server.capacityShare(rules, now)
 	if share >= 1 {
 		return true
 	}
-	if s.budget.updatedAt == 0 {
-		s.budget = slowStartBudget{work: -work * b.random.Float64(), updatedAt: now}
+	if server.budget.updatedAt == 0 {
+		server.budget = slowStartBudget{work: -work * b.random.Float64(), updatedAt: now}
 	}
 	rate := b.slowStart.warmServerRate / b.subset.nodesPerServer * rules.OverloadMultiple
 	if b.slowStart.warmServerRate == 0 { // a new node among warming servers knows its own arrivals only
@@ -70,7 +70,7 @@
 	}
 	rate *= share * slowStartSafety
 	burst := rate * rules.OverloadWindow.Seconds() * burstWindows
-	s.budget.work = min(s.budget.work+rate*(now-s.budget.updatedAt).Seconds(), burst)
-	s.budget.updatedAt = now
-	return s.budget.work > 0
+	server.budget.work = min(server.budget.work+rate*(now-server.budget.updatedAt).Seconds(), burst)
+	server.budget.updatedAt = now
+	return server.budget.work > 0
 }
