Name the proportional jitter, correct comments of the decision module

The jitter of backoffs was named for its figure; comments on the load of a server, the trial and the high priority said less than the code does.

--- a/internal/jitter/jitter.go
+++ b/internal/jitter/jitter.go
@@ -11,7 +11,7 @@
 	return time.Duration(random.Float64() * float64(delay))
 }
 
-// Fifth varies a delay by up to a fifth either way, so that the delays of an exponential backoff still grow.
-func Fifth(random *rand.Rand, delay time.Duration) time.Duration {
+// Proportional varies a delay by up to a fifth either way, so that the delays of an exponential backoff still grow.
+func Proportional(random *rand.Rand, delay time.Duration) time.Duration {
 	return time.Duration(float64(delay) * (0.8 + 0.4*random.Float64()))
 }
--- a/internal/jitter/jitter_test.go
+++ b/internal/jitter/jitter_test.go
@@ -24,8 +24,8 @@
 	}
 }
 
-func TestFifthStaysWithinAFifth(t *testing.T) {
-	least, greatest := spread(Fifth, time.Second)
+func TestProportionalStaysWithinAFifth(t *testing.T) {
+	least, greatest := spread(Proportional, time.Second)
 	if least < 800*time.Millisecond || least > 810*time.Millisecond ||
 		greatest < 1190*time.Millisecond || greatest > 1200*time.Millisecond {
 		t.Errorf("delays from %v to %v, want 0.8 s to 1.2 s", least, greatest)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -21,7 +21,7 @@
 	timerCheck, timerWatch = uint64(0), uint64(1) // tokens of the timers
 )
 
-// Balancer decides for one node. Create it with New.
+// Balancer makes the decisions of one node. Create it with New.
 type Balancer struct {
 	settings Settings
 	host     Host
--- a/policy/concurrency_limit.go
+++ b/policy/concurrency_limit.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	initialLimit           = 3     // for each server
+	initialLimit           = 3     // for each server, until congestion shows
 	targetCongestion       = 0.3   // logarithm of latency over baseline that the limit steers to
 	limitIncrease          = 0.025 // in one smoothed latency, while requests wait for the limit
 	initialIncreaseFactor  = 6.0   // on the increase until congestion shows for the first time
@@ -20,7 +20,7 @@
 	undersampledLimitFloor = 0.5   // for each server: below one request, congested servers recover
 	knownGoodDecaySeconds  = 60.0  // time constant of forgetting the good limit under congestion
 	meanInFlightSeconds    = 1.0   // time constant of the mean number of attempts in flight
-	highPriorityMultiple   = 2.0   // of the mean priority weight: does not wait for that mean number
+	highPriorityMultiple   = 2.0   // of the mean weight: from it a request does not wait for that number
 	maxAdjustSeconds       = 0.1   // that one adjustment covers after a pause
 	latencySmoothing       = 64    // responses
 	congestionSmoothing    = 32    // responses
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -61,7 +61,7 @@
 	b.limiter.congestion += (offset - attempt.server.baseline.Value() - congestion) / congestionSmoothing
 }
 
-// isUnloaded estimates, from this node's own attempts, whether a server has none of any node.
+// isUnloaded reports whether a server is idle and the fleet lightly loaded, judging by this node's attempts.
 func (b *Balancer) isUnloaded(server *server) bool {
 	return len(server.inFlight) == 0 && float64(b.limiter.inFlight)*b.subset.nodesPerServer <=
 		unloadedPerServer*float64(len(b.subset.servers))
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -18,7 +18,7 @@
 // scheduleRetry starts the backoff before a retry, or terminates the request if no retry fits.
 func (b *Balancer) scheduleRetry(now time.Duration, request *request) {
 	first := time.Duration(float64(request.class.Objective) * initialBackoffShare)
-	retryAt := now + jitter.Fifth(b.random, min(first<<(len(request.attempts)-1), maxBackoff))
+	retryAt := now + jitter.Proportional(b.random, min(first<<(len(request.attempts)-1), maxBackoff))
 	if b.attemptsExhausted(request, retryAt) || retryAt+b.expectedLatency(request) > request.retryDeadline() {
 		b.terminateUnserved(request)
 		return
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -134,7 +134,7 @@
 		if s.breaker.state == breakerClosed && b.hasCapacity(s, now) {
 			b.candidates = append(b.candidates, s)
 		} else if s.breaker.awaitsTrial() && (request.class.Idempotency != NotIdempotent ||
-			// No other request became the trial for as long as the breaker was open.
+			// It is the trial if no other request came for as long as the breaker was open.
 			now > s.breaker.halfOpenAt+s.breaker.openDuration) {
 			return s
 		}
