--- /dev/null
+++ b/policy/circuit_breaker_test.go
@@ -0,0 +1,194 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestBreakerOpensAdmitsOneTrialAndCloses(t *testing.T) {
+	h := newHarness(t, testSettings(), 4)
+	bad := h.balancer.endpoints.ready[0]
+	for range failureThreshold {
+		h.balancer.recordFailure(h.now, &attempt{server: bad}, ServerError)
+	}
+	if bad.breaker.state != breakerOpen {
+		t.Fatalf("breaker %v after %d failures, want open", bad.breaker.state, failureThreshold)
+	}
+	h.serve(20, 50*ms)
+	for _, s := range h.host.sends {
+		if s.server == bad.Server {
+			t.Fatal("a server with an open breaker got a request")
+		}
+	}
+	h.advance(bad.breaker.halfOpenAt - h.now)
+	trial := h.request(0)
+	if got := h.sendsOf(trial); len(got) != 1 || got[0] != bad.Server {
+		t.Fatalf("trial went to %v, want the half-open server %d", got, bad.Server)
+	}
+	if other := h.sendsOf(h.request(0)); len(other) != 1 || other[0] == bad.Server {
+		t.Fatalf("second request went to %v while the trial is in flight", other)
+	}
+	before := bad.breaker.openDuration
+	h.endAttempt(trial, ServerError, 5*ms)
+	if bad.breaker.state != breakerOpen || bad.breaker.openDuration != 2*before {
+		t.Fatalf("after a failed trial: breaker %v for %v, want open for %v",
+			bad.breaker.state, bad.breaker.openDuration, 2*before)
+	}
+	h.advance(bad.breaker.halfOpenAt - h.now)
+	trial = h.request(0)
+	h.endAttempt(trial, OK, 50*ms)
+	if bad.breaker.state != breakerClosed {
+		t.Fatalf("after a successful trial: breaker %v, want closed", bad.breaker.state)
+	}
+}
+
+func TestOnlyConsecutiveFailuresWithinTheWindowOpenTheBreaker(t *testing.T) {
+	h := newHarness(t, testSettings(), 4)
+	s := h.balancer.endpoints.ready[0]
+	for range failureThreshold - 1 {
+		h.balancer.recordFailure(h.now, &attempt{server: s}, ServerError)
+	}
+	s.recordSuccess(h.now, nil)
+	h.balancer.recordFailure(h.now, &attempt{server: s}, ServerError)
+	if s.breaker.state != breakerClosed {
+		t.Fatal("failures with a success between them opened the breaker")
+	}
+	for range 2 * failureThreshold {
+		h.now += failureWindow / 3
+		h.balancer.recordFailure(h.now, &attempt{server: s}, ServerError)
+	}
+	if s.breaker.state != breakerClosed {
+		t.Fatal("failures spread wider than the window opened the breaker")
+	}
+}
+
+// Guards against a fleet-wide slowdown that opens every breaker and so has everything rejected.
+func TestTimeoutsEverywhereOpenHalfOfTheBreakersAtMost(t *testing.T) {
+	h := newHarness(t, testSettings(), 6)
+	h.balancer.arrivalRate.Add(h.now, 100) // enough for all servers to be in the subset
+	h.balancer.refresh(h.now)
+	for _, s := range h.balancer.endpoints.ready {
+		for range 2 * failureThreshold {
+			h.balancer.recordFailure(h.now, &attempt{server: s}, Timeout)
+		}
+	}
+	if got := h.breakers(); got[breakerOpen] != 3 {
+		t.Fatalf("%d of 6 breakers opened by time-outs, want 3", got[breakerOpen])
+	}
+}
+
+func TestAllBreakersOpenRejectsAtOnceWithRetryAfter(t *testing.T) {
+	h := newHarness(t, testSettings(), 3)
+	for _, s := range h.balancer.endpoints.ready {
+		for range failureThreshold {
+			h.balancer.recordFailure(h.now, &attempt{server: s}, ServerError)
+		}
+	}
+	id := h.request(2)
+	after, ok := h.host.rejected[id]
+	if !ok || after <= 0 || after > time.Second {
+		t.Fatalf("rejected %v with Retry-After %v, want at once and within the limit", ok, after)
+	}
+	h.advance(2 * initialOpenDuration)
+	if trial := h.request(0); len(h.sendsOf(trial)) != 1 {
+		t.Fatal("a half-open server must still get its trial")
+	}
+}
+
+// Guards against a breaker that never closes again because no request is idempotent.
+func TestNonIdempotentRequestIsTrialOnlyIfNoOtherCame(t *testing.T) {
+	h := newHarness(t, testSettings(), 1)
+	s := h.balancer.endpoints.ready[0]
+	for range failureThreshold {
+		h.balancer.recordFailure(h.now, &attempt{server: s}, ServerError)
+	}
+	h.now = s.breaker.halfOpenAt + ms
+	if id := h.request(2); len(h.sendsOf(id)) != 0 {
+		t.Fatal("a request that is not idempotent was the trial at once, though another could come")
+	}
+	h.advance(s.breaker.openDuration + ms)
+	if h.request(2); len(h.host.sends) != 1 {
+		t.Fatal("no request became the trial")
+	}
+}
+
+// Where attempts fail at all servers alike, runs of failures come by chance, and each breaker that opens
+// loses what its server still serves. A server that usually succeeds is ejected after the fifth failure.
+func TestExpectedFailureRateOpensNoBreaker(t *testing.T) {
+	recordPattern := func(balancer *Balancer, s *server, now time.Duration, pattern string) {
+		for _, c := range pattern {
+			a := &attempt{server: s}
+			if c == '+' {
+				s.outcomes.Add(now, true, 1)
+				s.recordSuccess(now, a)
+			} else {
+				s.outcomes.Add(now, false, 1)
+				balancer.recordFailure(now, a, ServerError)
+			}
+		}
+		balancer.updateMeans(now)
+	}
+	h := newHarness(t, testSettings(), 4)
+	h.balancer.refresh(h.now)
+	failing, healthy := h.balancer.endpoints.byID[1], h.balancer.endpoints.byID[2]
+	recordPattern(h.balancer, failing, h.now, strings.Repeat("++-", 20)+"+-----")
+	if failing.breaker.state != breakerClosed {
+		t.Error("a run of expected failures opened the breaker")
+	}
+	recordPattern(h.balancer, failing, h.now, strings.Repeat("-", maxFailureThreshold-5))
+	if failing.breaker.state != breakerOpen {
+		t.Error("a server that fails every time keeps its breaker closed")
+	}
+	recordPattern(h.balancer, healthy, h.now, strings.Repeat("+", 60)+"-----")
+	if healthy.breaker.state != breakerOpen {
+		t.Error("five consecutive failures of a healthy server left its breaker closed")
+	}
+}
+
+// Guards against servers that respond, but many times slower, and keep all their traffic.
+func TestSlowResponsesOpenTheBreakerOnUndersampledNode(t *testing.T) {
+	settings := testSettings()
+	settings.Nodes = 80
+	h := newHarness(t, settings, 6)
+	h.balancer.refresh(h.now)
+	s := h.balancer.subset.servers[0]
+	record := &request{class: &h.balancer.classes[0]}
+	for range failureThreshold {
+		a := &attempt{server: s, request: record, sentAt: h.now}
+		slow := time.Duration(2 * slowResponseMultiple * record.baselineLatency() * float64(time.Second))
+		h.balancer.recordOutcome(h.now, record, a, Outcome{Status: OK, Latency: slow})
+	}
+	if s.breaker.state != breakerOpen {
+		t.Fatal("the breaker stays closed though all responses take ten times the baseline latency")
+	}
+}
+
+// Guards against servers that get requests while they respond to none, with hundreds of abandoned requests
+// in their queues: each node sees few time-outs, and each is shorter than four times the mean latency,
+// which the congestion itself has raised.
+func TestTimeoutsOpenTheBreakerThoughTheFleetIsSlow(t *testing.T) {
+	for _, tc := range []struct{ nodes, opens int }{{1, failureThreshold}, {80, noResponseThreshold}} {
+		settings := testSettings()
+		settings.Nodes = tc.nodes
+		h := newHarness(t, settings, 12)
+		h.balancer.refresh(h.now)
+		if want := tc.nodes == 80; h.balancer.subset.undersampled() != want {
+			t.Fatalf("%d nodes: undersampled %v, want %v", tc.nodes, h.balancer.subset.undersampled(), want)
+		}
+		h.balancer.means.relativeLatency = 3
+		s := h.balancer.subset.servers[0]
+		record := &request{class: &h.balancer.classes[0]}
+		waited := time.Duration(2 * unresponsiveMultiple * record.baselineLatency() * float64(time.Second))
+		for i := range tc.opens {
+			if s.breaker.state != breakerClosed {
+				t.Fatalf("%d nodes: open after %d time-outs, want %d", tc.nodes, i, tc.opens)
+			}
+			a := &attempt{server: s, request: record, sentAt: h.now}
+			h.balancer.recordOutcome(h.now, record, a, Outcome{Status: Timeout, Latency: waited})
+		}
+		if s.breaker.state != breakerOpen {
+			t.Fatalf("%d nodes: closed after %d time-outs in a row", tc.nodes, tc.opens)
+		}
+	}
+}
--- /dev/null
+++ b/policy/disconnect_test.go
@@ -0,0 +1,93 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// disconnectCase is a request whose next attempt is due.
+type disconnectCase struct {
+	name   string
+	before func(h *harness) RequestID // up to the moment
+	due    func(h *harness)           // the event that starts the attempt
+}
+
+// The order of a client's disconnection and the event that starts the next attempt of its request.
+const (
+	staysConnected   = "stays connected"
+	disconnectsFirst = "disconnects first"
+	disconnectsAfter = "disconnects right after"
+)
+
+// A client disconnects at the very time of the next attempt. Reported first, there is none; reported right
+// after, the attempt is cancelled. Nothing follows.
+func TestClientDisconnectsAsTheNextAttemptIsDue(t *testing.T) {
+	check := func(h *harness) {
+		h.now = max(h.now, h.balancer.nextCheckAt)
+		h.balancer.Timer(h.now, timerCheck)
+	}
+	for _, c := range []disconnectCase{
+		{"queued", func(h *harness) RequestID {
+			for range h.balancer.endpoints.ready {
+				h.request(2)
+			}
+			return h.request(0)
+		}, func(h *harness) { h.endAttempt(h.lastID-1, OK, 20*ms) }},
+		{"retry", func(h *harness) RequestID {
+			id := h.request(0)
+			h.endAttempt(id, ServerError, 10*ms)
+			h.now = max(h.now, h.balancer.requests.byID[id].retryAt)
+			return id
+		}, check},
+		{"hedged request", func(h *harness) RequestID {
+			h.serve(100, 20*ms)
+			h.host.timers = nil // the node is busy: none is handled up to the moment
+			id := h.request(0)
+			h.now += 400 * ms
+			return id
+		}, check},
+	} {
+		for _, order := range []string{staysConnected, disconnectsFirst, disconnectsAfter} {
+			for _, cancel := range []bool{true, false} {
+				t.Run(c.name+"/"+order, func(t *testing.T) { c.run(t, order, cancel) })
+			}
+		}
+	}
+}
+
+func (c *disconnectCase) run(t *testing.T, order string, cancel bool) {
+	settings := testSettings()
+	settings.Limits.Cancel = cancel
+	h := newHarness(t, settings, 3)
+	id := c.before(h)
+	sends, cancels, wantSends := len(h.sendsOf(id)), h.host.cancels, 1
+	if order == disconnectsFirst {
+		h.balancer.ClientDisconnected(h.now, id)
+		wantSends = 0
+	}
+	c.due(h)
+	if n := len(h.sendsOf(id)) - sends; order != disconnectsFirst && n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+	if order == staysConnected {
+		return
+	}
+	if order == disconnectsAfter {
+		h.balancer.ClientDisconnected(h.now, id)
+	}
+	inFlight := 0
+	if record := h.balancer.requests.byID[id]; record != nil {
+		inFlight = record.inFlight
+	}
+	if n := h.host.cancels - cancels; cancel && n != inFlight {
+		t.Errorf("%d of %d attempts are cancelled", n, inFlight)
+	}
+	for i := range sends + wantSends { // the attempts end in the way that would cause a retry
+		h.balancer.Outcome(h.now, Outcome{ID: id, Attempt: i, Status: ServerError})
+	}
+	h.advance(10 * time.Second)
+	known := h.balancer.requests.byID[id] != nil
+	if n := len(h.sendsOf(id)) - sends; n != wantSends || known {
+		t.Errorf("%d attempts, want %d; still known: %v", n, wantSends, known)
+	}
+}
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -1,222 +1,335 @@
 package policy
 
 import (
-	"fmt"
+	"container/heap"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 )
 
-// registry is a discovery service in a world of many Balancers. It takes calls in turn, and
-// works off those that were given up too, as the service that was measured does. While it is
-// down it turns calls away, after a while or at once, or says nothing.
-type registry struct {
-	perCall  time.Duration
-	patience time.Duration // a call that waits longer has failed
-	holds    time.Duration // a call waits so long for news; 0: it is answered at once
-	busy     time.Duration // the queue is worked off then
-
-	down, up time.Duration   // from when to when it is away
-	refusal  time.Duration   // how long it takes to turn a call away then
-	calls    []time.Duration // of those who have no news since its return
-}
-
-// call gives when a call made now ends, and whether with an answer. Its news are of the time
-// when it returned, if it was away: they are told at once to all who call from then on.
-func (d *registry) call(now time.Duration, informed bool) (time.Duration, bool) {
-	if !informed {
-		d.calls = append(d.calls, now)
-	}
-	if d.down <= now && now < d.up {
-		return now + d.refusal, false
-	}
-	d.busy = max(d.busy, now) + d.perCall
-	answer := d.busy
-	if now >= d.up && !informed || d.holds == 0 {
-		if answer-now > d.patience {
-			return now + d.patience, false
+// simulatedEvent happens in a simulatedFleet; those of one time run in the order in which they were scheduled.
+type simulatedEvent struct {
+	at       time.Duration
+	sequence int
+	action   func()
+}
+
+// eventQueue is a heap of events.
+type eventQueue []simulatedEvent
+
+func (e eventQueue) Len() int { return len(e) }
+
+func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *eventQueue) Push(x any) { *e = append(*e, x.(simulatedEvent)) }
+
+func (e eventQueue) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+
+func (e *eventQueue) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// scenario describes a run of real Balancers with simulated servers on one virtual clock.
+type scenario struct {
+	nodes, servers    int
+	rules             Rules
+	load              float64       // offered work as a share of what all servers can do when warm
+	restarted         float64       // share of the servers that restart,
+	restartSpan       time.Duration // one after another within this time,
+	downtime          time.Duration // each after this time,
+	replaced          bool          // under a new ID instead of the old one
+	burst             float64       // factor on the arrivals once the first has restarted
+	othersFail        bool          // a third of the other servers fails or hangs from then on
+	lateNotice        bool          // a third of the nodes is notified of a start 1 to 5 s late
+	nodesRestartAfter time.Duration // if set: all nodes restart this time after the first server stops
+	warmUp            time.Duration
+}
+
+// simulatedFleet runs a scenario and measures what the warming servers were sent.
+type simulatedFleet struct {
+	scenario
+	t              *testing.T
+	settings       Settings
+	rng            *rand.Rand
+	now            time.Duration
+	lastSequence   int
+	events         eventQueue
+	nodes          []*simulatedNode
+	weights        []float64 // cumulative shares of the nodes in the traffic
+	servers        []*simulatedServer
+	arrivalFactor  float64    // of the arrivals
+	pendingUpdates []Endpoint // that no node is notified of yet
+	lastID         RequestID
+
+	// The largest work in an OverloadWindow over its limit, of sends by nodes that were notified: in requests of
+	// mean work, and by the work drawn for each.
+	worstInformed, worstInformedDrawn float64
+
+	overloads              int     // sends over the limit with over two thirds of the window from such nodes
+	workSent, workPossible float64 // work sent to warming servers once listed, and what they could do meanwhile
+}
+
+// simulatedServer works at one request after another.
+type simulatedServer struct {
+	Endpoint
+	speed        float64 // work per second when warm
+	fails, hangs bool
+	queue        []*serverJob
+	running      *serverJob
+	sends        []slowStartSend // within OverloadWindow
+}
+
+// slowStartSend is a send to a warming server, by a node that was notified of its start or not.
+type slowStartSend struct {
+	at                  time.Duration
+	meanWork, drawnWork float64 // work, in requests of mean work
+	informed            bool
+}
+
+const meanWork = 0.04 // seconds, over all classes
+
+// classWork returns the mean work of a class, of which six, one and one in eight requests are.
+func classWork(class int) float64 {
+	return []float64{1.1 * meanWork, 0.6 * meanWork, 0.8 * meanWork}[class]
+}
+
+func (f *simulatedFleet) schedule(at time.Duration, do func()) {
+	f.lastSequence++
+	heap.Push(&f.events, simulatedEvent{at, f.lastSequence, do})
+}
+
+// scheduleAbout runs an action after an exponentially distributed time.
+func (f *simulatedFleet) scheduleAbout(mean time.Duration, do func()) {
+	f.schedule(f.now+time.Duration(f.rng.ExpFloat64()*float64(mean)), do)
+}
+
+// capacityShare returns the present capacity by the rules, 1 when warm.
+func (f *simulatedFleet) capacityShare(s *simulatedServer) float64 {
+	if age := f.now - s.StartedAt; s.StartedAt > 0 && age < f.rules.SlowStartDuration {
+		return f.rules.SlowStartShare + (1-f.rules.SlowStartShare)*age.Seconds()/f.rules.SlowStartDuration.Seconds()
+	}
+	return 1
+}
+
+// recordSlowStartSend takes a send to a warming server into its window.
+func (f *simulatedFleet) recordSlowStartSend(s *simulatedServer, x slowStartSend) {
+	expired := func(x slowStartSend) bool { return f.now-x.at >= f.rules.OverloadWindow }
+	s.sends = append(slices.DeleteFunc(s.sends, expired), x)
+	all, informed, drawn := 0.0, 0.0, 0.0
+	for _, x := range s.sends {
+		all += x.meanWork
+		if x.informed {
+			informed += x.meanWork
+			drawn += x.drawnWork
 		}
-		return answer, true
 	}
-	answer += d.holds
-	if now < d.down && answer > d.down { // a watch ends as discovery goes down
-		return d.down, false
+	n := f.rules.OverloadMultiple * s.speed * f.capacityShare(s) * f.rules.OverloadWindow.Seconds() / meanWork
+	limit := n + 2*math.Sqrt(n) + 2
+	f.worstInformed = max(f.worstInformed, informed/limit)
+	if n >= 10 { // below, a few heavy requests exceed the limit by chance, and no node knows their work
+		f.worstInformedDrawn = max(f.worstInformedDrawn, drawn/limit)
+	}
+	if all > limit && informed > all*2/3 {
+		f.overloads++
 	}
-	return answer, true
 }
 
-// peak gives the most calls in a second from a time on.
-func (d *registry) peak(from time.Duration) (most int) {
-	first := 0
-	for i, at := range d.calls {
-		for d.calls[first] < max(from, at-time.Second+1) && first < i {
-			first++
+// serve starts the next job of a server.
+func (f *simulatedFleet) serve(s *simulatedServer) {
+	for s.running == nil && len(s.queue) > 0 && !s.hangs && s.State == Ready {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		if j.ended {
+			continue
 		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
-// member is one node of that world.
-type member struct {
-	*fakeHost
-	b        *Balancer
-	wanted   int // calls that discovery has been told of
-	began    time.Duration
-	answer   time.Duration
-	answered bool // by the call under way
-	waiting  bool
-	told     time.Duration // when it first had what discovery has had since its return
-	rewatch  bool          // an answer is followed by another watch
-}
-
-// step plays one node up to now.
-func (m *member) step(t *testing.T, now time.Duration, d *registry) {
-	t.Helper()
-	m.fire(m.b, now)
-	if m.waiting && now >= m.answer {
-		m.waiting = false
-		if m.answered {
-			if m.told == 0 && m.began >= d.up {
-				m.told = now
-			}
-			m.b.UpdateEndpoints(now, UpdateDelta, nil)
-			if m.rewatch {
-				m.watches++
+		s.running = j
+		f.schedule(f.now+time.Duration(j.request.work/(s.speed*f.capacityShare(s))*float64(time.Second)), func() {
+			if s.running == j {
+				s.running = nil
+				f.end(j, OK)
+				f.serve(s)
 			}
-		} else {
-			m.b.WatchFailed(now, m.began+NotificationDeadline)
-		}
+		})
 	}
-	if m.watches > m.wanted {
-		if m.waiting {
-			t.Fatalf("%v: a node calls again while its call is out", now)
-		}
-		m.wanted = m.watches
-		m.began = now
-		m.answer, m.answered = d.call(now, m.told > 0)
-		m.waiting = true
+}
+
+// end gives a node the outcome of an attempt.
+func (f *simulatedFleet) end(j *serverJob, status Status) {
+	if j.ended || j.node.dead {
+		return
 	}
+	j.ended = true
+	j.request.answered = j.request.answered || status == OK || status == Timeout
+	j.node.balancer.Outcome(f.now, Outcome{
+		ID: j.request.id, Attempt: j.index, Server: j.server.Server, Status: status,
+		RequestEnded: j.request.answered, Latency: f.now - j.sent,
+	})
 }
 
-// newFleet gives nodes that start in step, with a list that they know.
-func newFleet(t *testing.T, nodes int, change func(set *Settings)) (fleet []*member) {
-	t.Helper()
-	for i := range nodes {
-		set := testSettings()
-		set.Nodes, set.Node, set.PollEndpoints = nodes, i, true
-		if change != nil {
-			change(&set)
-		}
-		m := &member{fakeHost: newHost()}
-		b, err := New(set, uint64(i+1), m)
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.b = b
-		b.UpdateEndpoints(time.Hour, UpdateCached, ready(1, 60))
-		fleet = append(fleet, m)
-	}
-	return fleet
-}
-
-// Guards against nodes that ask for the list in step: of 80 that started together 49 got none
-// for 20 s. Their first calls waited too long, came again before discovery had worked off the
-// queue of those, and so on. The others, which share nothing with them, held theirs.
-func TestAllNodesOfAReleaseGetTheList(t *testing.T) {
-	const nodes = 80
-	d := &registry{perCall: 65 * ms, patience: 2 * time.Second}
-	fleet := newFleet(t, nodes, nil)
-	for now := time.Hour; now < time.Hour+12*time.Second; now += 5 * ms {
-		for _, m := range fleet {
-			m.step(t, now, d)
+// request has a client ask a node, and disconnect at its deadline.
+func (f *simulatedFleet) request(class, try int, work float64) {
+	i, _ := slices.BinarySearch(f.weights, f.rng.Float64()*f.weights[len(f.weights)-1])
+	n := f.nodes[i]
+	f.lastID++
+	request := &clientRequest{id: f.lastID, class: class, attempt: try, work: work}
+	n.requests[request.id] = request
+	left := f.settings.Classes[class].Deadline
+	n.balancer.Request(f.now, Request{ID: request.id, Class: class, Timeout: left})
+	f.schedule(f.now+left, func() {
+		for _, j := range request.jobs {
+			f.end(j, Timeout)
 		}
+		f.schedule(f.now+time.Second, func() { delete(n.requests, request.id) })
+	})
+}
+
+// arrive generates requests in an open loop.
+func (f *simulatedFleet) arrive() {
+	class := max(0, f.rng.IntN(8)-5)
+	f.request(class, 0, classWork(class)*f.rng.ExpFloat64())
+	rate := f.load * float64(f.scenario.servers) / meanWork * f.arrivalFactor
+	f.scheduleAbout(time.Duration(float64(time.Second)/rate), f.arrive)
+}
+
+// startNode starts the process of a node with a list of all ready servers.
+func (f *simulatedFleet) startNode(i int) {
+	if f.nodes[i] != nil {
+		f.nodes[i].dead = true
 	}
-	without := 0
-	for _, m := range fleet {
-		if m.told == 0 {
-			without++
-		}
+	n := &simulatedNode{fleet: f, requests: map[RequestID]*clientRequest{}}
+	settings := f.settings
+	settings.Node = i
+	balancer, err := New(settings, f.rng.Uint64(), n)
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	if without > 0 {
-		t.Fatalf("%d of %d nodes have no list 12 s after their start", without, nodes)
-	}
-}
-
-// Discovery is away for a while, in several ways, and comes back with news: they count as told
-// 6 s later, whatever the calls to it have met. That must not come at the price of a rush: one
-// discovery has to carry the return of 650 nodes that carries their watches, 217 calls a second,
-// and half as many again. Each node makes two calls then: it gets the news, and watches on.
-func TestNewsOfADiscoveryThatReturns(t *testing.T) {
-	const holds = 3 * time.Second // as the real nodes ask
-	for _, away := range []struct {
-		name    string
-		span    time.Duration
-		refusal time.Duration // a call's; 4.5 s is when a node gives its watch up
-	}{
-		{"refused", 9 * time.Second, 0},
-		{"refused for a moment", 10 * ms, 0},
-		{"turned away in turn", 9 * time.Second, 3 * time.Second},
-		{"silent", 9 * time.Second, holds * 3 / 2},
-	} {
-		for _, nodes := range []int{1, 3, 20, 300, 650} {
-			t.Run(fmt.Sprintf("%s/%d", away.name, nodes), func(t *testing.T) {
-				t.Parallel()
-				d := &registry{
-					perCall: 3 * ms, patience: holds * 3 / 2, holds: holds,
-					down: time.Hour + 8*time.Second, refusal: away.refusal,
-				}
-				d.up = d.down + away.span
-				fleet := newFleet(t, nodes, func(set *Settings) { set.Rules.MaxPollInterval = 30 * time.Second })
-				for now := time.Hour; now < d.up+8*time.Second; now += 5 * ms {
-					for _, m := range fleet {
-						m.rewatch = true
-						m.step(t, now, d)
-					}
-				}
-				var lags []time.Duration
-				for _, m := range fleet {
-					if m.told == 0 {
-						m.told = d.up + time.Hour
-					}
-					lags = append(lags, m.told-d.up)
-				}
-				slices.Sort(lags)
-				idle := nodes * int(time.Second) / int(holds)
-				peak, most := d.peak(d.up), 3*max(idle, int(time.Second/watchPerNode))/2
-				t.Logf("lag: median %v, worst %v; peak %d calls for news a second, idle watches %d", lags[nodes/2], lags[nodes-1], peak, idle)
-				if lags[nodes-1] >= NotificationDeadline {
-					t.Errorf("the last node is told %v after the return", lags[nodes-1])
-				}
-				if peak > most {
-					t.Errorf("%d calls in a second, over %d", peak, most)
-				}
-			})
+	n.balancer, f.nodes[i] = balancer, n
+	var entries []Endpoint
+	for _, s := range f.servers {
+		if s.State == Ready {
+			entries = append(entries, s.Endpoint)
 		}
 	}
+	balancer.UpdateEndpoints(f.now, UpdateSnapshot, entries)
+}
+
+// notificationDelay is the time from a change until the first node is notified, with all changes until then.
+const notificationDelay = 300 * ms
+
+// announce notifies all nodes of a change.
+func (f *simulatedFleet) announce(e Endpoint) {
+	if f.pendingUpdates = append(f.pendingUpdates, e); len(f.pendingUpdates) > 1 {
+		return
+	}
+	f.schedule(f.now+notificationDelay, func() {
+		updates := f.pendingUpdates
+		f.pendingUpdates = nil
+		for i := range f.nodes {
+			notify := func() { f.nodes[i].balancer.UpdateEndpoints(f.now, UpdateDelta, updates) }
+			if f.lateNotice && i%3 == 0 {
+				f.schedule(f.now+time.Second+time.Duration(f.rng.Float64()*float64(4*time.Second)), notify)
+			} else {
+				f.scheduleAbout(100*ms, notify)
+			}
+		}
+	})
 }
 
-func TestFewNodesAndNodesWithNoListAskAtOnce(t *testing.T) {
-	for _, tc := range []struct {
-		nodes   int
-		entries []Endpoint
-		at      bool
-	}{{3, ready(1, 10), true}, {80, nil, true}, {80, ready(1, 10), false}} {
-		set := testSettings()
-		set.Nodes, set.PollEndpoints = tc.nodes, true
-		h := newHost()
-		b, err := New(set, 1, h)
-		if err != nil {
-			t.Fatal(err)
+// restart stops a server and starts it, or another one in its place, again.
+func (f *simulatedFleet) restart(s *simulatedServer) {
+	s.State = Gone
+	if s.running != nil {
+		s.queue = append(s.queue, s.running)
+	}
+	for _, j := range s.queue {
+		f.end(j, Reset)
+	}
+	s.queue, s.running = nil, nil
+	if f.downtime > 0 || f.replaced {
+		f.announce(s.Endpoint)
+	}
+	f.schedule(f.now+f.downtime, func() {
+		if f.replaced {
+			s = &simulatedServer{Endpoint: s.Endpoint, speed: s.speed}
+			s.Server += 1000
+			f.servers = append(f.servers, s)
 		}
-		b.UpdateEndpoints(time.Hour, UpdateCached, tc.entries)
-		if at := h.watches == 1; at != tc.at {
-			t.Errorf("%d nodes, %d servers known: asks at once: %v, want %v",
-				tc.nodes, len(tc.entries), at, tc.at)
+		s.State, s.StartedAt, s.sends = Ready, f.now, nil
+		f.announce(s.Endpoint)
+	})
+}
+
+// sumCapacity adds up what the warming servers could do.
+func (f *simulatedFleet) sumCapacity() {
+	const step = 20 * ms
+	for _, s := range f.servers {
+		if share := f.capacityShare(s); s.State == Ready && share < 1 && f.now >= s.StartedAt+notificationDelay {
+			f.workPossible += s.speed * share * step.Seconds()
 		}
-		latest := time.Hour + set.Rules.MaxPollInterval/2
-		if !tc.at && (len(h.timers) != 1 || h.timers[0].at > latest) {
-			t.Errorf("timers %v, want one by %v", h.timers, latest)
+	}
+	f.schedule(f.now+step, f.sumCapacity)
+}
+
+// simulate runs the scenario until the last server has warmed up.
+func (c scenario) simulate(t *testing.T, seed uint64) *simulatedFleet {
+	f := &simulatedFleet{
+		scenario: c, t: t, settings: testSettings(), rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour,
+		arrivalFactor: 1,
+	}
+	f.settings.Nodes, f.settings.Rules = c.nodes, c.rules
+	f.settings.Classes = []Class{
+		{Deadline: 600 * ms, Objective: 300 * ms, PriorityWeight: 1, LateFraction: 0.25},
+		{
+			Deadline: 1500 * ms, Objective: 500 * ms, PriorityWeight: 1, LateFraction: 0.25,
+			Idempotency: IdempotentWithKey, KeyRetention: 5 * time.Second,
+		},
+		{
+			Deadline: time.Second, Objective: 300 * ms, PriorityWeight: 10, LateFraction: 0.5,
+			Idempotency: NotIdempotent,
+		},
+	}
+	for i, e := range ready(1, c.servers) {
+		f.servers = append(f.servers, &simulatedServer{Endpoint: e, speed: []float64{1.5, 1.5, 0.9, 0.55, 0.55}[i%5]})
+	}
+	f.rng.Shuffle(c.servers, func(i, j int) { f.servers[i], f.servers[j] = f.servers[j], f.servers[i] })
+	f.nodes = make([]*simulatedNode, c.nodes)
+	sum := 0.0
+	for i := range f.nodes {
+		f.startNode(i)
+		sum += 0.3 + 0.7*f.rng.ExpFloat64() // some nodes get several times the mean
+		f.weights = append(f.weights, sum)
+	}
+	f.arrive()
+	began := f.now + c.warmUp
+	k := max(1, int(c.restarted*float64(c.servers)))
+	for i, s := range f.servers[:k] {
+		f.schedule(began+c.restartSpan*time.Duration(i)/time.Duration(k), func() { f.restart(s) })
+	}
+	others := f.servers[k:]
+	f.schedule(began+c.downtime, func() {
+		f.arrivalFactor = max(1, c.burst)
+		for i := 0; c.othersFail && i < len(others)/3; i++ {
+			others[i].fails, others[i].hangs = i%2 == 0, i%2 == 1
 		}
+	})
+	if c.nodesRestartAfter > 0 {
+		f.schedule(began+c.nodesRestartAfter, func() {
+			for i := range f.nodes {
+				f.startNode(i)
+			}
+		})
+	}
+	f.schedule(began, f.sumCapacity)
+	for end := began + c.restartSpan + c.downtime + c.rules.SlowStartDuration; f.now < end; {
+		e := heap.Pop(&f.events).(simulatedEvent)
+		f.now = e.at
+		e.action()
 	}
+	return f
 }
--- /dev/null
+++ b/policy/harness_test.go
@@ -0,0 +1,230 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// fakeHost records the actions of one Balancer.
+type fakeHost struct {
+	sends    []sentAttempt
+	cancels  int
+	rejected map[RequestID]time.Duration
+	failed   map[RequestID]bool
+	timers   []timer
+	watches  int
+	log      []string
+}
+
+type sentAttempt struct {
+	id     RequestID
+	server ServerID
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+func newHost() *fakeHost {
+	return &fakeHost{rejected: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+}
+
+func (h *fakeHost) logAction(format string, args ...any) {
+	h.log = append(h.log, fmt.Sprintf(format, args...))
+}
+
+func (h *fakeHost) Send(id RequestID, server ServerID, timeout time.Duration) {
+	h.logAction("send %d %d %v", id, server, timeout)
+	h.sends = append(h.sends, sentAttempt{id, server})
+}
+
+func (h *fakeHost) Cancel(id RequestID, attempt int) {
+	h.logAction("cancel %d %d", id, attempt)
+	h.cancels++
+}
+
+func (h *fakeHost) Reject(id RequestID, after time.Duration) {
+	h.logAction("reject %d %v", id, after)
+	h.rejected[id] = after
+}
+
+func (h *fakeHost) Fail(id RequestID) {
+	h.logAction("fail %d", id)
+	h.failed[id] = true
+}
+
+func (h *fakeHost) SetTimer(at time.Duration, token uint64) {
+	h.logAction("timer %v %d", at, token)
+	h.timers = append(h.timers, timer{at, token})
+}
+
+// fire runs the timers that are due.
+func (h *fakeHost) fire(balancer *Balancer, now time.Duration) {
+	var due []timer
+	kept := h.timers[:0]
+	for _, t := range h.timers {
+		if t.at <= now {
+			due = append(due, t)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	h.timers = kept
+	for _, t := range due {
+		balancer.Timer(now, t.token)
+	}
+}
+
+func (h *fakeHost) WatchEndpoints() {
+	h.logAction("watch")
+	h.watches++
+}
+
+// testSettings has an idempotent class, one with an idempotency key and one that is not idempotent, in this order.
+func testSettings() Settings {
+	s := Defaults()
+	class := Class{Deadline: 2 * time.Second, Objective: 800 * ms, PriorityWeight: 1}
+	withKey, notIdempotent := class, class
+	withKey.Idempotency, withKey.KeyScope, withKey.KeyRetention = IdempotentWithKey, KeyScopeCell, time.Second
+	notIdempotent.Idempotency = NotIdempotent
+	s.Classes = []Class{class, withKey, notIdempotent}
+	s.Limits = Limits{MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: time.Second}
+	s.Rules = Rules{
+		SlowStartShare: 0.2, SlowStartDuration: 10 * time.Second, OverloadMultiple: 3, OverloadWindow: time.Second,
+		MaxPollInterval: 10 * time.Second,
+	}
+	return s
+}
+
+// harness drives a Balancer with a fakeHost on a virtual clock.
+type harness struct {
+	t             *testing.T
+	balancer      *Balancer
+	host          *fakeHost
+	now           time.Duration
+	lastID        RequestID
+	outcomesGiven map[RequestID]int // by request
+}
+
+func newHarness(t *testing.T, settings Settings, servers int) *harness {
+	t.Helper()
+	host := newHost()
+	balancer, err := New(settings, 1, host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &harness{t: t, balancer: balancer, host: host, now: time.Hour, outcomesGiven: map[RequestID]int{}}
+	h.update(UpdateCached, ready(1, servers)...)
+	return h
+}
+
+// ready returns ready endpoints for the servers first to last, two to a cell and five to a zone.
+func ready(first, last int) []Endpoint {
+	var entries []Endpoint
+	for i := first; i <= last; i++ {
+		entries = append(entries, Endpoint{
+			Server: ServerID(i), Cell: i / 2, Zone: i / 5, State: Ready, Weight: 1,
+		})
+	}
+	return entries
+}
+
+func (h *harness) update(kind UpdateKind, entries ...Endpoint) {
+	h.balancer.UpdateEndpoints(h.now, kind, entries)
+}
+
+func (h *harness) request(class int) RequestID {
+	h.lastID++
+	h.balancer.Request(h.now, Request{ID: h.lastID, Class: class, Timeout: 2 * time.Second})
+	return h.lastID
+}
+
+// sendsOf returns the servers that a request was sent to.
+func (h *harness) sendsOf(id RequestID) []ServerID {
+	var servers []ServerID
+	for _, s := range h.host.sends {
+		if s.id == id {
+			servers = append(servers, s.server)
+		}
+	}
+	return servers
+}
+
+// endAttempt gives the outcome of the next attempt of a request.
+func (h *harness) endAttempt(id RequestID, status Status, latency time.Duration) {
+	i := h.outcomesGiven[id]
+	h.outcomesGiven[id]++
+	h.balancer.Outcome(h.now, Outcome{
+		ID: id, Attempt: i, Server: h.sendsOf(id)[i], Status: status, Latency: latency, RequestEnded: status == OK,
+	})
+}
+
+// advance moves the clock and runs the timers that fall due.
+func (h *harness) advance(d time.Duration) {
+	for end := h.now + d; ; {
+		due := -1
+		for i, t := range h.host.timers {
+			if t.at <= end && (due < 0 || t.at < h.host.timers[due].at) {
+				due = i
+			}
+		}
+		if due < 0 {
+			h.now = end
+			return
+		}
+		t := h.host.timers[due]
+		h.host.timers = append(h.host.timers[:due], h.host.timers[due+1:]...)
+		h.now = max(h.now, t.at)
+		h.balancer.Timer(h.now, t.token)
+	}
+}
+
+// serve has n requests of class 0 succeed with the same latency, one after another.
+func (h *harness) serve(n int, latency time.Duration) {
+	for range n {
+		id := h.request(0)
+		h.advance(latency)
+		if h.outcomesGiven[id] < len(h.sendsOf(id)) {
+			h.endAttempt(id, OK, latency)
+		}
+	}
+}
+
+// breakers counts the breakers by state.
+func (h *harness) breakers() (count [3]int) {
+	for _, s := range h.balancer.endpoints.ready {
+		count[s.breaker.state]++
+	}
+	return count
+}
+
+// newUndersampledHarness has many nodes and warm measurements. Class 0 has a low priority weight, class 1 a
+// high one, of which late responses still earn half.
+func newUndersampledHarness(t *testing.T) *harness {
+	settings := testSettings()
+	settings.Nodes = 80
+	settings.Limits.MaxRetryAfter = 750 * ms
+	class := Class{Deadline: 400 * ms, Objective: 160 * ms, PriorityWeight: 1, LateFraction: 0.25}
+	highPriority := Class{
+		Deadline: 530 * ms, Objective: 160 * ms, PriorityWeight: 10, LateFraction: 0.5, Idempotency: NotIdempotent,
+	}
+	settings.Classes = []Class{class, highPriority}
+	h := newHarness(t, settings, 60)
+	h.serve(40, 30*ms)
+	if !h.balancer.subset.undersampled() {
+		t.Fatal("80 nodes at 60 servers are not undersampled")
+	}
+	return h
+}
+
+// fillToLimit sets the mean number of attempts in flight above the limit, with none in flight now.
+func (h *harness) fillToLimit() {
+	h.balancer.refresh(h.now)
+	limiter, subset := &h.balancer.limiter, &h.balancer.subset
+	limiter.limit, limiter.knownGood, limiter.congestionSeen = 1, 1, true
+	limiter.meanInFlight = 2 * limiter.limit / subset.nodesPerServer * float64(subset.closed)
+}
--- /dev/null
+++ b/policy/selection.go
@@ -0,0 +1,156 @@
+package policy
+
+// The choice of a server by scores from past outcomes, with two random choices (Mitzenmacher 2001).
+
+import "time"
+
+const (
+	outcomesPerServer         = 100              // latest outcomes that a server is judged by
+	maxOutcomeAge             = 10 * time.Second // so that an avoided server is tried again
+	maxOutcomeAgeUndersampled = 4 * time.Second  // where many nodes move a server's load within seconds
+	priorOutcomes             = 3.0              // weight of the means beside a server's own outcomes
+	successWeight             = 0.7              // of the success rate in the score
+	latencyWeight             = 0.3              // of the latency in the score
+	scoreTieMargin            = 0.1              // scores this close go by the attempts in flight
+)
+
+// outcomeMeans are taken over all servers of the subset, and stay as they are while there are no outcomes.
+type outcomeMeans struct{ successRate, relativeLatency float64 }
+
+// recordOutcome counts the outcome of an attempt for its server, unless that has restarted since.
+func (b *Balancer) recordOutcome(now time.Duration, request *request, attempt *attempt, outcome Outcome) {
+	server := attempt.server
+	if attempt.sentAt < server.StartedAt {
+		return
+	}
+	relativeLatency := outcome.Latency.Seconds() / request.baselineLatency()
+	switch outcome.Status {
+	case OK:
+		server.outcomes.Add(now, true, relativeLatency)
+		if relativeLatency > slowResponseMultiple && b.subset.undersampled() {
+			b.recordFailure(now, attempt, Timeout) // congested: it needs time to recover
+		} else {
+			server.recordSuccess(now, attempt)
+		}
+		b.recordLatency(attempt, request, outcome.Latency.Seconds())
+		b.limiter.adjustOnResponse(now, b.subset.undersampled(), len(b.queue.waiting) > 0)
+	case ServerError, Reset, ConnectFailed:
+		server.outcomes.Add(now, false, relativeLatency)
+		b.recordFailure(now, attempt, outcome.Status)
+	case Timeout:
+		// A shorter one is due to its client. The measure is the baseline: the mean rises with congestion
+		// until no client waits long enough to count.
+		if !attempt.unresponsive && relativeLatency > unresponsiveMultiple {
+			server.outcomes.Add(now, false, relativeLatency)
+			b.recordFailure(now, attempt, Timeout)
+		}
+	case Rejected: // lowers the score, or a full server would be selected again
+		server.outcomes.Add(now, false, relativeLatency)
+	}
+	if server.breaker.trial == attempt {
+		server.breaker.trial = nil // inconclusive: the next request is the trial
+	}
+}
+
+func (b *Balancer) updateMeans(now time.Duration) {
+	maxAge := maxOutcomeAge
+	if b.subset.undersampled() {
+		maxAge = maxOutcomeAgeUndersampled
+	}
+	outcomes, successes, latencySum := 0, 0, 0.0
+	for _, s := range b.subset.servers {
+		s.outcomes.Expire(now, maxAge)
+		outcomes += s.outcomes.Len()
+		successes += s.outcomes.Successes()
+		latencySum += s.outcomes.LatencySum()
+	}
+	if outcomes > 0 {
+		b.means.successRate = float64(successes) / float64(outcomes)
+	}
+	if successes > 0 {
+		b.means.relativeLatency = latencySum / float64(successes)
+	}
+}
+
+// updateScores computes the scores: 0.7 x success rate + 0.3 x (1 - latency / the highest latency).
+func (b *Balancer) updateScores(now time.Duration) {
+	b.subset.closed, b.subset.awaitingTrial = 0, 0
+	highest := 0.0
+	for _, s := range b.subset.servers {
+		s.estimate(b.means)
+		s.breaker.becomeHalfOpenIfDue(now)
+		switch {
+		case s.breaker.state == breakerClosed:
+			highest = max(highest, s.relativeLatency)
+			b.subset.closed++
+		case s.breaker.awaitsTrial():
+			b.subset.awaitingTrial++
+		}
+	}
+	for _, s := range b.subset.servers {
+		s.score = successWeight*s.successRate +
+			latencyWeight*(1-s.relativeLatency/max(highest, s.relativeLatency, 1e-9))
+	}
+}
+
+// estimate counts the means as priorOutcomes outcomes, so that a server without outcomes stands at them.
+func (s *server) estimate(means outcomeMeans) {
+	outcomes, successes := float64(s.outcomes.Len()), float64(s.outcomes.Successes())
+	s.successRate = (successes + priorOutcomes*means.successRate) / (outcomes + priorOutcomes)
+	latencySum := s.outcomes.LatencySum() + priorOutcomes*means.relativeLatency
+	s.relativeLatency = latencySum / (successes + priorOutcomes)
+}
+
+// selectServer returns a server for the next attempt, or nil: a half-open server that awaits its trial, else
+// the better of two random candidates for a first attempt and the best of all for a retry.
+func (b *Balancer) selectServer(now time.Duration, request *request) *server {
+	b.refresh(now)
+	if trial := b.findCandidates(now, request); trial != nil {
+		return trial
+	}
+	n := len(b.candidates)
+	if n == 0 || !b.nodeLimitAdmits(request) {
+		return nil
+	}
+	if len(request.attempts) == 0 && n > 2 {
+		i := b.random.IntN(n)
+		j := (i + 1 + b.random.IntN(n-1)) % n
+		return betterServer(b.candidates[i], b.candidates[j])
+	}
+	best := b.candidates[0]
+	for _, s := range b.candidates[1:] {
+		best = betterServer(best, s)
+	}
+	return best
+}
+
+// findCandidates collects the servers that may get the next attempt, or returns one that gets it as a trial.
+func (b *Balancer) findCandidates(now time.Duration, request *request) *server {
+	b.candidates = b.candidates[:0]
+	for _, s := range b.subset.servers {
+		if s.breaker.state == breakerOpen || request.hasTried(s) || !b.attemptPermitted(now, request, s) {
+			continue
+		}
+		if s.breaker.state == breakerClosed && b.hasCapacity(s, now) {
+			b.candidates = append(b.candidates, s)
+		} else if s.breaker.awaitsTrial() && (request.class.Idempotency != NotIdempotent ||
+			// It is the trial if no other request came for as long as the breaker was open.
+			now > s.breaker.halfOpenAt+s.breaker.openDuration) {
+			return s
+		}
+	}
+	return nil
+}
+
+// betterServer compares by score; near-ties go to fewer attempts in flight, then to this node's zone.
+func betterServer(x, y *server) *server {
+	switch {
+	case x.score > y.score+scoreTieMargin:
+		return x
+	case y.score > x.score+scoreTieMargin || len(y.inFlight) < len(x.inFlight):
+		return y
+	case len(y.inFlight) == len(x.inFlight) && y.sameZone && !x.sameZone:
+		return y
+	}
+	return x
+}
