--- /dev/null
+++ b/cmd/balancer/benchmark_test.go
@@ -0,0 +1,228 @@
+package main
+
+// What a node costs, as a process: processor time for each request, and memory before a large
+// fleet. With -baseline BINARY another version is measured in the same run, in turns:
+//
+//	go test -run '^$' -bench . -benchtime 20000x ./cmd/balancer -baseline /path/to/balancer
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"calicohinge/internal/testkit"
+)
+
+const (
+	// baselineFlag names the flag with the binary to compare with.
+	baselineFlag = "baseline"
+	rounds       = 5 // in each of which every binary is measured once
+	// ticksPerSecond is the unit of processor time under /proc, the same on all Linux machines.
+	ticksPerSecond = 100
+	benchClients   = 16
+	largeFleet     = 7800
+	smallFleet     = 10
+	manyTenants    = 20000
+	completeLists  = 4 // that a node takes in before its memory is read
+)
+
+// version is a binary that is measured.
+type version struct{ name, path string }
+
+// versions returns this tree's binary and the baseline, if there is one.
+func versions(b *testing.B) []version {
+	b.Helper()
+	all := []version{{"this", buildProgram(b)}}
+	if path := flagValue[string](baselineFlag); path != "" {
+		all = append(all, version{baselineFlag, path})
+	}
+	return all
+}
+
+// measureInTurns runs a benchmark for every version in each round.
+func measureInTurns(b *testing.B, measure func(b *testing.B, path string)) {
+	b.Helper()
+	all := versions(b)
+	for round := range rounds {
+		for _, v := range all {
+			b.Run(fmt.Sprintf("round=%d/%s", round, v.name), func(b *testing.B) { measure(b, v.path) })
+		}
+	}
+}
+
+// BenchmarkRequest makes requests over keep-alive connections and reports the processor time
+// that the node spends on each.
+func BenchmarkRequest(b *testing.B) {
+	measureInTurns(b, func(b *testing.B, path string) {
+		server := newServer(b, testkit.OK)
+		started := startProcess(b, map[string]any{
+			"discovery": "127.0.0.1:1", "known": listOf(1, server, server, server, server),
+			"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+			"settings": moreSettings(`"Limits": {"MaxAttempts": 3}`),
+		}, path)
+		addr := <-started.addr
+		if timeToReady(addr, time.Now(), testkit.Patience) >= testkit.Patience {
+			b.Fatal("never ready")
+		}
+		before := processorTime(b, started.pid)
+		b.ResetTimer()
+		served := makeRequests(b, addr)
+		b.StopTimer()
+		spent := processorTime(b, started.pid) - before
+		b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-µs/op")
+		b.ReportMetric(float64(served)/float64(b.N), "served/op")
+	})
+}
+
+// makeRequests makes b.N requests from a few clients and counts those that were served.
+func makeRequests(b *testing.B, addr string) int64 {
+	b.Helper()
+	var next, served atomic.Int64
+	var clients sync.WaitGroup
+	for range benchClients {
+		clients.Go(func() {
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer func() { _ = conn.Close() }() // its answers have been read
+			reader := bufio.NewReader(conn)
+			for id := next.Add(1); id <= int64(b.N); id = next.Add(1) {
+				status, err := exchange(conn, reader, id)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				if status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	return served.Load()
+}
+
+// exchange makes one request and reads its answer to the end.
+func exchange(conn net.Conn, reader *bufio.Reader, id int64) (status int, err error) {
+	if _, err := fmt.Fprintf(conn, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: a%d\r\n"+
+		"X-Timeout-Ms: 8000\r\nContent-Length: 0\r\n\r\n", id); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// processorTime returns the user and system time of a process.
+func processorTime(b *testing.B, pid int) time.Duration {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	const userField, systemField = 11, 12 // behind the program's name in parentheses
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	ticks := 0
+	for _, field := range []int{userField, systemField} {
+		value, err := strconv.Atoi(fields[field])
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticks += value
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
+
+// BenchmarkPeakMemory reports the peak resident memory of a node before a large fleet over that
+// of one before a small fleet, each after some complete lists, with many tenants.
+func BenchmarkPeakMemory(b *testing.B) {
+	measureInTurns(b, func(b *testing.B, path string) {
+		// Once, whatever b.N is: a peak has no mean.
+		small := peakMemory(b, path, smallFleet)
+		large := peakMemory(b, path, largeFleet)
+		b.ReportMetric(float64(small)/1024, "small-MB")
+		b.ReportMetric(float64(large)/1024, "large-MB")
+		b.ReportMetric(float64(large-small)/1024, "over-small-MB")
+	})
+}
+
+// peakMemory returns the peak resident memory of a node, in kB.
+func peakMemory(b *testing.B, path string, servers int) int {
+	b.Helper()
+	taken := make(chan struct{}) // closed once the node has taken all lists in
+	started := startProcess(b, map[string]any{
+		"discovery": serveLists(b, servers, taken),
+		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings":  moreSettings(`"Balancers": 650, "Accounts": ` + tenants(manyTenants)),
+	}, path)
+	select {
+	case <-taken:
+	case <-time.After(testkit.Patience):
+		b.Fatal("the lists are not taken in")
+	}
+	return peakResident(b, started.pid)
+}
+
+// serveLists serves complete lists, one for each call, and holds the call behind the last.
+func serveLists(b *testing.B, servers int, taken chan<- struct{}) (addr string) {
+	b.Helper()
+	addresses := make([]string, servers)
+	for i := range addresses {
+		addresses[i] = fmt.Sprintf("127.0.%d.%d:8000", 1+i/250, 1+i%250)
+	}
+	var calls atomic.Int64
+	return newServer(b, func(w http.ResponseWriter, r *http.Request) {
+		call := calls.Add(1)
+		if call <= completeLists {
+			list := listOf(1, addresses...) // the same servers each time
+			list.Generation = uint64(call)
+			if err := json.NewEncoder(w).Encode(list); err != nil {
+				b.Error(err)
+			}
+			return
+		}
+		if call == completeLists+1 {
+			close(taken)
+		}
+		<-r.Context().Done()
+	})
+}
+
+func tenants(count int) string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf(`{"Name": "tenant-%d", "QuotaPerS": 10}`, i)
+	}
+	return "[" + strings.Join(names, ",") + "]"
+}
+
+// peakResident reads the peak resident memory of a process, in kB.
+func peakResident(b *testing.B, pid int) int {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	value, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	peak, err := strconv.Atoi(value)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return peak
+}
--- /dev/null
+++ b/cmd/balancer/harness_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
+)
+
+// settings has one class; a test adds keys ahead of it with moreSettings.
+const settings = `{"Classes": [{"Name": "pay", "Effect": "side_effect", "DeadlineMs": 8000}], "Zones": ["a"]}`
+
+func moreSettings(keys string) json.RawMessage {
+	return json.RawMessage("{" + keys + ", " + strings.TrimPrefix(settings, "{"))
+}
+
+// processesFlag names the flag that says how many processes are started at once.
+const processesFlag = "processes"
+
+func TestMain(m *testing.M) {
+	flag.Int(processesFlag, 10, "how many processes TestRestartedProcessesAreReadyInTime starts at once")
+	flag.String(baselineFlag, "", "another version's binary, which the benchmarks measure as well")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// flagValue returns the value of a flag of this package's tests.
+func flagValue[T any](name string) T {
+	return flag.Lookup(name).Value.(flag.Getter).Get().(T)
+}
+
+// writeConfig writes a configuration file and returns its path.
+func writeConfig(tb testing.TB, text []byte) string {
+	tb.Helper()
+	path := filepath.Join(tb.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		tb.Fatal(err)
+	}
+	return path
+}
+
+// buildProgram builds the program as it is and returns its path.
+func buildProgram(tb testing.TB) string {
+	tb.Helper()
+	path := filepath.Join(tb.TempDir(), "balancer")
+	if out, err := exec.CommandContext(tb.Context(), "go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		tb.Fatalf("%v\n%s", err, out)
+	}
+	return path
+}
+
+// process is a node that was started as a process of its own.
+type process struct {
+	pid  int
+	addr <-chan string // where it serves, once it does; closed without a value if it ends before
+}
+
+// startProcess starts a program with a configuration. It is killed at the end of the test.
+func startProcess(tb testing.TB, config map[string]any, command ...string) process {
+	tb.Helper()
+	config["listen"] = "127.0.0.1:0"
+	text, err := json.Marshal(config)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	cmd := exec.CommandContext(tb.Context(), command[0], command[1:]...)
+	cmd.Env = []string{"BALANCER_CONFIG=" + writeConfig(tb, text)}
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		tb.Fatal(err)
+	}
+	addr, ended := make(chan string, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer close(addr)
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			if at, ok := servingAddr(lines.Text()); ok {
+				addr <- at
+			}
+		}
+	}()
+	tb.Cleanup(func() {
+		<-ended
+		_ = cmd.Wait() // it was killed
+	})
+	return process{pid: cmd.Process.Pid, addr: addr}
+}
+
+// servingAddr finds where a node serves in the line that it logs once it does.
+func servingAddr(line string) (addr string, ok bool) {
+	if !strings.Contains(line, " serving ") {
+		return "", false
+	}
+	_, addr, ok = strings.Cut(line, " addr=")
+	return addr, ok
+}
+
+// timeToReady returns how long after began a node answered that it is ready, at most limit.
+func timeToReady(addr string, began time.Time, limit time.Duration) time.Duration {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for ; time.Since(began) < limit; time.Sleep(20 * time.Millisecond) {
+		response, err := client.Get("http://" + addr + "/health/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close() // the status is all that counts
+		if response.StatusCode == http.StatusOK {
+			return time.Since(began)
+		}
+	}
+	return limit
+}
+
+// newServer starts a server and returns its address.
+func newServer(tb testing.TB, handle http.HandlerFunc) string {
+	tb.Helper()
+	server := httptest.NewServer(handle)
+	tb.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+// listOf makes a complete list of ready servers.
+func listOf(generation uint64, addresses ...string) endpoint.List {
+	list := endpoint.List{Generation: generation, Reset: true}
+	for i, address := range addresses {
+		list.Endpoints = append(list.Endpoints, endpoint.Endpoint{
+			InstanceID: fmt.Sprintf("s-%d-%d", generation, i), Address: address,
+			Lifecycle: "Ready", Zone: "a", Weight: 1,
+		})
+	}
+	return list
+}
+
+// waitEnd waits for the program's end, which has to be in order.
+func waitEnd(t *testing.T, ended <-chan error) {
+	t.Helper()
+	if err := testkit.Wait(t, ended, "the program's end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -1,4 +1,8 @@
-// Command balancer is one node of the load balancer.
+// Command balancer is one node of the load balancer. It reads its configuration
+// from the file that BALANCER_CONFIG names and serves until SIGTERM or SIGINT,
+// which begin a graceful shutdown. SIGHUP rereads the file and moves the node to
+// the discovery address it gives. It exits with status 1 and one line on standard
+// error if it cannot start or serve.
 package main
 
 import (
@@ -16,6 +20,15 @@
 	"calicohinge/internal/node"
 )
 
+const (
+	// gcPercent lets the heap grow to five times what is live between collections. The
+	// live heap is small, and the processor time of collections is what is scarce.
+	gcPercent = 400
+	// heapShare is the part of the granted memory at which the runtime collects more
+	// often instead, as a fraction. The rest is for stacks and socket buffers.
+	heapShareNumerator, heapShareDenominator = 7, 10
+)
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "balancer:", err)
@@ -23,51 +36,54 @@
 	}
 }
 
+// run serves until a signal ends it.
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
-	limit(cfg.Limits)
-	n, err := node.Listen(cfg)
+	applyLimits(cfg.Limits)
+	server, err := node.Listen(cfg)
 	if err != nil {
 		return err
 	}
-	go follow(ctx, reload, n)
-	return n.Run(ctx)
+	go reloadOnHangup(ctx, hangups, server)
+	return server.Run(ctx)
 }
 
-// follow takes up the file of the configuration again at each signal. Only
-// discovery may change while the node runs; one that can't be read changes nothing.
-func follow(ctx context.Context, reload <-chan os.Signal, n *node.Node) {
+// reloadOnHangup rereads the configuration file at each signal, until the context
+// ends. Only the address of discovery may change while a node runs; a file that
+// cannot be read changes nothing.
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, server *node.Node) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-reload:
+		case <-hangups:
 		}
-		discovery, err := config.ReloadDiscovery(os.Getenv)
+		address, err := config.ReloadDiscovery(os.Getenv)
 		if err != nil {
-			slog.Error("reload: the old configuration stays", "err", err)
+			slog.Error("configuration reload failed, keeping the old one", "err", err)
 			continue
 		}
-		n.MoveDiscovery(discovery)
+		server.MoveDiscovery(address)
 	}
 }
 
-// limit keeps the runtime inside the machine. The live heap is small, so it may
-// grow severalfold between collections, up to a part of the memory.
-func limit(l config.Limits) {
-	if l.Cores > 0 {
-		runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
+// applyLimits keeps the runtime inside what the machine grants.
+func applyLimits(limits config.Limits) {
+	if limits.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(limits.Cores)))
 	}
-	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 7 / 10)
+	if limits.MemoryMB > 0 {
+		const bytesPerMB = 1 << 20
+		granted := int64(limits.MemoryMB) * bytesPerMB
+		debug.SetMemoryLimit(granted * heapShareNumerator / heapShareDenominator)
 	}
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(gcPercent)
 }
--- /dev/null
+++ b/cmd/balancer/signals_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"calicohinge/internal/testkit"
+)
+
+// signalSelf sends this process a signal, as the program runs inside of it.
+func signalSelf(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(os.Getpid(), signal); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// post makes a request and returns the body of its answer, or the error.
+func post(addr string) string {
+	request, err := http.NewRequest(http.MethodPost, "http://"+addr+"/pay", nil)
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("X-Request-ID", "a1")
+	request.Header.Set("X-Timeout-Ms", "8000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }() // it has been read
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+// On SIGTERM the program answers the requests that it has and ends without an error.
+func TestSIGTERMAnswersActiveRequests(t *testing.T) {
+	release := make(chan struct{})
+	server := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		testkit.OK(w, r)
+	})
+	addr := testkit.FreeAddr(t)
+	text, err := json.Marshal(map[string]any{
+		"listen": addr, "discovery": "127.0.0.1:1", "settings": json.RawMessage(settings),
+		"known": listOf(1, server.Address()),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("BALANCER_CONFIG", writeConfig(t, text))
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	awaitReady(t, addr)
+	answers := make(chan string, 1)
+	go func() { answers <- post(addr) }()
+	testkit.Wait(t, server.Requests, "the request")
+	signalSelf(t, syscall.SIGTERM)
+	close(release)
+	if answer := testkit.Wait(t, answers, "an answer"); answer != "done" {
+		t.Errorf("answer %q", answer)
+	}
+	waitEnd(t, ended)
+}
+
+// configFile is a configuration file that a test replaces while the program runs.
+type configFile struct {
+	t    *testing.T
+	path string
+}
+
+// replace swaps the file in one step, as an operator's tool would.
+func (f configFile) replace(text string) {
+	f.t.Helper()
+	next := f.path + ".new"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.Rename(next, f.path); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func configText(discovery string) string {
+	return `{"listen": "127.0.0.1:0", "discovery": "` + discovery + `", "settings": ` + settings + `}`
+}
+
+// namedDiscovery serves an empty list and says by name that it was called for it.
+func namedDiscovery(t *testing.T, name string, calls chan<- string) (addr string) {
+	t.Helper()
+	return newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("after") {
+			<-r.Context().Done() // nothing new
+			return
+		}
+		calls <- name
+		_, _ = io.WriteString(w, `{"generation": 1, "reset": true, "instances": []}`) // the node may have moved on
+	})
+}
+
+// SIGHUP takes up discovery's address from the file, more than once and past files that
+// cannot be read, and the program goes on. The file goes before the environment, which
+// cannot have changed.
+func TestSIGHUPMovesDiscoveryAndSurvivesBadFiles(t *testing.T) {
+	calls := make(chan string, 1000)
+	expectCall := func(name string) {
+		t.Helper()
+		if got := testkit.Wait(t, calls, "a call to "+name); got != name {
+			t.Fatalf("%s is called, want %s", got, name)
+		}
+	}
+	file := configFile{t, filepath.Join(t.TempDir(), "config.json")}
+	first := namedDiscovery(t, "first", calls)
+	file.replace(configText(first))
+	t.Setenv("BALANCER_CONFIG", file.path)
+	t.Setenv("BALANCER_DISCOVERY", first)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	expectCall("first")
+	for _, name := range []string{"second", "third"} {
+		file.replace(configText(namedDiscovery(t, name, calls)))
+		signalSelf(t, syscall.SIGHUP)
+		expectCall(name)
+	}
+	logged := captureLog(t)
+	for _, text := range []string{`{"listen"`, configText("nowhere"), ``} {
+		file.replace(text)
+		signalSelf(t, syscall.SIGHUP)
+		if line := testkit.Wait(t, logged, "a log line"); !strings.Contains(line, "keeping the old one") {
+			t.Errorf("logged %q", line)
+		}
+	}
+	file.replace(configText(namedDiscovery(t, "fourth", calls)))
+	signalSelf(t, syscall.SIGHUP)
+	expectCall("fourth")
+	signalSelf(t, syscall.SIGTERM)
+	waitEnd(t, ended)
+}
+
+// lineWriter hands on what is written, a line at a time.
+type lineWriter chan<- string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
+// captureLog returns the lines that are logged from now on, to the end of the test.
+func captureLog(t *testing.T) <-chan string {
+	t.Helper()
+	logged, before := make(chan string, 100), slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(lineWriter(logged), nil)))
+	t.Cleanup(func() { slog.SetDefault(before) })
+	return logged
+}
+
+// awaitReady waits until a node answers that it is ready.
+func awaitReady(t *testing.T, addr string) {
+	t.Helper()
+	if timeToReady(addr, time.Now(), testkit.Patience) >= testkit.Patience {
+		t.Fatal("never ready")
+	}
+}
