config: report every fault as a typed Error that names the operators' key

Change: type Error (File, Key, Value, Allowed, Err). ParseSettings calls Settings.Validate and translates each field to its key, so both programs report the key. Word maps became switch functions. Times are read by the milliseconds package only.

Differences, all in inputs that were errors or nonsense but the first: - ConnIdleMs, ConnectTimeoutMs and DrainGraceMs are rounded to the nanosecond instead of truncated; below half a nanosecond is still 0. - These three out of range (over 73 years) are an error now. - Of several faults another one may be reported first. - BALANCER_CONFIG unset at a reload says so instead of "open : no such file".

Tests: a new test repairs one field after the other in settings that are wrong throughout, until Validate names none, and checks each key. Tests for Load and ReloadDiscovery at this level are new.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,229 @@
+package config
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"calicohinge/policy"
+)
+
+const validSettings = `{"Classes": [{"Name": "read", "Effect": "pure", "DeadlineMs": 1400}]}`
+
+// writeFile writes a configuration file and returns its path.
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// environment returns a getenv that knows the path of the file and the other variables.
+func environment(path string, others map[string]string) func(string) string {
+	return func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return path
+		}
+		return others[name]
+	}
+}
+
+// fileWith is a valid configuration file but for the additional keys, given as JSON.
+func fileWith(additional string) string {
+	return `{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", ` + additional + `"settings": ` + validSettings + `}`
+}
+
+func TestLoadReadsTheFile(t *testing.T) {
+	path := writeFile(t, `{"name": "n3", "listen": "10.0.0.4:8000", "discovery": "10.2.0.1:8500", "novel": [1],
+		"seed": "8c1f30d27a5be964", "limits": {"cores": 1.5, "memory_mb": 192, "sockets": 128},
+		"known": {"generation": 7, "instances": [{"instanceId": "s-1", "zone": "b"}]},
+		"settings": {"Balancers": 3, "Accounts": [{"Name": "one"}, {"Name": "two"}], "Zones": ["a", "b"],
+			"Classes": [{"Name": "read", "DeadlineMs": 100}, {"Name": "pay", "DeadlineMs": 200}],
+			"Limits": {"ConnIdleMs": 9000, "ConnectTimeoutMs": 150}, "Contract": {"DrainGraceMs": 1000}}}`)
+	config, err := Load(environment(path, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if config.Name != "n3" || config.Listen != "10.0.0.4:8000" || config.Discovery != "10.2.0.1:8500" ||
+		config.Seed != 0x8c1f30d27a5be964 || config.Limits != (Limits{Cores: 1.5, MemoryMB: 192, Sockets: 128}) {
+		t.Errorf("configuration %+v", config)
+	}
+	if config.Known.Generation != 7 || len(config.Known.Endpoints) != 1 || config.Known.Endpoints[0].Zone != "b" {
+		t.Errorf("known endpoints %+v", config.Known)
+	}
+	if config.Policy.Nodes != 3 || len(config.Policy.Classes) != 2 ||
+		config.Classes["pay"] != 1 || config.Tenants["two"] != 1 || config.Zones["b"] != 1 {
+		t.Errorf("settings %+v, classes %v, tenants %v, zones %v",
+			config.Policy, config.Classes, config.Tenants, config.Zones)
+	}
+	if config.IdleTimeout != 9*time.Second || config.ConnectTimeout != 150*time.Millisecond ||
+		config.DrainGrace != time.Second {
+		t.Errorf("timeouts %v, %v, %v", config.IdleTimeout, config.ConnectTimeout, config.DrainGrace)
+	}
+}
+
+func TestLoadKeepsDefaultsWithoutTheOptionalKeys(t *testing.T) {
+	for name, additional := range map[string]string{"absent": "", "null": `"limits": null, "seed": null, `} {
+		config, err := Load(environment(writeFile(t, fileWith(additional)), nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if config.Seed != 0 || config.IdleTimeout != 15*time.Second ||
+			config.ConnectTimeout != 250*time.Millisecond || config.DrainGrace != 0 ||
+			config.Limits.Cores != 0 || config.Limits.MemoryMB != 0 || config.Limits.Sockets > 1024 {
+			t.Errorf("%s: configuration %+v", name, config)
+		}
+	}
+}
+
+func TestLoadCountsTimeoutsOfZeroAndLessAsAbsent(t *testing.T) {
+	config, err := Load(environment(writeFile(t, `{"listen": ":0", "discovery": ":1", "settings": {
+		"Classes": [{"Name": "read", "DeadlineMs": 100}],
+		"Limits": {"ConnIdleMs": 0, "ConnectTimeoutMs": -3}, "Contract": {"DrainGraceMs": -1}}}`), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if config.IdleTimeout != 15*time.Second || config.ConnectTimeout != 250*time.Millisecond || config.DrainGrace != 0 {
+		t.Errorf("timeouts %v, %v, %v", config.IdleTimeout, config.ConnectTimeout, config.DrainGrace)
+	}
+}
+
+func TestEnvironmentOverridesTheFileAtTheStart(t *testing.T) {
+	config, err := Load(environment(writeFile(t, fileWith(`"name": "n1", `)), map[string]string{
+		"BALANCER_NAME": "n2", "BALANCER_LISTEN": "127.0.0.1:7", "BALANCER_DISCOVERY": "127.0.0.1:8"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if config.Name != "n2" || config.Listen != "127.0.0.1:7" || config.Discovery != "127.0.0.1:8" {
+		t.Errorf("name %q, listen %q, discovery %q", config.Name, config.Listen, config.Discovery)
+	}
+}
+
+func TestEnvironmentSuppliesAddressesThatTheFileLacks(t *testing.T) {
+	path := writeFile(t, `{"settings": `+validSettings+`}`)
+	for missing, others := range map[string]map[string]string{
+		"":          {"BALANCER_LISTEN": "127.0.0.1:7", "BALANCER_DISCOVERY": "127.0.0.1:8"},
+		"listen":    {"BALANCER_DISCOVERY": "127.0.0.1:8"},
+		"discovery": {"BALANCER_LISTEN": "127.0.0.1:7"},
+	} {
+		_, err := Load(environment(path, others))
+		if missing == "" {
+			if err != nil {
+				t.Errorf("both given: error %v", err)
+			}
+			continue
+		}
+		var configError *Error
+		if !errors.As(err, &configError) || configError.Key != missing || configError.Value != nil {
+			t.Errorf("error %v, want one for the missing %s", err, missing)
+		}
+	}
+}
+
+func TestReloadDiscoveryPrefersTheFileToTheEnvironment(t *testing.T) {
+	path := writeFile(t, fileWith(""))
+	others := map[string]string{"BALANCER_DISCOVERY": "127.0.0.1:8"}
+	if address, err := ReloadDiscovery(environment(path, others)); err != nil || address != "127.0.0.1:1" {
+		t.Errorf("address %q, error %v", address, err)
+	}
+}
+
+// badFiles are the files that neither Load nor ReloadDiscovery accepts, with the key and a
+// part of the error.
+func badFiles() map[string]struct{ text, key, part string } {
+	withSettings := func(settings string) string {
+		return `{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": ` + settings + `}`
+	}
+	return map[string]struct{ text, key, part string }{
+		"empty":             {``, "", "unexpected end of JSON input"},
+		"no object":         {`[1]`, "", "a JSON array, must be an object"},
+		"cut off":           {`{"listen": "127.0.0.1:0"`, "", "unexpected end of JSON input"},
+		"line break":        {"{\"name\": \"a\nb\"}", "", `invalid character '\n'`},
+		"mistyped name":     {fileWith(`"name": 3, `), "name", "a JSON number, must be a string"},
+		"mistyped limit":    {fileWith(`"limits": {"sockets": "all"}, `), "limits.sockets", "must be a whole number"},
+		"fractional limit":  {fileWith(`"limits": {"sockets": 99.5}, `), "limits.sockets", "a JSON number 99.5"},
+		"negative cores":    {fileWith(`"limits": {"cores": -1}, `), "limits.cores", "is -1, must be at least 0"},
+		"negative memory":   {fileWith(`"limits": {"memory_mb": -2}, `), "limits.memory_mb", "is -2, must be"},
+		"negative sockets":  {fileWith(`"limits": {"sockets": -3}, `), "limits.sockets", "is -3, must be"},
+		"too few sockets":   {fileWith(`"limits": {"sockets": 63}, `), "limits.sockets", "is 63, must be at least 64"},
+		"mistyped list":     {fileWith(`"known": {"generation": -1}, `), "known.generation", "of at least 0"},
+		"malformed seed":    {fileWith(`"seed": "x", `), "seed", `is "x", must be a hexadecimal number`},
+		"seed too long":     {fileWith(`"seed": "10000000000000000", `), "seed", "must be a hexadecimal number"},
+		"no settings":       {`{"listen": ":0", "discovery": ":1"}`, "settings", "missing, must be an object"},
+		"settings list":     {withSettings(`[]`), "settings", "is a JSON array, must be an object"},
+		"no class":          {withSettings(`{}`), "settings.Classes", "is 0, must be at least 1"},
+		"unnamed class":     {withSettings(`{"Classes": [{"DeadlineMs": 8}]}`), "settings.Classes[0].Name", `is "", must`},
+		"class with slash":  {withSettings(`{"Classes": [{"Name": "a/b", "DeadlineMs": 8}]}`), "settings.Classes[0].Name", `"a/b"`},
+		"class named twice": {withSettings(`{"Classes": [{"Name": "a", "DeadlineMs": 8}, {"Name": "a", "DeadlineMs": 8}]}`), "settings.Classes[1].Name", `is "a", must be a name that no other`},
+		"unknown effect":    {withSettings(`{"Classes": [{"Name": "a", "Effect": "odd"}]}`), "settings.Classes[0].Effect", `is "odd", must be "pure", "token" or`},
+		"mistyped deadline": {withSettings(`{"Classes": [{"DeadlineMs": "soon"}]}`), "settings.Classes.DeadlineMs", "must be a number"},
+		"deadline too long": {withSettings(`{"Classes": [{"DeadlineMs": 1e300}]}`), "settings.Classes[0].DeadlineMs", "is 1e+300, must be"},
+		"impossible share":  {withSettings(`{"Classes": [{"DeadlineMs": 8}], "Contract": {"ColdFrom": 2}}`), "settings.Contract.ColdFrom", "between 0 and 1"},
+		"idle time too long": {withSettings(`{"Classes": [{"Name": "a", "DeadlineMs": 8}], "Limits": {"ConnIdleMs": 1e300}}`),
+			"settings.Limits.ConnIdleMs", "is 1e+300, must be"},
+		"connect timeout too long": {withSettings(`{"Classes": [{"Name": "a", "DeadlineMs": 8}], "Limits": {"ConnectTimeoutMs": 1e13}}`),
+			"settings.Limits.ConnectTimeoutMs", "is 1e+13, must be"},
+		"drain grace too long": {withSettings(`{"Classes": [{"Name": "a", "DeadlineMs": 8}], "Contract": {"DrainGraceMs": -1e300}}`),
+			"settings.Contract.DrainGraceMs", "is -1e+300, must be"},
+		"mistyped zones":      {withSettings(`{"Classes": [{"Name": "a", "DeadlineMs": 8}], "Zones": [1]}`), "settings.Zones", "must be a string"},
+		"malformed discovery": {strings.Replace(fileWith(""), "127.0.0.1:1", "nowhere", 1), "discovery", `is "nowhere", must be an address`},
+		"impossible port":     {strings.Replace(fileWith(""), "127.0.0.1:1", "127.0.0.1:700000", 1), "discovery", "must be an address"},
+	}
+}
+
+func TestBadFilesNameTheFileKeyAndValue(t *testing.T) {
+	for name, bad := range badFiles() {
+		t.Run(name, func(t *testing.T) {
+			path := writeFile(t, bad.text)
+			getenv := environment(path, nil)
+			_, loadErr := Load(getenv)
+			_, reloadErr := ReloadDiscovery(getenv)
+			for _, err := range []error{loadErr, reloadErr} {
+				var configError *Error
+				if !errors.As(err, &configError) || configError.File != path || configError.Key != bad.key {
+					t.Fatalf("error %v, want the file %s and the key %q", err, path, bad.key)
+				}
+				if !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), bad.key) ||
+					!strings.Contains(err.Error(), bad.part) || strings.Contains(err.Error(), "\n") {
+					t.Errorf("error %q, want one line with %q", err, bad.part)
+				}
+			}
+		})
+	}
+}
+
+func TestAbsentFileIsReported(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "none.json")
+	for name, getenv := range map[string]func(string) string{
+		path:              environment(path, nil),
+		"BALANCER_CONFIG": environment("", nil),
+	} {
+		_, loadErr := Load(getenv)
+		_, reloadErr := ReloadDiscovery(getenv)
+		for _, err := range []error{loadErr, reloadErr} {
+			var configError *Error
+			if !errors.As(err, &configError) || !strings.Contains(err.Error(), name) {
+				t.Errorf("error %v, want an *Error that names %s", err, name)
+			}
+			if name == path && !errors.Is(err, fs.ErrNotExist) {
+				t.Errorf("error %v does not wrap fs.ErrNotExist", err)
+			}
+		}
+	}
+}
+
+func TestLoadedSettingsAreAcceptedByPolicyNew(t *testing.T) {
+	config, err := Load(environment(writeFile(t, fileWith("")), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := policy.New(config.Policy, config.Seed, nil); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/config/error.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+)
+
+// Error reports a configuration that cannot be used. Its text is one line and names the
+// key as the operators write it.
+type Error struct {
+	File    string // path of the configuration file; empty where the text came from elsewhere
+	Key     string // such as "limits.sockets", "settings.Classes[2].DeadlineMs" or "BALANCER_CONFIG"
+	Value   any    // the value found, nil where there is none
+	Allowed string // the allowed values in words, such as "at least 64"; empty where Err says all
+	Err     error  // the cause; may be nil
+}
+
+// Error says where the fault is and, if Allowed is set, what is expected, otherwise the cause.
+func (e *Error) Error() string {
+	text := "configuration"
+	if e.File != "" {
+		text += " " + e.File
+	}
+	if e.Key != "" {
+		text += ": " + e.Key
+	}
+	switch {
+	case e.Allowed == "":
+		return fmt.Sprintf("%s: %v", text, e.Err)
+	case e.Value == nil:
+		return fmt.Sprintf("%s is missing, must be %s", text, e.Allowed)
+	}
+	if value, ok := e.Value.(string); ok {
+		return fmt.Sprintf("%s is %q, must be %s", text, value, e.Allowed)
+	}
+	return fmt.Sprintf("%s is %v, must be %s", text, e.Value, e.Allowed)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// withFile adds the path of the file to an error of this package.
+func withFile(err error, path string) error {
+	var configError *Error
+	if errors.As(err, &configError) {
+		configError.File = path
+	}
+	return err
+}
+
+// jsonType is the Value of an error about a value of a wrong type: encoding/json gives its
+// type instead, such as "string" or "number 1.5".
+type jsonType string
+
+func (t jsonType) String() string { return "a JSON " + string(t) }
+
+// decodeJSON decodes the text found under key; the empty key stands for the whole file.
+func decodeJSON(text []byte, key string, target any) error {
+	err := json.Unmarshal(text, target)
+	if err == nil {
+		return nil
+	}
+	var typeError *json.UnmarshalTypeError
+	if !errors.As(err, &typeError) {
+		return &Error{Key: key, Err: err}
+	}
+	return &Error{
+		Key: joinKeys(key, typeError.Field), Value: jsonType(typeError.Value),
+		Allowed: typeInWords(typeError.Type), Err: err,
+	}
+}
+
+func joinKeys(outer, inner string) string {
+	if outer == "" || inner == "" {
+		return outer + inner
+	}
+	return outer + "." + inner
+}
+
+func typeInWords(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Uint64:
+		return "a whole number of at least 0"
+	case reflect.Float64:
+		return "a number"
+	case reflect.String:
+		return "a string"
+	case reflect.Slice:
+		return "a list"
+	default:
+		return "an object"
+	}
+}
--- /dev/null
+++ b/internal/config/limits.go
@@ -0,0 +1,51 @@
+package config
+
+import "syscall"
+
+const (
+	defaultSockets = 1024 // where the file gives no number
+	minSockets     = 64   // with fewer, too few would remain for clients and servers
+)
+
+// Limits are the resources that the operators grant the process. Cores and MemoryMB of 0
+// mean no limit.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// validate refuses negative numbers.
+func (l Limits) validate() error {
+	const allowed = "at least 0"
+	switch {
+	case l.Cores < 0:
+		return &Error{Key: "limits.cores", Value: l.Cores, Allowed: allowed}
+	case l.MemoryMB < 0:
+		return &Error{Key: "limits.memory_mb", Value: l.MemoryMB, Allowed: allowed}
+	case l.Sockets < 0:
+		return &Error{Key: "limits.sockets", Value: l.Sockets, Allowed: allowed}
+	}
+	return nil
+}
+
+// effectiveSockets returns the number of sockets to use: the operators' number or its default,
+// and no more than the system's limit of open files. Beyond that limit, accepting clients and
+// connecting to discovery and servers would all fail, and no idle client would be closed to
+// free a socket.
+func effectiveSockets(configured int) (int, error) {
+	sockets := configured
+	if sockets == 0 {
+		sockets = defaultSockets
+	}
+	var openFiles syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &openFiles); err == nil {
+		sockets = int(min(uint64(sockets), openFiles.Cur))
+	}
+	if sockets < minSockets {
+		return 0, &Error{
+			Key: "limits.sockets", Value: sockets, Allowed: "at least 64, as must be the limit of open files",
+		}
+	}
+	return sockets, nil
+}
--- /dev/null
+++ b/internal/config/setting_error_test.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"errors"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"calicohinge/policy"
+)
+
+// spoil gives every number below the value an impossible value.
+func spoil(value reflect.Value) {
+	switch value.Kind() {
+	case reflect.Struct:
+		for i := range value.NumField() {
+			spoil(value.Field(i))
+		}
+	case reflect.Slice:
+		for i := range value.Len() {
+			spoil(value.Index(i))
+		}
+	case reflect.Uint8:
+		value.SetUint(255)
+	case reflect.Int, reflect.Int64:
+		value.SetInt(-1)
+	case reflect.Float64:
+		value.SetFloat(-1)
+	}
+}
+
+// repair gives the field at a path such as "Classes[0].Deadline" a possible value.
+func repair(t *testing.T, settings *policy.Settings, path string) {
+	t.Helper()
+	value := reflect.ValueOf(settings).Elem()
+	for _, part := range strings.FieldsFunc(path, func(r rune) bool { return strings.ContainsRune(".[]", r) }) {
+		if index, err := strconv.Atoi(part); err == nil {
+			value = value.Index(index)
+		} else {
+			value = value.FieldByName(part)
+		}
+	}
+	switch value.Kind() {
+	case reflect.Uint8:
+		value.SetUint(0)
+	case reflect.Int, reflect.Int64:
+		value.SetInt(1)
+	case reflect.Float64:
+		value.SetFloat(1)
+	default:
+		t.Fatalf("field %s has no number: %v", path, value.Kind())
+	}
+}
+
+// namedFields returns the fields that Validate names, found by repairing one after the other
+// in settings that are wrong throughout.
+func namedFields(t *testing.T) []string {
+	t.Helper()
+	settings := policy.Settings{Classes: make([]policy.Class, 3), Tenants: make([]policy.Tenant, 2)}
+	spoil(reflect.ValueOf(&settings).Elem())
+	fields := []string{"Classes"} // named for an empty list only
+	for {
+		err := settings.Validate()
+		if err == nil {
+			return fields
+		}
+		var settingError *policy.SettingError
+		if !errors.As(err, &settingError) {
+			t.Fatalf("Validate returned %v, want a *policy.SettingError", err)
+		}
+		fields = append(fields, settingError.Field)
+		repair(t, &settings, settingError.Field)
+	}
+}
+
+func TestEveryFieldThatValidateNamesHasAKey(t *testing.T) {
+	want := map[string]string{
+		"Nodes": "Balancers", "Node": "Me", "Zone": "Locality", "Classes": "Classes",
+		"OverQuotaFraction": "OverShareWorth", "Tick": "TickMs",
+		"Limits.MaxAttempts": "Limits.MaxAttempts", "Limits.MaxRetryAfter": "Limits.MaxRetryAfterMs",
+		"Rules.SlowStartShare": "Contract.ColdFrom", "Rules.SlowStartDuration": "Contract.ColdMs",
+		"Rules.OverloadMultiple": "Contract.FallMultiple", "Rules.OverloadWindow": "Contract.FallMs",
+		"Rules.AnswerGrace": "Contract.GraceToAnswerMs", "Rules.MaxPollInterval": "Contract.MustAskInMs",
+		"Tenants[0].QuotaPerS": "Accounts[0].QuotaPerS", "Tenants[1].QuotaPerS": "Accounts[1].QuotaPerS",
+	}
+	for _, index := range []string{"0", "1", "2"} {
+		path := "Classes[" + index + "]."
+		for field, key := range map[string]string{
+			"Deadline": "DeadlineMs", "Objective": "PromiseMs", "ObjectivePerWork": "AimStretch",
+			"LateFraction": "LateWorth", "PriorityWeight": "Importance", "Idempotency": "Effect",
+			"KeyScope": "DedupScope", "KeyRetention": "KeyTtlMs",
+		} {
+			want[path+field] = path + key
+		}
+	}
+	for _, field := range namedFields(t) {
+		got, ok := keyOfField(field)
+		if !ok || got != want[field] {
+			t.Errorf("field %s: key %q, known %v, want %q", field, got, ok, want[field])
+		}
+		delete(want, field)
+	}
+	for field := range want {
+		t.Errorf("Validate does not name %s", field)
+	}
+}
+
+func TestUnknownFieldsHaveNoKey(t *testing.T) {
+	for _, field := range []string{"", "Novel", "Classes[0].Novel", "Tenants[0].Novel", "Novel[0].Deadline"} {
+		if key, ok := keyOfField(field); ok {
+			t.Errorf("field %q has the key %q, want none", field, key)
+		}
+	}
+}
+
+func TestImpossibleSettingsNameTheKeyAndTheOperatorsValue(t *testing.T) {
+	for text, want := range map[string]Error{
+		`{}`:                 {Key: "settings.Classes", Value: 0, Allowed: "at least 1"},
+		`{"Balancers": 0}`:   {Key: "settings.Balancers", Value: 0, Allowed: "at least 1"},
+		`{"Me": -1}`:         {Key: "settings.Me", Value: -1, Allowed: "at least 0"},
+		`{"Locality": -2}`:   {Key: "settings.Locality", Value: -2, Allowed: "at least 0"},
+		`{"Classes": [{}]}`:  {Key: "settings.Classes[0].DeadlineMs", Value: 0.0, Allowed: "more than 0"},
+		`{"Classes": null}`:  {Key: "settings.Classes", Value: 0, Allowed: "at least 1"},
+		`{"Balancers": 1e2}`: {Key: "settings.Balancers", Value: jsonType("number 1e2"), Allowed: "a whole number"},
+		`{"Classes": [{"DeadlineMs": 9}, {"DeadlineMs": -5.5}]}`: {
+			Key: "settings.Classes[1].DeadlineMs", Value: -5.5, Allowed: "more than 0"},
+		`{"Classes": [{"DeadlineMs": 9, "KeyTtlMs": -1}]}`: {
+			Key: "settings.Classes[0].KeyTtlMs", Value: -1.0, Allowed: "at least 0"},
+		`{"Classes": [{"DeadlineMs": 9, "LateWorth": 1.5}]}`: {
+			Key: "settings.Classes[0].LateWorth", Value: 1.5, Allowed: "between 0 and 1"},
+		`{"Classes": [{"DeadlineMs": 9}], "Accounts": [{"QuotaPerS": 1}, {"QuotaPerS": -3}]}`: {
+			Key: "settings.Accounts[1].QuotaPerS", Value: -3.0, Allowed: "a finite number of at least 0"},
+		`{"Classes": [{"DeadlineMs": 9}], "Limits": {"RetryAfter": true, "MaxRetryAfterMs": -600}}`: {
+			Key: "settings.Limits.MaxRetryAfterMs", Value: -600.0, Allowed: "at least 0"},
+		`{"Classes": [{"DeadlineMs": 9}], "Contract": {"MustAskInMs": -10}}`: {
+			Key: "settings.Contract.MustAskInMs", Value: -10.0, Allowed: "at least 0"},
+	} {
+		_, err := ParseSettings([]byte(text))
+		var got *Error
+		if !errors.As(err, &got) {
+			t.Errorf("%s: error %v, want an *Error", text, err)
+			continue
+		}
+		if got.Key != want.Key || got.Value != want.Value || got.Allowed != want.Allowed || got.File != "" {
+			t.Errorf("%s: error %+v, want %+v", text, got, want)
+		}
+	}
+}
+
+func TestErrorOfAnImpossibleSettingWrapsThePolicyError(t *testing.T) {
+	_, err := ParseSettings([]byte(`{"Classes": [{"DeadlineMs": -5}]}`))
+	var settingError *policy.SettingError
+	if !errors.As(err, &settingError) || settingError.Field != "Classes[0].Deadline" {
+		t.Errorf("error %v wraps %+v, want the field Classes[0].Deadline", err, settingError)
+	}
+	const want = "configuration: settings.Classes[0].DeadlineMs is -5, must be more than 0"
+	if err.Error() != want {
+		t.Errorf("error %q, want %q", err, want)
+	}
+}
--- /dev/null
+++ b/internal/config/translator.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"time"
+
+	"calicohinge/internal/milliseconds"
+	"calicohinge/policy"
+)
+
+// translator translates the operators' values. It keeps its first error, so that a caller
+// can translate many values and check once. Its keys are those within the settings.
+type translator struct {
+	err error
+}
+
+func (t *translator) fail(key string, value any, allowed string) {
+	if t.err == nil {
+		t.err = &Error{Key: joinKeys(settingsKey, key), Value: value, Allowed: allowed}
+	}
+}
+
+// duration sets the field to a time given in milliseconds; nil leaves it as it is.
+func (t *translator) duration(field *time.Duration, key string, given *float64) {
+	if given == nil {
+		return
+	}
+	duration, ok := milliseconds.ToDuration(*given)
+	if !ok {
+		t.fail(key, *given, "a time of less than 73 years, in milliseconds")
+		return
+	}
+	*field = duration
+}
+
+// idempotency translates the effect of a class. An absent one counts as not idempotent.
+func (t *translator) idempotency(key, word string) policy.Idempotency {
+	switch word {
+	case "pure":
+		return policy.Idempotent
+	case "token":
+		return policy.IdempotentWithKey
+	case "side_effect", "":
+	default:
+		t.fail(key, word, `"pure", "token" or "side_effect"`)
+	}
+	return policy.NotIdempotent
+}
+
+// keyScope translates the scope of a class's idempotency keys. An absent one counts as the
+// narrowest.
+func (t *translator) keyScope(key, word string) policy.KeyScope {
+	switch word {
+	case "all":
+		return policy.KeyScopeAll
+	case "zone":
+		return policy.KeyScopeZone
+	case "cell", "":
+	default:
+		t.fail(key, word, `"all", "zone" or "cell"`)
+	}
+	return policy.KeyScopeCell
+}
+
+// pollEndpoints translates the way in which a node gets the endpoint list.
+func (t *translator) pollEndpoints(word string) bool {
+	switch word {
+	case "on_request":
+		return true
+	case "pushed", "":
+	default:
+		t.fail("RegistryMode", word, `"pushed" or "on_request"`)
+	}
+	return false
+}
