Cut the test kit by concern, add a scripted server and listeners

Stand-ins for servers that the packages' tests each wrote anew had no shared home. The kit is cut into one file a concern; ScriptedServer, Listen and ReserveAddr are new. Accepted connections end with their listener. Exported names are unchanged.

--- /dev/null
+++ b/internal/testkit/listener.go
@@ -0,0 +1,79 @@
+package testkit
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+)
+
+// Listen starts a TCP listener at a free loopback port. It is closed at the end of the test.
+func Listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // the test may have closed it
+	return listener
+}
+
+// acceptUntilClosed serves each connection in a goroutine of its own until the listener is closed.
+// Then it closes the connections, which ends these goroutines.
+func acceptUntilClosed(listener net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }() // by then its goroutine may have closed it
+		go serve(conn)
+	}
+}
+
+// FreeAddr returns a loopback address at which nobody listens.
+func FreeAddr(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }() // nothing was accepted
+	return listener.Addr().String()
+}
+
+// ReservedAddr is a loopback address that is bound, so that no other process can take it, and that
+// refuses connections until Listen is called.
+type ReservedAddr struct {
+	Address string
+	file    *os.File
+}
+
+// ReserveAddr binds a free loopback port until the end of the test.
+func ReserveAddr(t *testing.T) *ReservedAddr {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "reserved address")
+	t.Cleanup(func() { _ = file.Close() }) // a listener has its own copy of the descriptor
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := bound.(*syscall.SockaddrInet4).Port
+	return &ReservedAddr{Address: fmt.Sprintf("127.0.0.1:%d", port), file: file}
+}
+
+// Listen starts to accept connections at the address. The caller closes the listener.
+func (a *ReservedAddr) Listen() (net.Listener, error) {
+	if err := syscall.Listen(int(a.file.Fd()), syscall.SOMAXCONN); err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", a.Address, err)
+	}
+	return net.FileListener(a.file)
+}
--- /dev/null
+++ b/internal/testkit/scripted_server.go
@@ -0,0 +1,48 @@
+package testkit
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// ScriptedServer is a server that writes the same bytes in response to each request. They need not
+// be valid HTTP.
+type ScriptedServer struct {
+	Address string
+	Conns   chan net.Conn // the accepted connections
+}
+
+// NewScriptedServer starts a server. After a response it closes the connection, or keeps it open for
+// another request.
+func NewScriptedServer(t *testing.T, response string, closeAfterResponse bool) *ScriptedServer {
+	t.Helper()
+	listener := Listen(t)
+	server := &ScriptedServer{Address: listener.Addr().String(), Conns: make(chan net.Conn, 100)}
+	go acceptUntilClosed(listener, func(conn net.Conn) {
+		server.Conns <- conn
+		defer func() { _ = conn.Close() }() // the client may have closed it first
+		requests := bufio.NewReader(conn)
+		for {
+			if respond(conn, requests, response) != nil || closeAfterResponse {
+				return
+			}
+		}
+	})
+	return server
+}
+
+// respond reads one request, body included, and writes the response.
+func respond(conn net.Conn, requests *bufio.Reader, response string) error {
+	request, err := http.ReadRequest(requests)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return err
+	}
+	_, err = io.WriteString(conn, response)
+	return err
+}
--- /dev/null
+++ b/internal/testkit/stuck_server.go
@@ -0,0 +1,68 @@
+package testkit
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"calicohinge/internal/endpoint"
+)
+
+// connectTimeout ends the connection attempt that shows a backlog to be full. The attempts before it
+// succeed at once over loopback.
+const connectTimeout = 100 * time.Millisecond
+
+// admittedBytes is how many bytes of a connection StuckServer.Admit reports at most.
+const admittedBytes = 64
+
+// StuckServer is a listener with a full backlog: connections to it are established only once Admit
+// is called.
+type StuckServer struct {
+	net.Listener
+}
+
+// NewStuckServer starts a listener and fills its backlog.
+func NewStuckServer(t *testing.T) *StuckServer {
+	t.Helper()
+	listener := Listen(t)
+	shrinkBacklog(t, listener)
+	for { // until a connection attempt hangs
+		conn, err := net.DialTimeout("tcp", listener.Addr().String(), connectTimeout)
+		if err != nil {
+			return &StuckServer{listener}
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// shrinkBacklog lets the kernel queue one connection at most.
+func shrinkBacklog(t *testing.T, listener net.Listener) {
+	t.Helper()
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if controlErr != nil || err != nil {
+		t.Fatal(controlErr, err)
+	}
+}
+
+// Endpoint returns the server's entry in an endpoint list.
+func (s *StuckServer) Endpoint(id string) endpoint.Endpoint {
+	return readyEndpoint(id, s.Addr().String())
+}
+
+// Admit accepts every connection and reports the first bytes of each that sends any.
+func (s *StuckServer) Admit() <-chan string {
+	received := make(chan string, 100)
+	go acceptUntilClosed(s.Listener, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }() // only the first bytes are of interest
+		first := make([]byte, admittedBytes)
+		if n, _ := conn.Read(first); n > 0 { // a client that disconnects sends nothing
+			received <- string(first[:n])
+		}
+	})
+	return received
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -1,6 +1,6 @@
-// Package testkit holds what the tests of several packages share: waiting for a
-// state without pacing by it, and stand-ins for servers and discovery that follow
-// a script. Only tests import it.
+// Package testkit holds what the tests of several packages share: functions that wait for a
+// condition, stand-ins for servers and for the discovery service, and listeners. Whatever a function
+// starts ends with the test that it was given. Only tests import it.
 package testkit
 
 import (
@@ -11,50 +11,43 @@
 	"time"
 )
 
-// Patience bounds the wait for what must happen. It ends a test that fails and
-// never paces one that passes.
+// Patience bounds the wait for a condition that must come true. It ends a test that fails and never
+// delays one that passes.
 const Patience = 20 * time.Second
 
-// Wait returns the next value of a channel.
-func Wait[T any](t *testing.T, values <-chan T, what string) T {
+// Wait returns the next value of a channel, or fails the test. The description completes the words
+// "timed out waiting for".
+func Wait[T any](t *testing.T, values <-chan T, description string) T {
 	t.Helper()
 	select {
 	case value := <-values:
 		return value
 	case <-time.After(Patience):
-		t.Fatalf("waited in vain for %s", what)
+		t.Fatalf("timed out waiting for %s", description)
 		panic("unreachable")
 	}
 }
 
-// Until waits until a condition holds.
-func Until(t *testing.T, what string, holds func() bool) {
+// pollInterval is the pause between two checks of a condition: short beside what tests wait for.
+const pollInterval = time.Millisecond
+
+// Until waits until a condition holds, or fails the test.
+func Until(t *testing.T, description string, holds func() bool) {
 	t.Helper()
-	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(pollInterval) {
 		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
+			t.Fatalf("timed out waiting for %s", description)
 		}
 	}
 }
 
-// FreeAddr returns a loopback address at which nobody listens.
-func FreeAddr(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }() // nothing was accepted
-	return listener.Addr().String()
-}
-
 // IsTimeout reports whether a deadline ended a network operation.
 func IsTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// JSON is text that is marshalled as it is.
+// JSON is text that is marshalled as it is: a part of a configuration file that a test writes itself.
 type JSON string
 
 // MarshalJSON implements json.Marshaler.
