Return a typed set of revoked servers from Pool.UpdateEndpoints

The result was a bare map whose meaning only its caller knew. It is now RevokedServers with Contains; the update of one endpoint is a function.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -372,10 +372,10 @@
 // bar revokes the attempts on servers that drain, are gone or are another process now,
 // as far as no byte of theirs is out: one that opens a connection could take as long
 // as that takes, and send after the time that a drain allows.
-func (l *loop) bar(servers map[policy.ServerID]bool) (barred []unsentAttempt) {
+func (l *loop) bar(servers upstream.RevokedServers) (barred []unsentAttempt) {
 	for _, r := range l.requests {
 		for i, a := range r.attempts {
-			if !a.told && servers[a.server] && a.call.Revoke() {
+			if !a.told && servers.Contains(a.server) && a.call.Revoke() {
 				barred = append(barred, unsentAttempt{r, i})
 			}
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -197,41 +197,61 @@
 	return stats
 }
 
-// UpdateEndpoints follows the list. A server at a new address or with a new start is
-// another process: connections to the former one are dropped. It gives the servers
-// to which nothing may go any more that was meant for them before.
-func (u *Pool) UpdateEndpoints(full bool, list []endpoint.Endpoint) map[policy.ServerID]bool {
+// RevokedServers is the set of servers whose attempts must not be written any
+// more after an update of the endpoint list, as far as they have not begun.
+type RevokedServers map[policy.ServerID]struct{}
+
+// Contains reports whether id is in the set.
+func (s RevokedServers) Contains(id policy.ServerID) bool {
+	_, ok := s[id]
+	return ok
+}
+
+func (s RevokedServers) add(id policy.ServerID) { s[id] = struct{}{} }
+
+// UpdateEndpoints applies an update of the endpoint list: the complete list, or
+// the endpoints that changed. A server with a new address or a new start time is
+// another process: connections to the former one are closed. It returns the
+// servers that were removed, drain or are another process now.
+func (u *Pool) UpdateEndpoints(complete bool, endpoints []endpoint.Endpoint) RevokedServers {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	listed, barred := map[policy.ServerID]bool{}, map[policy.ServerID]bool{}
-	for _, in := range list {
-		id := in.ServerID()
-		old := u.servers[id]
-		if in.State() == policy.Gone {
-			barred[id] = true
-			u.drop(id, old)
+	listed := make(map[policy.ServerID]struct{}, len(endpoints))
+	revoked := RevokedServers{}
+	for _, current := range endpoints {
+		id := current.ServerID()
+		if current.State() == policy.Gone {
+			revoked.add(id)
+			u.drop(id, u.servers[id])
 			continue
 		}
-		listed[id] = true
-		same := old != nil && old.addr == in.Address && old.started == in.StartedUnixMilli
-		if !same || in.State() != policy.Ready {
-			barred[id] = true
-		}
-		if !same {
-			u.drop(id, old)
-			u.servers[id] = &server{addr: in.Address, started: in.StartedUnixMilli}
+		listed[id] = struct{}{}
+		if replaced := u.update(id, current); replaced || current.State() != policy.Ready {
+			revoked.add(id)
 		}
 	}
-	if !full {
-		return barred
+	if !complete {
+		return revoked
 	}
 	for id, s := range u.servers {
-		if !listed[id] {
-			barred[id] = true
+		if _, ok := listed[id]; !ok {
+			revoked.add(id)
 			u.drop(id, s)
 		}
 	}
-	return barred
+	return revoked
+}
+
+// update records an endpoint that is not gone. It reports whether the server is
+// new or another process than before; u.mu is held.
+func (u *Pool) update(id policy.ServerID, current endpoint.Endpoint) (replaced bool) {
+	old := u.servers[id]
+	if old != nil && old.addr == current.Address && old.started == current.StartedUnixMilli {
+		return false
+	}
+	u.drop(id, old)
+	u.servers[id] = &server{addr: current.Address, started: current.StartedUnixMilli}
+	return true
 }
 
 // drop forgets a server; u.mu is held.
