--- /dev/null
+++ b/internal/config/example_config_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"calicohinge/policy"
+)
+
+const exampleConfig = "../../deploy/example/config.json"
+
+// loadExample loads the example configuration with the given environment.
+func loadExample(t *testing.T, environment map[string]string) *Config {
+	t.Helper()
+	loaded, err := Load(func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return exampleConfig
+		}
+		return environment[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loaded
+}
+
+// The example is what a newcomer starts from, so it has to load and to build a Balancer.
+func TestExampleConfigurationLoads(t *testing.T) {
+	loaded := loadExample(t, nil)
+	if loaded.Name != "node-0" || loaded.Listen != "127.0.0.1:8000" || loaded.Discovery != "127.0.0.1:8500" {
+		t.Errorf("name %q, listen %q, discovery %q", loaded.Name, loaded.Listen, loaded.Discovery)
+	}
+	if len(loaded.Known.Endpoints) != 2 {
+		t.Errorf("%d known endpoints, want 2", len(loaded.Known.Endpoints))
+	}
+	for _, server := range loaded.Known.Endpoints {
+		if _, known := loaded.Zones[server.Zone]; !known || server.State() != policy.Ready {
+			t.Errorf("endpoint %s: zone %q, state %v", server.InstanceID, server.Zone, server.State())
+		}
+	}
+	if loaded.ConnectTimeout != 150*time.Millisecond || loaded.DrainGrace != time.Second {
+		t.Errorf("connect timeout %v, drain grace %v", loaded.ConnectTimeout, loaded.DrainGrace)
+	}
+	if _, err := policy.New(loaded.Policy, loaded.Seed, nil); err != nil {
+		t.Error(err)
+	}
+}
+
+// Each class of the example shows one kind of idempotency.
+func TestExampleConfigurationShowsEveryKindOfClass(t *testing.T) {
+	loaded := loadExample(t, nil)
+	want := map[string]policy.Idempotency{
+		"read": policy.Idempotent, "order": policy.IdempotentWithKey, "notify": policy.NotIdempotent,
+	}
+	for name, idempotency := range want {
+		index, listed := loaded.Classes[name]
+		if !listed || loaded.Policy.Classes[index].Idempotency != idempotency {
+			t.Errorf("class %s: listed %v, want it to be %v", name, listed, idempotency)
+		}
+	}
+	if len(loaded.Classes) != len(want) {
+		t.Errorf("classes %v, want %d", loaded.Classes, len(want))
+	}
+}
+
+func TestEnvironmentOverridesTheExampleConfiguration(t *testing.T) {
+	loaded := loadExample(t, map[string]string{
+		"BALANCER_NAME": "node-7", "BALANCER_LISTEN": "127.0.0.1:8007", "BALANCER_DISCOVERY": "127.0.0.1:8507",
+	})
+	if loaded.Name != "node-7" || loaded.Listen != "127.0.0.1:8007" || loaded.Discovery != "127.0.0.1:8507" {
+		t.Errorf("name %q, listen %q, discovery %q", loaded.Name, loaded.Listen, loaded.Discovery)
+	}
+}
