Cut the discovery client into follower, call and backoff with the terms of the field

follow had a cognitive complexity of 25, and the client's fields were shared between Run and the goroutine that it starts at each address. A follower now owns the state of one address, and its loop is a sequence of named steps; backoff and the HTTP call have files of their own. Calls, deadlines, delays and their order are unchanged.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -1,258 +1,135 @@
-// Package discovery follows the endpoint list over HTTP: it watches or polls,
-// backs off after failures and moves to another address when told. It tells a
-// Handler what it learns and decides nothing about servers.
+// Package discovery keeps a node's endpoint list up to date: it calls the discovery service over HTTP,
+// repeats failed calls with a backoff, and follows the list at another address when that changes. It
+// owns the connections to the service and the generation of the list. It reports lists and failures to
+// a Handler, which internal/node implements, and neither interprets endpoints nor selects servers.
 package discovery
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/policy"
 )
 
-const (
-	// What a watch misses counts as told policy.ToldIn after it fell silent, which may be as
-	// it begins. By then the silence has to be noticed and another call answered: half goes to
-	// the watch itself, a quarter to what an answer may be late by, and a quarter is left for
-	// that call.
-	watchWait  = policy.NotificationDeadline / 2 // what a watch asks discovery to wait
-	watchSlack = policy.NotificationDeadline / 4 // and how much longer the answer may take
-	// movedTold is when all that the new discovery has counts as told, from SIGHUP.
-	movedTold  = 4 * time.Second
-	watchPause = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
-	// Calls where lists are pushed, after a failed one: what discovery has counts as told
-	// the moment it is back, so the longest wait is half of what a drain allows.
-	backoffFirst = 100 * time.Millisecond
-	backoffMost  = time.Second
-	maxList      = 8 << 20 // bytes of a list
-)
+// addressChangeDeadline is the time after a change of the address within which a node counts as notified
+// of the list at the new one. The operators' contract gives it, from SIGHUP on.
+const addressChangeDeadline = 4 * time.Second
 
-// errSilent is a watch that got no answer though its wait is over.
-var errSilent = errors.New("the watch fell silent")
+// maxConnections allows the first call at a new address beside one that is being cancelled.
+const maxConnections = 2
 
-// Handler is told what a Client learns. Its methods are called from the goroutine
+// Handler receives what a Client learns. Its methods are called from the goroutine
 // of Client.Run, one at a time.
 type Handler interface {
-	// UpdateEndpoints takes a list or a change to one.
+	// UpdateEndpoints receives an endpoint list, or changes to the former one.
 	UpdateEndpoints(kind policy.UpdateKind, endpoints []endpoint.Endpoint)
-	// EndpointsKnown is called once a list is at hand.
+	// EndpointsKnown is called after each list, also one without endpoints or changes.
 	EndpointsKnown()
-	// WatchFailed is called, where the list is polled, when a call failed. What that missed
-	// counts as notified at the given time, and RequestWatch has to come before it.
+	// WatchFailed is called in polling mode after a failed call. The node counts as notified at the
+	// given time of what the call has missed. The next call waits for RequestWatch.
 	WatchFailed(notifiedAt time.Time)
 }
 
-// Config is what a Client is told at its creation.
+// Config parameterizes a Client.
 type Config struct {
-	Address    string
-	Known      endpoint.List // as last held, possibly empty
-	Poll       bool          // watches load discovery: RequestWatch says when to start one
-	DrainGrace time.Duration // from when a drain is notified to the last request
+	Address    string        // host and port of the discovery service
+	Known      endpoint.List // the cached list, possibly empty
+	Poll       bool          // polling mode: after a failure, the next call waits for RequestWatch
+	DrainGrace time.Duration // how long a draining server still serves, from the notification on
 }
 
-// Client follows the endpoint list.
+// Client follows the endpoint list. RequestWatch and Move may be called while Run is active.
 type Client struct {
-	url        string
-	known      endpoint.List
-	handler    Handler
-	backoff    time.Duration // the longest wait between calls where lists are pushed
-	asked      bool
-	wanted     chan struct{}
-	moved      chan string // the latest address to follow the list at
-	listed     bool        // a list is at hand; its generation may well be 0
-	generation uint64
-	due        time.Time // discovery moved: by then its list has to be here
-	client     *http.Client
+	address        string // the first one; Run keeps the present one
+	cached         endpoint.List
+	polling        bool
+	maxBackoff     time.Duration
+	watchRequests  chan struct{} // holds at most one
+	addressChanges chan string   // holds the latest one only
+	httpClient     *http.Client
 }
 
-// New makes a client. It does nothing before Run.
+// New makes a client. It sends nothing before Run.
 func New(config Config) *Client {
 	return &Client{
-		url: listURL(config.Address), known: config.Known,
-		backoff: min(backoffMost, max(backoffFirst, config.DrainGrace/2)),
-		asked:   config.Poll, wanted: make(chan struct{}, 1), moved: make(chan string, 1),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
+		address:        config.Address,
+		cached:         config.Known,
+		polling:        config.Poll,
+		maxBackoff:     maxBackoffFor(config.DrainGrace),
+		watchRequests:  make(chan struct{}, 1),
+		addressChanges: make(chan string, 1),
+		httpClient:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections}},
 	}
 }
 
-// RequestWatch starts a watch where the list is polled, unless one is under way. It never blocks.
-func (d *Client) RequestWatch() {
+// RequestWatch starts a watch in polling mode, unless one is active. It never blocks.
+func (c *Client) RequestWatch() {
 	select {
-	case d.wanted <- struct{}{}:
-	default: // one is wanted already
+	case c.watchRequests <- struct{}{}:
+	default: // a request is pending
 	}
 }
 
-// Move has the list followed at another address. One caller at a time.
-func (d *Client) Move(addr string) {
+// Move changes the address of the discovery service. It has one caller at a time and never blocks.
+func (c *Client) Move(addr string) {
 	select {
-	case <-d.moved: // only the latest matters
+	case <-c.addressChanges: // only the latest address counts
 	default:
 	}
-	d.moved <- addr
-}
-
-func listURL(addr string) string { return "http://" + addr + "/registry/instances" }
-
-// Run starts from the list as it was known and follows it until the context
-// ends. When discovery moves, the watch at the old address ends and the new one
-// is asked for the whole list; the node serves by the old list meanwhile.
-func (d *Client) Run(ctx context.Context, handler Handler) {
-	d.handler = handler
-	d.generation = d.known.Generation
-	d.listed = len(d.known.Endpoints) > 0
-	if d.listed {
-		handler.UpdateEndpoints(policy.UpdateCached, d.known.Endpoints)
-		handler.EndpointsKnown()
-	} else if d.asked {
-		handler.UpdateEndpoints(policy.UpdateCached, nil) // has the module ask for the list
-	}
-	watching := !d.asked
-	for ctx.Err() == nil {
-		here, leave := context.WithCancel(ctx)
-		left := make(chan struct{})
-		go func() {
-			defer close(left)
-			d.follow(here, watching)
-		}()
-		select {
-		case addr := <-d.moved:
-			leave()
-			<-left
-			slog.Info("discovery moves", "addr", addr)
-			d.client.CloseIdleConnections()
-			d.url, d.listed, watching = listURL(addr), false, true
-			d.due = time.Now().Add(movedTold)
-		case <-ctx.Done():
-			leave()
-			<-left
-		}
-	}
+	c.addressChanges <- addr
 }
 
-// follow watches the list at one address until the context ends.
-func (d *Client) follow(ctx context.Context, watching bool) {
-	delay := backoffFirst
+// Run reports the cached list and follows it until the context ends. After a change of the address it
+// requests the complete list from the new one; the node uses the former list until that arrives.
+func (c *Client) Run(ctx context.Context, handler Handler) {
+	c.reportCached(handler)
+	current := newFollower(c, handler, c.address)
+	current.watching = !c.polling
+	current.haveList = len(c.cached.Endpoints) > 0
+	current.generation = c.cached.Generation
 	for ctx.Err() == nil {
-		if !watching {
-			select {
-			case <-d.wanted:
-			case <-ctx.Done():
-				return
-			}
-		}
-		began := time.Now()
-		list, err := d.get(ctx)
-		if err == nil {
-			delay, watching = backoffFirst, true
-			d.listed, d.generation = true, list.Generation
-			switch {
-			case list.Reset:
-				d.handler.UpdateEndpoints(policy.UpdateSnapshot, list.Endpoints)
-			case len(list.Endpoints) > 0:
-				d.handler.UpdateEndpoints(policy.UpdateDelta, list.Endpoints)
-			}
-			d.handler.EndpointsKnown()
-			if time.Since(began) < watchPause {
-				// A discovery that doesn't wait must not be asked in a loop without a breath.
-				pause(ctx, watchPause)
-			}
-			continue
-		}
-		if ctx.Err() != nil {
+		address, changed := c.followUntilAddressChange(ctx, current)
+		if !changed {
 			return
 		}
-		slog.Warn("discovery failed", "err", err)
-		if d.asked {
-			watching = false
-			due := began.Add(policy.NotificationDeadline)
-			if d.moving() && d.due.Before(due) {
-				due = d.due
-			}
-			d.forgetWanted()
-			d.handler.WatchFailed(due)
-			continue
-		}
-		// There is no time to back off in after a silent watch, nor before the first list
-		// of a discovery that moved.
-		if d.moving() || errors.Is(err, errSilent) {
-			pause(ctx, rand.N(backoffFirst))
-			continue
-		}
-		// Nodes that lost discovery together must not come back in step.
-		pause(ctx, delay/2+rand.N(delay/2))
-		delay = min(2*delay, d.backoff)
+		slog.Info("discovery address changed", "discovery_addr", address)
+		c.httpClient.CloseIdleConnections()
+		current = newFollower(c, handler, address)
+		current.watching = true
+		current.listDue = time.Now().Add(addressChangeDeadline)
 	}
 }
 
-// moving tells whether discovery moved a short while ago and has not yet given its list.
-func (d *Client) moving() bool { return !d.listed && time.Now().Before(d.due) }
-
-// forgetWanted drops a wish for a watch from before the present one failed: it would be
-// followed by another at once, at all nodes together.
-func (d *Client) forgetWanted() {
-	select {
-	case <-d.wanted:
-	default:
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+// reportCached reports the list that the node starts with.
+func (c *Client) reportCached(handler Handler) {
+	if len(c.cached.Endpoints) > 0 {
+		handler.UpdateEndpoints(policy.UpdateCached, c.cached.Endpoints)
+		handler.EndpointsKnown()
+	} else if c.polling {
+		handler.UpdateEndpoints(policy.UpdateCached, nil) // makes package policy request a watch
 	}
 }
 
-// get asks for what is newer than the list at hand, and waits for it. With no list at hand it
-// asks for all, and waits as long: discovery works off the calls that were given up as well, so
-// that a fleet which starts anew and calls again too soon would come to no end.
-func (d *Client) get(ctx context.Context) (list endpoint.List, err error) {
-	url, wait := d.url, watchWait+watchSlack
-	if d.moving() {
-		wait = movedTold / 2 // for another one
-	}
-	if d.listed {
-		url += "?after=" + strconv.FormatUint(d.generation, 10) +
-			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
-	}
-	here, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	req, err := http.NewRequestWithContext(here, http.MethodGet, url, nil)
-	if err != nil {
-		return list, err
-	}
+// followUntilAddressChange runs the follower until the address changes or the context ends, and returns
+// once the follower has stopped.
+func (c *Client) followUntilAddressChange(ctx context.Context, current *follower) (address string, changed bool) {
+	followCtx, cancel := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		current.run(followCtx)
+	}()
 	defer func() {
-		if err != nil && d.listed && ctx.Err() == nil && here.Err() != nil {
-			err = fmt.Errorf("%w: %w", errSilent, err)
-		}
+		cancel()
+		<-stopped
 	}()
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return list, err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-	if err != nil {
-		return list, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return list, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	if err := json.Unmarshal(text, &list); err != nil {
-		return list, fmt.Errorf("list: %w", err)
-	}
-	if !d.listed {
-		list.Reset = true // it was asked for all
+	select {
+	case address = <-c.addressChanges:
+		return address, true
+	case <-ctx.Done():
+		return "", false
 	}
-	return list, nil
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -12,7 +12,7 @@
 // The budget of a silent watch: its wait, what an answer may be late by and the spread of
 // the calls anew leave an eighth of the time for the answer.
 func TestSilentWatchIsNoticedInTime(t *testing.T) {
-	if left := policy.NotificationDeadline - watchWait - watchSlack - time.Second*3/4; left < policy.NotificationDeadline/8 {
+	if left := policy.NotificationDeadline - callTimeout - time.Second*3/4; left < policy.NotificationDeadline/8 {
 		t.Errorf("%v are left for the call anew", left)
 	}
 	// For a call that may wait, 2 s behind its wait count too, if that is later.
@@ -25,11 +25,11 @@
 // come at least twice in what a drain allows.
 func TestPushedCallsKeepPaceWithADrain(t *testing.T) {
 	for ms, want := range map[int]time.Duration{
-		300: 150 * time.Millisecond, 1000: 500 * time.Millisecond, 9000: time.Second, 0: backoffFirst,
+		300: 150 * time.Millisecond, 1000: 500 * time.Millisecond, 9000: time.Second, 0: initialBackoff,
 	} {
 		grace := time.Duration(ms) * time.Millisecond
-		if d := New(Config{DrainGrace: grace}); d.backoff != want {
-			t.Errorf("a grace of %d ms: %v between calls, want %v", ms, d.backoff, want)
+		if d := New(Config{DrainGrace: grace}); d.maxBackoff != want {
+			t.Errorf("a grace of %d ms: %v between calls, want %v", ms, d.maxBackoff, want)
 		}
 	}
 }
@@ -54,17 +54,17 @@
 	scripted := testkit.NewScriptedDiscovery(t)
 	handler := newRecorder()
 	client := New(Config{Address: scripted.Address, Poll: true})
-	client.handler = handler
-	client.listed = true
+	watch := newFollower(client, handler, scripted.Address)
+	watch.watching, watch.haveList = true, true
 	ended := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go func() { defer close(ended); client.follow(ctx, true) }()
+	go func() { defer close(ended); watch.run(ctx) }()
 	testkit.Wait(t, scripted.Calls, "the watch")
 	client.RequestWatch()
 	scripted.Answers <- testkit.AnswerReset
 	testkit.Wait(t, handler.failed, "the failure")
-	if len(client.wanted) > 0 || len(scripted.Calls) > 0 {
+	if len(client.watchRequests) > 0 || len(scripted.Calls) > 0 {
 		t.Error("the stale request stays, or was followed")
 	}
 	client.RequestWatch() // the one behind the failure is followed
--- /dev/null
+++ b/internal/discovery/follow.go
@@ -0,0 +1,125 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/policy"
+)
+
+// quickCallPause follows a call that was answered in less time than this: it bounds the rate of the calls
+// to a discovery service that answers watches at once.
+const quickCallPause = 20 * time.Millisecond
+
+// follower follows the endpoint list at one address. Its fields belong to the goroutine of run.
+type follower struct {
+	client     *Client
+	handler    Handler
+	address    string
+	backoff    backoff
+	watching   bool      // the next call needs no request; always so where lists are pushed
+	haveList   bool      // generation is valid, even if it is 0
+	generation uint64    // of the present list
+	listDue    time.Time // deadline of the first list after a change of the address, else zero
+}
+
+// newFollower makes a follower that has no list and waits for a request.
+func newFollower(client *Client, handler Handler, address string) *follower {
+	return &follower{
+		client:  client,
+		handler: handler,
+		address: address,
+		backoff: newBackoff(client.maxBackoff),
+	}
+}
+
+// run calls the discovery service until the context ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil && f.awaitWatchRequest(ctx) {
+		startedAt := time.Now()
+		list, err := f.fetch(ctx)
+		switch {
+		case err == nil:
+			f.report(list)
+			pauseAfterQuickCall(ctx, startedAt)
+		case ctx.Err() != nil:
+			return // a cancelled call is no failure
+		case f.client.polling:
+			f.reportFailure(err, startedAt)
+		default:
+			f.backOff(ctx, err)
+		}
+	}
+}
+
+// awaitWatchRequest returns true once a call may be made, and false if the context ends before.
+func (f *follower) awaitWatchRequest(ctx context.Context) bool {
+	if f.watching {
+		return true
+	}
+	select {
+	case <-f.client.watchRequests:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// report hands a list to the handler and keeps its generation for the next call.
+func (f *follower) report(list endpoint.List) {
+	f.backoff.reset()
+	f.watching = true
+	f.haveList, f.generation = true, list.Generation
+	switch {
+	case list.Reset:
+		f.handler.UpdateEndpoints(policy.UpdateSnapshot, list.Endpoints)
+	case len(list.Endpoints) > 0:
+		f.handler.UpdateEndpoints(policy.UpdateDelta, list.Endpoints)
+	}
+	f.handler.EndpointsKnown()
+}
+
+func pauseAfterQuickCall(ctx context.Context, startedAt time.Time) {
+	if time.Since(startedAt) < quickCallPause {
+		pause(ctx, quickCallPause)
+	}
+}
+
+// reportFailure reports a failed call to the handler, which requests the next one.
+func (f *follower) reportFailure(err error, startedAt time.Time) {
+	slog.Warn("discovery failed", "err", err)
+	f.watching = false
+	notifiedAt := startedAt.Add(policy.NotificationDeadline)
+	if f.awaitingFirstList() && f.listDue.Before(notifiedAt) {
+		notifiedAt = f.listDue
+	}
+	f.dropStaleWatchRequest()
+	f.handler.WatchFailed(notifiedAt)
+}
+
+// dropStaleWatchRequest removes a request from before the present failure. With it the next call would
+// follow at once, and at all nodes together.
+func (f *follower) dropStaleWatchRequest() {
+	select {
+	case <-f.client.watchRequests:
+	default:
+	}
+}
+
+// backOff pauses after a failed call where lists are pushed.
+func (f *follower) backOff(ctx context.Context, err error) {
+	slog.Warn("discovery failed", "err", err)
+	// The notification deadline leaves no time for a backoff after a silent watch, nor before the
+	// first list at a new address.
+	if f.awaitingFirstList() || errors.Is(err, errSilent) {
+		pause(ctx, shortDelay())
+		return
+	}
+	pause(ctx, f.backoff.next())
+}
+
+// awaitingFirstList reports whether the address changed a short while ago and its list has not arrived.
+func (f *follower) awaitingFirstList() bool { return !f.haveList && time.Now().Before(f.listDue) }
