Type the errors of calls to the discovery service, log their kind and retry delay

An on-call engineer could not tell refused, reset, silent and malformed apart, nor search for them. The key is not addr, by which cmd/balancer's tests find the node's own address. A silent watch is still one with a list at hand, a live context and its own time over.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -1,40 +1,16 @@
 package discovery
 
 import (
-	"calicohinge/internal/endpoint"
-	"calicohinge/internal/testkit"
-	"calicohinge/policy"
 	"context"
 	"testing"
 	"time"
-)
 
-// The budget of a silent watch: its wait, what an answer may be late by and the spread of
-// the calls anew leave an eighth of the time for the answer.
-func TestSilentWatchIsNoticedInTime(t *testing.T) {
-	if left := policy.NotificationDeadline - callTimeout - time.Second*3/4; left < policy.NotificationDeadline/8 {
-		t.Errorf("%v are left for the call anew", left)
-	}
-	// For a call that may wait, 2 s behind its wait count too, if that is later.
-	if watchWait+2*time.Second > policy.NotificationDeadline {
-		t.Errorf("a wait of %v moves the time", watchWait)
-	}
-}
-
-// Where lists are pushed, the news count as told the moment discovery is back: the calls
-// come at least twice in what a drain allows.
-func TestPushedCallsKeepPaceWithADrain(t *testing.T) {
-	for ms, want := range map[int]time.Duration{
-		300: 150 * time.Millisecond, 1000: 500 * time.Millisecond, 9000: time.Second, 0: initialBackoff,
-	} {
-		grace := time.Duration(ms) * time.Millisecond
-		if d := New(Config{DrainGrace: grace}); d.maxBackoff != want {
-			t.Errorf("a grace of %d ms: %v between calls, want %v", ms, d.maxBackoff, want)
-		}
-	}
-}
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
+	"calicohinge/policy"
+)
 
-// recorder is a Handler that keeps what it is told.
+// recorder is a Handler that records its calls.
 type recorder struct {
 	updates chan policy.UpdateKind
 	failed  chan time.Time
@@ -48,18 +24,18 @@
 func (r *recorder) EndpointsKnown()                                               {}
 func (r *recorder) WatchFailed(notifiedAt time.Time)                              { r.failed <- notifiedAt }
 
-// A watch is requested while one is under way, which then fails: the handler says anew when
-// to call, and the old request does not make all nodes call at once.
-func TestStaleRequestForAWatchIsDropped(t *testing.T) {
+// A watch is requested while one is active, which then fails: the handler requests the next one itself,
+// and the stale request must not make all nodes call at once.
+func TestStaleWatchRequestIsDropped(t *testing.T) {
 	scripted := testkit.NewScriptedDiscovery(t)
 	handler := newRecorder()
 	client := New(Config{Address: scripted.Address, Poll: true})
 	watch := newFollower(client, handler, scripted.Address)
 	watch.watching, watch.haveList = true, true
-	ended := make(chan struct{})
+	stopped := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go func() { defer close(ended); watch.run(ctx) }()
+	go func() { defer close(stopped); watch.run(ctx) }()
 	testkit.Wait(t, scripted.Calls, "the watch")
 	client.RequestWatch()
 	scripted.Answers <- testkit.AnswerReset
@@ -67,8 +43,81 @@
 	if len(client.watchRequests) > 0 || len(scripted.Calls) > 0 {
 		t.Error("the stale request stays, or was followed")
 	}
-	client.RequestWatch() // the one behind the failure is followed
-	testkit.Wait(t, scripted.Calls, "the watch behind the failure")
+	client.RequestWatch() // the one after the failure is followed
+	testkit.Wait(t, scripted.Calls, "the watch after the failure")
 	cancel()
-	testkit.Wait(t, ended, "the end")
+	testkit.Wait(t, stopped, "the follower to stop")
+}
+
+// startOf is how a client starts.
+type startOf struct {
+	known   endpoint.List
+	poll    bool
+	updates []policy.UpdateKind // before the first call
+	query   string              // of the first call
+}
+
+// In polling mode no call is made before a request.
+func TestCachedListIsReportedBeforeTheFirstCall(t *testing.T) {
+	cached := endpoint.List{Generation: 7, Endpoints: []endpoint.Endpoint{{InstanceID: "s"}}}
+	update := []policy.UpdateKind{policy.UpdateCached}
+	for name, c := range map[string]startOf{
+		"polled, cached list": {cached, true, update, "after=7&wait_ms=3000"},
+		"polled, no list":     {endpoint.List{}, true, update, ""}, // package policy requests the first watch
+		"pushed, cached list": {cached, false, update, "after=7&wait_ms=3000"},
+		"pushed, no list":     {endpoint.List{}, false, nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
+
+func (c startOf) check(t *testing.T) {
+	scripted := testkit.NewScriptedDiscovery(t)
+	handler := newRecorder()
+	client := New(Config{Address: scripted.Address, Known: c.known, Poll: c.poll})
+	go client.Run(t.Context(), handler)
+	for _, want := range c.updates {
+		if kind := testkit.Wait(t, handler.updates, "an update"); kind != want {
+			t.Errorf("update %v, want %v", kind, want)
+		}
+	}
+	if c.poll {
+		if len(scripted.Calls) > 0 {
+			t.Error("called without a request")
+		}
+		client.RequestWatch()
+	}
+	if query := testkit.Wait(t, scripted.Calls, "the first call").URL.RawQuery; query != c.query {
+		t.Errorf("query %q, want %q", query, c.query)
+	}
+	if len(handler.updates) > 0 {
+		t.Errorf("more updates than %v", c.updates)
+	}
+}
+
+// After a change of the address the pending call ends, and the complete list is requested from the
+// latest address, in polling mode too.
+func TestAddressChangeRequestsTheCompleteList(t *testing.T) {
+	for name, poll := range map[string]bool{"polled": true, "pushed": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			former, skipped, latest := testkit.NewScriptedDiscovery(t), testkit.FreeAddr(t), testkit.NewScriptedDiscovery(t)
+			client := New(Config{
+				Address: former.Address, Poll: poll,
+				Known: endpoint.List{Generation: 7, Endpoints: []endpoint.Endpoint{{InstanceID: "s"}}},
+			})
+			client.RequestWatch()
+			go client.Run(t.Context(), newRecorder())
+			pending := testkit.Wait(t, former.Calls, "the first call")
+			client.Move(skipped)
+			client.Move(latest.Address)
+			if query := testkit.Wait(t, latest.Calls, "a call to the new address").URL.RawQuery; query != "" {
+				t.Errorf("query %q, want none", query)
+			}
+			testkit.Wait(t, pending.Context().Done(), "the end of the former call")
+		})
+	}
 }
--- /dev/null
+++ b/internal/discovery/errors.go
@@ -0,0 +1,94 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+)
+
+// ErrorKind says how a call to the discovery service failed.
+type ErrorKind int
+
+// The kinds of a failed call.
+const (
+	// Unknown is an error that this package has not classified.
+	Unknown ErrorKind = iota
+	// Unreachable is a call without a connection, for example because the service refused it.
+	Unreachable
+	// Reset is a connection that ended before the answer was complete.
+	Reset
+	// Timeout is a call for the complete list without a complete answer in time.
+	Timeout
+	// Silent is a watch without a complete answer although its wait is over.
+	Silent
+	// BadStatus is an answer with a status other than 200.
+	BadStatus
+	// Malformed is an answer that is not valid HTTP, or whose body is not an endpoint list.
+	Malformed
+)
+
+// String names the kind as in the log.
+func (k ErrorKind) String() string {
+	switch k {
+	case Unknown:
+		return "unknown"
+	case Unreachable:
+		return "unreachable"
+	case Reset:
+		return "reset"
+	case Timeout:
+		return "timeout"
+	case Silent:
+		return "silent"
+	case BadStatus:
+		return "bad_status"
+	case Malformed:
+		return "malformed"
+	}
+	return "kind " + strconv.Itoa(int(k))
+}
+
+// Error is a failed call to the discovery service.
+type Error struct {
+	Kind   ErrorKind
+	Status int   // the HTTP status of an answer that is a failure for its status, else 0
+	Err    error // the cause, nil if the status is
+}
+
+// Error describes the failure in one line.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return "status " + strconv.Itoa(e.Status)
+	}
+	return e.Kind.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// transportError classifies an error of the HTTP client, which occurred before the answer was complete.
+func transportError(err error) *Error { return &Error{Kind: transportErrorKind(err), Err: err} }
+
+func transportErrorKind(err error) ErrorKind {
+	var operation *net.OpError
+	switch {
+	case errors.Is(err, context.DeadlineExceeded): // before others: it may have ended any operation
+		return Timeout
+	case errors.As(err, &operation) && operation.Op == "dial":
+		return Unreachable
+	case operation != nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return Reset
+	}
+	return Malformed
+}
+
+// kindOf returns the kind of a failed call.
+func kindOf(err error) ErrorKind {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return Unknown
+}
--- /dev/null
+++ b/internal/discovery/errors_test.go
@@ -0,0 +1,37 @@
+package discovery
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestErrorNamesItsCause(t *testing.T) {
+	cause := errors.New("connection refused")
+	for _, c := range []struct {
+		err  *Error
+		text string
+	}{
+		{&Error{Kind: Unreachable, Err: cause}, "unreachable: connection refused"},
+		{&Error{Kind: Silent, Err: &Error{Kind: Timeout, Err: cause}}, "silent: timeout: connection refused"},
+		{&Error{Kind: BadStatus, Status: 503}, "status 503"},
+	} {
+		if c.err.Error() != c.text {
+			t.Errorf("%q, want %q", c.err.Error(), c.text)
+		}
+		if wraps := errors.Is(c.err, cause); wraps != (c.err.Status == 0) {
+			t.Errorf("%v: wraps its cause: %v", c.err, wraps)
+		}
+	}
+}
+
+func TestEachErrorKindHasItsOwnName(t *testing.T) {
+	seen := map[string]ErrorKind{}
+	for kind := Unknown; kind <= Malformed; kind++ {
+		name := kind.String()
+		if former, found := seen[name]; found || strings.HasPrefix(name, "kind ") {
+			t.Errorf("kind %d is named %q like %d", int(kind), name, int(former))
+		}
+		seen[name] = kind
+	}
+}
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,17 +30,14 @@
 // maxListBytes bounds the body of an answer.
 const maxListBytes = 8 << 20
 
-// errSilent is a watch that got no answer though its wait is over.
-var errSilent = errors.New("the watch fell silent")
-
 // fetch requests what is newer than the present list and waits for it, or requests the complete list if
-// there is none.
+// there is none. Its errors are of type *Error.
 func (f *follower) fetch(ctx context.Context) (endpoint.List, error) {
 	callCtx, cancel := context.WithTimeout(ctx, f.timeout())
 	defer cancel()
 	list, err := f.call(callCtx)
 	if err != nil && f.haveList && ctx.Err() == nil && callCtx.Err() != nil {
-		err = fmt.Errorf("%w: %w", errSilent, err)
+		err = &Error{Kind: Silent, Err: err}
 	}
 	return list, err
 }
@@ -58,19 +54,19 @@
 func (f *follower) call(ctx context.Context) (endpoint.List, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(), nil)
 	if err != nil {
-		return endpoint.List{}, err
+		return endpoint.List{}, &Error{Kind: Unreachable, Err: err}
 	}
 	response, err := f.client.httpClient.Do(request)
 	if err != nil {
-		return endpoint.List{}, err
+		return endpoint.List{}, transportError(err)
 	}
 	defer func() { _ = response.Body.Close() }() // nothing of the body is used any more
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
 	if err != nil {
-		return endpoint.List{}, err
+		return endpoint.List{}, transportError(err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return endpoint.List{}, fmt.Errorf("status %d", response.StatusCode)
+		return endpoint.List{}, &Error{Kind: BadStatus, Status: response.StatusCode}
 	}
 	return f.decode(body)
 }
@@ -89,7 +85,7 @@
 func (f *follower) decode(body []byte) (endpoint.List, error) {
 	var list endpoint.List
 	if err := json.Unmarshal(body, &list); err != nil {
-		return endpoint.List{}, fmt.Errorf("list: %w", err)
+		return endpoint.List{}, &Error{Kind: Malformed, Err: fmt.Errorf("decode endpoint list: %w", err)}
 	}
 	if !f.haveList {
 		list.Reset = true // the complete list was requested
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
@@ -90,7 +89,7 @@
 
 // reportFailure reports a failed call to the handler, which requests the next one.
 func (f *follower) reportFailure(err error, startedAt time.Time) {
-	slog.Warn("discovery failed", "err", err)
+	f.logFailure(err)
 	f.watching = false
 	notifiedAt := startedAt.Add(policy.NotificationDeadline)
 	if f.awaitingFirstList() && f.listDue.Before(notifiedAt) {
@@ -111,14 +110,28 @@
 
 // backOff pauses after a failed call where lists are pushed.
 func (f *follower) backOff(ctx context.Context, err error) {
-	slog.Warn("discovery failed", "err", err)
-	// The notification deadline leaves no time for a backoff after a silent watch, nor before the
-	// first list at a new address.
-	if f.awaitingFirstList() || errors.Is(err, errSilent) {
-		pause(ctx, shortDelay())
-		return
+	delay := f.retryDelay(kindOf(err))
+	f.logFailure(err, "retry_in", delay)
+	pause(ctx, delay)
+}
+
+// retryDelay returns the delay after a failed call. The notification deadline leaves no time for a
+// backoff after a silent watch, nor before the first list at a new address.
+func (f *follower) retryDelay(kind ErrorKind) time.Duration {
+	if kind == Silent || f.awaitingFirstList() {
+		return shortDelay()
 	}
-	pause(ctx, f.backoff.next())
+	return f.backoff.next()
+}
+
+// logFailure logs a failed call with further attributes as for slog.Warn.
+func (f *follower) logFailure(err error, attributes ...any) {
+	attributes = append([]any{
+		"discovery_addr", f.address, // not "addr", by which the node's own address is found in the log
+		"kind", kindOf(err).String(),
+		"err", err,
+	}, attributes...)
+	slog.Warn("endpoint watch failed", attributes...)
 }
 
 // awaitingFirstList reports whether the address changed a short while ago and its list has not arrived.
--- /dev/null
+++ b/internal/discovery/follow_test.go
@@ -0,0 +1,107 @@
+package discovery
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"calicohinge/internal/testkit"
+	"calicohinge/policy"
+)
+
+// After a silent watch, and before the first list at a new address, the delay only spreads the calls of
+// the nodes and does not grow.
+func TestRetryDelayAfterFailure(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind           ErrorKind
+		haveList       bool
+		addressChanged bool
+		grows          bool
+	}{
+		"silent watch":                {Silent, true, false, false},
+		"reset watch":                 {Reset, true, false, true},
+		"refused, no list":            {Unreachable, false, false, true},
+		"refused at a new address":    {Unreachable, false, true, false},
+		"bad status, list known anew": {BadStatus, true, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			watch := testFollower("discovery", c.haveList)
+			watch.backoff = newBackoff(time.Second)
+			if c.addressChanged {
+				watch.listDue = time.Now().Add(time.Hour)
+			}
+			for range 10 {
+				delay := watch.retryDelay(c.kind)
+				if !c.grows && delay >= initialBackoff {
+					t.Errorf("delay %v, want less than %v", delay, initialBackoff)
+				}
+			}
+			if grown := watch.backoff.delay > initialBackoff; grown != c.grows {
+				t.Errorf("next nominal delay %v, want a grown one: %v", watch.backoff.delay, c.grows)
+			}
+		})
+	}
+}
+
+// What a failed call has missed counts as notified a fixed time after its start, or earlier if the
+// address changed.
+func TestFailureIsReportedWithItsDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		listDueIn  time.Duration // 0: the address has not changed
+		notifiedIn time.Duration // both from the start of the call
+	}{
+		"address unchanged": {0, policy.NotificationDeadline},
+		"address changed":   {addressChangeDeadline, addressChangeDeadline},
+		"list due later":    {time.Hour, policy.NotificationDeadline},
+		"list overdue":      {-time.Second, policy.NotificationDeadline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				watch := testFollower("discovery", false)
+				handler := newRecorder()
+				watch.handler, watch.watching = handler, true
+				startedAt := time.Now()
+				if c.listDueIn != 0 {
+					watch.listDue = startedAt.Add(c.listDueIn)
+				}
+				time.Sleep(time.Second) // the call
+				watch.reportFailure(&Error{Kind: Reset, Err: errors.New("reset")}, startedAt)
+				if notifiedIn := (<-handler.failed).Sub(startedAt); notifiedIn != c.notifiedIn {
+					t.Errorf("notified after %v, want %v", notifiedIn, c.notifiedIn)
+				}
+				if watch.watching {
+					t.Error("the next call waits for no request")
+				}
+			})
+		})
+	}
+}
+
+// An answer is reported by its kind: a complete list, changes, or nothing new.
+func TestListIsReportedByItsKind(t *testing.T) {
+	scripted := testkit.NewScriptedDiscovery(t)
+	handler := newRecorder()
+	client := New(Config{Address: scripted.Address})
+	go client.Run(t.Context(), handler)
+	const instances = `"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"Ready"}]}`
+	for _, answer := range []string{
+		`{"generation":1,` + instances, // the first one is complete
+		`{"generation":2,` + instances,
+		`{"generation":2,"instances":[]}`,
+		`{"generation":3,"reset":true,"instances":[]}`,
+	} {
+		testkit.Wait(t, scripted.Calls, "a call")
+		scripted.Answers <- answer
+	}
+	testkit.Wait(t, scripted.Calls, "the call after the last list")
+	var kinds []policy.UpdateKind
+	for len(handler.updates) > 0 {
+		kinds = append(kinds, <-handler.updates)
+	}
+	want := []policy.UpdateKind{policy.UpdateSnapshot, policy.UpdateDelta, policy.UpdateSnapshot}
+	if !slices.Equal(kinds, want) {
+		t.Errorf("updates %v, want %v", kinds, want)
+	}
+}
