Split the node's loop, handler and process life into files with one job each

Cause: loop.go, handler.go and node.go each did several jobs, events were anonymous closures, a response of status 0 meant that there was none, and Run started goroutines that nobody waited for.

Change: events are typed messages that say who sends them; host actions, the endpoint list, records of requests, parsing, responses and shutdown have files of their own; rejections are a typed error; a request's client connection is an interface; Run waits for the goroutines of the loop, attempts, pool and discovery. Names are the terms of the field. The order of events and host calls is unchanged.

--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -46,28 +46,28 @@
 			far, quiet := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
 			l := loopWith(t, func(pool *upstream.Config) { pool.ConnectTimeout = testkit.Patience },
 				far.Endpoint("late"), quiet.Endpoint("quiet"))
-			r := l.ofClass(c.class, present)
+			r := l.newRequest(c.class, staysConnected)
 			servers := []policy.ServerID{(&endpoint.Endpoint{InstanceID: "quiet"}).ServerID(), (&endpoint.Endpoint{InstanceID: "quiet"}).ServerID()}
 			servers[c.late] = (&endpoint.Endpoint{InstanceID: "late"}).ServerID()
 			l.then(t, func() {
-				r.id, r.answer = 1000, make(chan answer, 1)
-				r.deadline = time.NewTimer(time.Hour)
+				r.id, r.completion = 1000, make(chan completion, 1)
+				r.deadlineTimer = time.NewTimer(time.Hour)
 				l.requests[r.id] = r
 				l.Send(r.id, servers[0], 0)
 				if c.first != policy.Cancelled {
-					l.outcome(l.clock(), r, 0, upstream.Result{Status: c.first})
+					l.reportOutcome(l.clock(), r, 0, upstream.Result{Status: c.first})
 				}
 				if c.over { // by the time that the connection comes up
-					r.attempts[0].sent += 20*time.Millisecond - l.classes[keyed].KeyRetention
+					r.attempts[0].sentAt += 20*time.Millisecond - l.classes[keyed].KeyRetention
 				}
 				l.Send(r.id, servers[1], 0)
 			})
 			testkit.Until(t, "the window's end", func() bool { // which is under test
-				return !c.over || l.clock() >= r.attempts[0].sent+l.classes[keyed].KeyRetention
+				return !c.over || l.clock() >= r.attempts[0].sentAt+l.classes[keyed].KeyRetention
 			})
 			said := far.Admit()
 			testkit.Until(t, "the outcome", func() (told bool) {
-				l.then(t, func() { told = r.attempts[c.late].told })
+				l.then(t, func() { told = r.attempts[c.late].reported })
 				return told
 			})
 			if len(said) != map[bool]int{true: 1}[c.sent] {
@@ -78,11 +78,11 @@
 }
 
 // empty waits until nothing is open but idle connections to servers.
-func (f *frontend) empty(t *testing.T) {
+func (f *handler) empty(t *testing.T) {
 	t.Helper()
 	f.loop.open(t, 0, 0)
 	testkit.Until(t, "the connections' end", func() bool {
-		pool := f.loop.up.Stats()
+		pool := f.loop.pool.Stats()
 		return f.conns.Open() == 0 && pool.Open == pool.Idle()
 	})
 }
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -55,23 +55,34 @@
 func (l *loop) then(t *testing.T, what func()) {
 	t.Helper()
 	done := make(chan struct{})
-	l.post(func(time.Duration) { what(); close(done) })
+	l.post(eventFunc(func(time.Duration) { what(); close(done) }))
 	testkit.Wait(t, done, "the loop")
 }
 
-// present is a client that does not disconnect.
-func present() bool { return false }
+// eventFunc is an event of a test.
+type eventFunc func(now time.Duration)
+
+func (f eventFunc) handle(_ *loop, now time.Duration) { f(now) }
+
+// clientFunc is a client connection whose state a function tells.
+type clientFunc func() bool
+
+// ClientDisconnected implements clientConn.
+func (f clientFunc) ClientDisconnected() bool { return f() }
+
+// staysConnected is a client that does not disconnect.
+func staysConnected() bool { return false }
 
 func anyRequest() *upstream.Request {
 	return &upstream.Request{
 		Method: "POST", URL: &url.URL{Path: "/pay"}, Host: "x", Header: http.Header{}, Body: []byte("b"),
-		ResponseReadTimeout: answerSpan,
+		ResponseReadTimeout: maxResponseRead,
 	}
 }
 
 // ofClass makes a request as the frontend would.
-func (l *loop) ofClass(class int, gone func() bool) *request {
-	return &request{Request: *anyRequest(), class: class, end: l.clock() + time.Minute, gone: gone}
+func (l *loop) newRequest(class int, disconnected func() bool) *request {
+	return &request{Request: *anyRequest(), class: class, deadline: l.clock() + time.Minute, client: clientFunc(disconnected)}
 }
 
 // open waits until the loop has so many requests with so many attempts out.
@@ -82,7 +93,7 @@
 		l.then(t, func() {
 			for _, r := range l.requests {
 				n++
-				m += r.out
+				m += r.inFlight
 			}
 		})
 		if n == requests && m == out {
@@ -115,12 +126,12 @@
 	}
 	a, b := testkit.NewBackend(t, handle), testkit.NewBackend(t, testkit.OK)
 	l := loopWith(t, func(pool *upstream.Config) { pool.SettleDelay = 0 }, a.Endpoint("s-0"))
-	if x, _ := l.do(t.Context(), l.ofClass(2, present)); x.status != http.StatusOK {
+	if x, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); x.status != http.StatusOK {
 		t.Fatalf("status %d", x.status)
 	}
-	testkit.Until(t, "the connection to be pooled", func() bool { return l.up.Stats().Idle() == 1 })
-	answered := make(chan answer, 1)
-	go func() { x, _ := l.do(t.Context(), l.ofClass(2, present)); answered <- x }()
+	testkit.Until(t, "the connection to be pooled", func() bool { return l.pool.Stats().Idle() == 1 })
+	answered := make(chan response, 1)
+	go func() { x, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); answered <- x }()
 	l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{b.Endpoint("s-1")}) // another one could take it
 	if x := testkit.Wait(t, answered, "an answer"); x.status != http.StatusBadGateway {
 		t.Errorf("status %d", x.status)
@@ -134,11 +145,11 @@
 // An answer has half of its class's objective from its first byte to its last: a spoilt one on a
 // deployment with short times would else take the time of the next attempt.
 func TestSpoiltAnswerLeavesTimeForAnother(t *testing.T) {
-	for objective, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: answerSpan} {
+	for objective, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: maxResponseRead} {
 		cfg := testConfig(t, testkit.NewRegistry(t), deadlines(objective*4/3))
-		f := &frontend{cfg: cfg, loop: loopOf(t)}
+		f := newHandler(cfg, loopOf(t), nil)
 		n := &running{t: t, addr: "x"}
-		q, err := f.parse(nil, n.request("read"))
+		q, err := f.parse(n.request("read"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -210,7 +210,7 @@
 		}
 		go d.Run(t.Context(), l)
 		for range 5 { // no list, a refused call, a timer, the same again
-			testkit.Wait(t, l.events, "an event")(l.clock())
+			testkit.Wait(t, l.events, "an event").handle(l, l.clock())
 		}
 		back, err := net.Listen("tcp", addr)
 		if err != nil {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -26,15 +26,15 @@
 			t.Parallel()
 			far := testkit.NewStuckServer(t)
 			l := loopOf(t, far.Endpoint("s-0"))
-			answered := make(chan answer, 1)
-			go func() { a, _ := l.do(t.Context(), l.ofClass(2, present)); answered <- a }()
+			answered := make(chan response, 1)
+			go func() { a, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); answered <- a }()
 			l.open(t, 1, 1)
 			b := testkit.NewBackend(t, testkit.OK)
 			list := change([]endpoint.Endpoint{far.Endpoint("s-0"), b.Endpoint("s-1")})
 			l.UpdateEndpoints(policy.UpdateSnapshot, list)
 			l.then(t, func() {
 				for _, r := range l.requests {
-					if a := r.attempts[0]; !a.told || !a.call.Revoked() {
+					if a := r.attempts[0]; !a.reported || !a.call.Revoked() {
 						t.Error("the attempt may still be sent")
 					}
 				}
@@ -54,8 +54,8 @@
 func TestServerDrainsBeforeARetry(t *testing.T) {
 	a, b, c := testkit.NewBackend(t, testkit.ServerError), testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	l := loopOf(t, a.Endpoint("s-0"))
-	answered := make(chan answer, 1)
-	go func() { x, _ := l.do(t.Context(), l.ofClass(0, present)); answered <- x }()
+	answered := make(chan response, 1)
+	go func() { x, _ := l.submit(t.Context(), l.newRequest(0, staysConnected)); answered <- x }()
 	testkit.Wait(t, a.Requests, "the first attempt")
 	l.open(t, 1, 0)
 	drains := b.Endpoint("s-1")
--- /dev/null
+++ b/internal/node/endpoints.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/policy"
+)
+
+// The methods of discovery.Handler are called in the discovery client's goroutine.
+
+// UpdateEndpoints implements discovery.Handler. The pool learns the servers' addresses
+// before the balancer learns of the servers. Endpoints that have no ID, or need an address
+// and have none, are skipped.
+func (l *loop) UpdateEndpoints(kind policy.UpdateKind, list []endpoint.Endpoint) {
+	update := endpointsUpdated{kind: kind}
+	for _, e := range list {
+		if e.InstanceID == "" || (e.Address == "" && e.State() == policy.Ready) {
+			continue
+		}
+		update.usable = append(update.usable, e)
+		update.policy = append(update.policy, l.policyEndpoint(e))
+	}
+	l.post(update)
+}
+
+// EndpointsKnown implements discovery.Handler.
+func (l *loop) EndpointsKnown() { l.ready.Store(true) }
+
+// WatchFailed implements discovery.Handler.
+func (l *loop) WatchFailed(notifiedAt time.Time) { l.post(watchFailed{notifiedAt}) }
+
+// policyEndpoint converts an endpoint of discovery into the balancer's terms.
+func (l *loop) policyEndpoint(e endpoint.Endpoint) policy.Endpoint {
+	zone, configured := l.zones[e.Zone]
+	if !configured {
+		zone = len(l.zones) // the index of no zone
+	}
+	return policy.Endpoint{
+		Server:    e.ServerID(),
+		Zone:      zone,
+		Cell:      e.Cell,
+		State:     e.State(),
+		Weight:    max(0, e.Weight),
+		StartedAt: l.startedAt(e.StartedUnixMilli),
+	}
+}
+
+// startedAt maps a Unix time in milliseconds onto the loop's clock. The difference between
+// the two clocks is the same for good: a start time that changed would mean a restart.
+func (l *loop) startedAt(unixMilli float64) time.Duration {
+	if unixMilli <= 0 {
+		return 0
+	}
+	return max(0, time.UnixMilli(int64(unixMilli)).Sub(l.wallOrigin))
+}
+
+// revokedAttempt identifies an attempt of which nothing was or will be written.
+type revokedAttempt struct {
+	request *request
+	index   int
+}
+
+// revokeUnsent revokes the attempts at the given servers of which no byte has been written.
+// One that waits for its connection could be sent after the grace that a drain allows, or
+// reach another process at the same address.
+func (l *loop) revokeUnsent(servers map[policy.ServerID]bool) []revokedAttempt {
+	var revoked []revokedAttempt
+	for _, r := range l.requests {
+		for index, a := range r.attempts {
+			if !a.reported && servers[a.server] && a.call.Revoke() {
+				revoked = append(revoked, revokedAttempt{r, index})
+			}
+		}
+	}
+	return revoked
+}
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -172,15 +172,15 @@
 					list = append(list, held.Endpoint(fmt.Sprintf("s-%d", i)))
 				}
 				l := loopWith(t, func(pool *upstream.Config) { pool.MaxOpen = 2 }, list...)
-				answered := make(chan answer, 3)
+				answered := make(chan response, 3)
 				for range 2 {
-					go func() { x, _ := l.do(t.Context(), l.ofClass(0, present)); answered <- x }()
+					go func() { x, _ := l.submit(t.Context(), l.newRequest(0, staysConnected)); answered <- x }()
 					testkit.Wait(t, held.Requests, "a request at work")
 				}
-				last := l.ofClass(class, present)
-				last.end = l.clock() + 4*time.Second
-				further := make(chan answer, 1)
-				go func() { x, _ := l.do(t.Context(), last); further <- x }()
+				last := l.newRequest(class, staysConnected)
+				last.deadline = l.clock() + 4*time.Second
+				further := make(chan response, 1)
+				go func() { x, _ := l.submit(t.Context(), last); further <- x }()
 				if freed {
 					testkit.Until(t, "a try", func() (tried bool) {
 						l.then(t, func() { tried = len(last.attempts) > 0 })
@@ -207,7 +207,7 @@
 					}
 				}
 				l.open(t, 0, 0)
-				if x, _ := l.do(t.Context(), l.ofClass(class, present)); x.status != http.StatusOK {
+				if x, _ := l.submit(t.Context(), l.newRequest(class, staysConnected)); x.status != http.StatusOK {
 					t.Errorf("status %d once places are free", x.status)
 				}
 			})
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -24,7 +24,7 @@
 // served is a frontend on a socket, and the loop behind it.
 type served struct {
 	*running
-	front *frontend
+	front *handler
 	loop  *loop
 	conns sync.Map // *downstream.Conn by its client's address
 }
@@ -49,9 +49,7 @@
 	l.UpdateEndpoints(policy.UpdateSnapshot, list)
 	conns := downstreamConfig(400, 0)
 	conns.LingerTimeout = linger
-	s := &served{loop: l, front: &frontend{
-		cfg: cfg, loop: l, conns: downstream.NewConns(conns), open: map[string]struct{}{},
-	}}
+	s := &served{loop: l, front: newHandler(cfg, l, downstream.NewConns(conns))}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -104,9 +102,7 @@
 	s.t.Helper()
 	s.loop.open(s.t, 0, 0)
 	testkit.Until(s.t, "the ids to be free", func() bool {
-		s.front.mu.Lock()
-		defer s.front.mu.Unlock()
-		return len(s.front.open) == 0
+		return s.front.activeIDs.count() == 0
 	})
 }
 
@@ -115,7 +111,7 @@
 	s.t.Helper()
 	testkit.Until(s.t, "connections to come up", func() bool {
 		idle := 0
-		for _, server := range s.loop.up.Stats().Servers {
+		for _, server := range s.loop.pool.Stats().Servers {
 			if server.Address == addr.String() {
 				idle += server.Idle
 			}
@@ -129,13 +125,13 @@
 	r, on := make(chan struct{}), make(chan struct{})
 	release = sync.OnceFunc(func() { close(on) })
 	t.Cleanup(release)
-	l.post(func(time.Duration) { close(r); <-on })
+	l.post(eventFunc(func(time.Duration) { close(r); <-on }))
 	return r, release
 }
 
 // due moves the clock on past every retry and to where a hedged request is due, and looks.
 func (l *loop) due(time.Duration) {
-	l.zero = l.zero.Add(-200 * time.Second)
+	l.clockOrigin = l.clockOrigin.Add(-200 * time.Second)
 	l.balancer.Timer(l.clock(), 0)
 }
 
@@ -167,8 +163,8 @@
 		"held": {"pay", testkit.Silent(nil), 2, func(s *served) func(time.Duration) {
 			return func(now time.Duration) {
 				for _, r := range s.loop.requests {
-					if r.out > 0 { // one of the others: it makes room
-						s.loop.outcome(now, r, 0, upstream.Result{Status: policy.OK})
+					if r.inFlight > 0 { // one of the others: it makes room
+						s.loop.reportOutcome(now, r, 0, upstream.Result{Status: policy.OK})
 						return
 					}
 				}
@@ -210,15 +206,15 @@
 					reached, release := l.hold(t)
 					testkit.Wait(t, reached, "the loop")
 					r, looked := l.requests[l.lastID], make(chan bool, 10)
-					gone, last := r.gone, l.lastID
-					r.gone = func() bool { g := gone(); looked <- g; return g }
+					conn, last := r.client, l.lastID
+					r.client = clientFunc(func() bool { gone := conn.ClientDisconnected(); looked <- gone; return gone })
 					if heard {
 						release()
 						w.leave(client)
 						l.open(t, p.others, p.others)
-						l.post(p.due(s))
+						l.post(eventFunc(p.due(s)))
 					} else {
-						l.post(p.due(s))
+						l.post(eventFunc(p.due(s)))
 						behind, on := l.hold(t)
 						w.leave(client)
 						s.shows(client)
@@ -262,7 +258,7 @@
 				testkit.Wait(t, bad.Requests, "the first attempt")
 				l.open(t, 1, 0)
 				l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{far.Endpoint("s-0")})
-				l.post(l.due)
+				l.post(eventFunc(l.due))
 			}
 			l.open(t, 1, 1)
 			reached, release := l.hold(t)
@@ -326,13 +322,13 @@
 	}
 	testkit.Until(t, "the requests", func() bool { return len(l.events) == crowd })
 	var all []*request
-	l.post(func(time.Duration) {
+	l.post(eventFunc(func(time.Duration) {
 		for _, r := range l.requests {
 			all = append(all, r)
 		}
-	})
+	}))
 	for len(l.events) < cap(l.events)-crowd/3 {
-		l.post(func(time.Duration) {})
+		l.post(eventFunc(func(time.Duration) {}))
 	}
 	for i, leave := 0, []func(*net.TCPConn){
 		func(nc *net.TCPConn) { nc.Close() }, func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
@@ -379,8 +375,8 @@
 			all = append(all, r)
 			point := "held"
 			for _, a := range r.attempts {
-				switch addr := l.up.Stats().Servers[a.server].Address; {
-				case a.told:
+				switch addr := l.pool.Stats().Servers[a.server].Address; {
+				case a.reported:
 					point = "between"
 				case addr == far.Addr().String():
 					point = "dialling"
@@ -399,7 +395,7 @@
 		on()
 		return false
 	})
-	l.post(l.due)
+	l.post(eventFunc(l.due))
 	for _, client := range clients {
 		client.Close()
 	}
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -17,10 +17,10 @@
 	release := make(chan struct{})
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) { <-release; testkit.OK(w, r) })
 	l := loopOf(t, b.Endpoint("s-0"))
-	go l.do(t.Context(), l.ofClass(2, present))
+	go l.submit(t.Context(), l.newRequest(2, staysConnected))
 	testkit.Wait(t, b.Requests, "the first one")
 	leaves, leave := context.WithCancel(t.Context())
-	go l.do(leaves, l.ofClass(2, present))
+	go l.submit(leaves, l.newRequest(2, staysConnected))
 	l.open(t, 2, 1)
 	leave()
 	l.open(t, 1, 1)
@@ -37,15 +37,15 @@
 	release := make(chan struct{})
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) { <-release; testkit.OK(w, r) })
 	l := loopOf(t, b.Endpoint("s-0"))
-	go l.do(t.Context(), l.ofClass(2, present))
+	go l.submit(t.Context(), l.newRequest(2, staysConnected))
 	testkit.Wait(t, b.Requests, "the first one")
 	cs := downstream.NewConns(downstreamConfig(5, 0))
 	client, c := accepted(t, cs)
 	c.RequestComplete()
 	over := make(chan bool)
 	go func() {
-		_, ok := l.do(t.Context(), l.ofClass(2, c.ClientDisconnected)) // its context tells nothing
-		over <- ok
+		_, err := l.submit(t.Context(), l.newRequest(2, c.ClientDisconnected)) // its context tells nothing
+		over <- err == nil
 	}()
 	l.open(t, 2, 1)
 	io.WriteString(client, strings.Repeat("more ", 1000)) // bytes ahead hide the end
@@ -68,7 +68,7 @@
 	l := loopOf(t, far.Endpoint("s-0"))
 	leaves, leave := context.WithCancel(t.Context())
 	closed := func() bool { return leaves.Err() != nil }
-	go l.do(context.Background(), l.ofClass(2, closed)) // net/http has not seen it
+	go l.submit(context.Background(), l.newRequest(2, closed)) // net/http has not seen it
 	l.open(t, 1, 1)
 	leave()
 	said := far.Admit()
@@ -83,7 +83,7 @@
 	bs := firstFails(t, testkit.ServerError)
 	l := loopOf(t, bs[0].Endpoint("s-0"), bs[1].Endpoint("s-1"))
 	leaves, leave := context.WithCancel(t.Context())
-	go l.do(leaves, l.ofClass(0, present))
+	go l.submit(leaves, l.newRequest(0, staysConnected))
 	sends := func() int { return len(bs[0].Requests) + len(bs[1].Requests) }
 	for end := time.Now().Add(testkit.Patience); sends() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,14 +1,17 @@
-// Package node is the load balancer on real sockets: it carries out the
-// decisions of package policy and makes none of its own.
+// Package node is the load balancer on real sockets. It owns a node's parts from start to
+// graceful shutdown: the HTTP handler for clients, and the event loop that drives package
+// policy and carries out its actions over packages upstream and discovery. It makes no
+// balancing decision of its own, and only the loop's goroutine may touch the policy.Balancer.
+// The balancer program is its caller.
 package node
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"time"
+	"net/http"
+	"sync"
 
 	"calicohinge/internal/config"
 	"calicohinge/internal/discovery"
@@ -17,20 +20,13 @@
 )
 
 const (
-	ownDescriptors = 24   // standard streams, runtime, listener, discovery
-	serversPart    = 0.45 // of the other descriptors; those of clients may be silent or idle
-	// frontNotice is how long connections are still dealt to a node that stops,
-	// and how long none of its clients must have asked for it to stop early.
-	frontNotice = 500 * time.Millisecond
-	// A node is killed killSlack after the longest deadline from its being told to stop,
-	// but a deadline counts as killCap at most. It ends killMargin before that.
-	killCap    = 3 * time.Second
-	killSlack  = 700 * time.Millisecond
-	killMargin = 200 * time.Millisecond
-	// stopTail is the last part of a stop, in which nothing new is taken, and
-	// stopAnswers the end of that, in which what is still open is answered.
-	stopTail    = 300 * time.Millisecond
-	stopAnswers = 50 * time.Millisecond
+	ownDescriptors = 24 // standard streams, runtime, listener, discovery
+	// upstreamShare is the servers' share of the other descriptors. The clients get more:
+	// their connections may be silent or idle.
+	upstreamShare = 0.45
+	// reserveDivisor gives the part of the descriptors for clients over the limit, which
+	// are answered with a rejection.
+	reserveDivisor = 20
 )
 
 // Node is one load balancer. Create it with Listen.
@@ -40,82 +36,112 @@
 	discovery *discovery.Client
 }
 
-// Listen takes the node's address.
+// Listen opens the node's listener. Clients that connect wait until Run.
 func Listen(cfg *config.Config) (*Node, error) {
-	l, err := net.Listen("tcp", cfg.Listen)
+	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	client := discovery.New(discovery.Config{
 		Address: cfg.Discovery, Known: cfg.Known, Poll: cfg.Policy.PollEndpoints, DrainGrace: cfg.DrainGrace,
 	})
-	return &Node{cfg: cfg, listener: l, discovery: client}, nil
+	return &Node{cfg: cfg, listener: listener, discovery: client}, nil
 }
 
-// Addr is where the node listens.
+// Addr returns the address at which the node listens.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
-// MoveDiscovery has the node follow the list of servers at another address. One
-// caller at a time.
+// MoveDiscovery has the node follow the endpoint list at another address. It must not be
+// called concurrently.
 func (n *Node) MoveDiscovery(addr string) { n.discovery.Move(addr) }
 
-// Run serves until the context ends, then answers what was taken and returns.
+// Run serves until the context ends, then shuts down gracefully: it completes the requests
+// that were accepted. It returns an error if serving failed.
 func (n *Node) Run(ctx context.Context) error {
-	defer n.listener.Close()
-	inner, stop := context.WithCancel(context.Background())
-	defer stop()
-	free := n.cfg.Limits.Sockets - ownDescriptors
-	servers := int(serversPart * float64(free))
-	spare := free / 20
-	up := upstream.NewPool(upstreamConfig(n.cfg, servers))
-	loop, err := newLoop(inner, n.cfg, up, n.discovery)
+	defer func() { _ = n.listener.Close() }() // mostly closed before
+	// The node's parts outlive ctx, whose end only begins the shutdown.
+	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s, err := newService(partsCtx, n)
 	if err != nil {
+		cancel()
 		return err
 	}
-	conns := downstream.NewConns(downstreamConfig(free-servers-spare, spare))
-	front := &frontend{cfg: n.cfg, loop: loop, conns: conns, open: map[string]struct{}{}}
-	go loop.run()
-	go up.RetireIdle(inner)
-	go n.discovery.Run(inner, loop)
-
-	srv := front.server()
-	defer srv.Close()
-	listener := conns.Listener(n.listener)
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(listener) }()
+	defer s.stop(cancel)
+	s.start(partsCtx)
 	slog.Info("serving", "name", n.cfg.Name, "addr", n.Addr().String())
 	select {
-	case err := <-failed:
+	case err := <-s.serveResult:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	slog.Info("stopping")
-	began := time.Now()
-	front.stopping.Store(true)
-	whole := stopSpan(n.cfg)
-	// The clients here may have no other node to go to: they are served for as
-	// long as they ask and the stop may take.
-	for time.Since(began) < whole-stopTail && front.busySince(began) {
-		time.Sleep(10 * time.Millisecond)
-	}
-	front.draining.Store(true)
-	// Not http.Server.Shutdown: it drops requests that are just being read.
-	limit, cancel := context.WithDeadline(context.Background(), began.Add(whole))
-	defer cancel()
-	last := time.AfterFunc(time.Until(began.Add(whole-stopAnswers)), func() {
-		conns.StopReading() // first: each request that was read finds the loop answering
-		loop.abandon()
-	})
-	defer last.Stop()
-	// The listener goes last: closed before, it would reset the connections in its
-	// backlog, whose clients may have asked.
-	conns.Drain(limit)
-	listener.Close()
-	if err := <-failed; !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("serve: %w", err)
+	return s.shutdown(partsCtx)
+}
+
+// service is the parts of a node that runs, and the owner of their goroutines.
+type service struct {
+	cfg         *config.Config
+	listener    net.Listener // admits clients within the limits
+	discovery   *discovery.Client
+	pool        *upstream.Pool
+	loop        *loop
+	conns       *downstream.Conns
+	handler     *handler
+	server      *http.Server
+	serveResult chan error     // gets what server.Serve returned
+	parts       sync.WaitGroup // goroutines that end with the context of the parts
+}
+
+func newService(ctx context.Context, n *Node) (*service, error) {
+	limits := divideDescriptors(n.cfg.Limits.Sockets)
+	pool := upstream.NewPool(upstreamConfig(n.cfg, limits.upstream))
+	loop, err := newLoop(ctx, n.cfg, pool, n.discovery)
+	if err != nil {
+		return nil, err
 	}
-	conns.Drain(limit) // those that were accepted just then
-	return nil
+	conns := downstream.NewConns(downstreamConfig(limits.downstream, limits.reserve))
+	handler := newHandler(n.cfg, loop, conns)
+	return &service{
+		cfg:         n.cfg,
+		listener:    conns.Listener(n.listener),
+		discovery:   n.discovery,
+		pool:        pool,
+		loop:        loop,
+		conns:       conns,
+		handler:     handler,
+		server:      handler.server(),
+		serveResult: make(chan error, 1),
+	}, nil
+}
+
+// start starts the parts' goroutines, which end with ctx, and that of the HTTP server.
+func (s *service) start(ctx context.Context) {
+	s.parts.Go(s.loop.run)
+	s.parts.Go(func() { s.pool.RetireIdle(ctx) })
+	s.parts.Go(func() { s.discovery.Run(ctx, s.loop) })
+	go func() { s.serveResult <- s.server.Serve(s.listener) }()
+}
+
+// stop closes the connections that are left, ends the parts and waits for their goroutines.
+// That of Serve has ended by then; those of handlers end with their connections and the loop.
+func (s *service) stop(cancelParts context.CancelFunc) {
+	_ = s.server.Close() // of the listener, again
+	cancelParts()
+	s.parts.Wait()
+}
+
+// connectionLimits are the largest numbers of connections that may be open.
+type connectionLimits struct {
+	upstream   int // to servers
+	downstream int // from clients
+	reserve    int // from clients over the limit
+}
+
+// divideDescriptors divides the file descriptors of a node among its connections.
+func divideDescriptors(descriptors int) connectionLimits {
+	available := descriptors - ownDescriptors
+	servers := int(upstreamShare * float64(available))
+	reserve := available / reserveDivisor
+	return connectionLimits{upstream: servers, downstream: available - servers - reserve, reserve: reserve}
 }
 
 func upstreamConfig(cfg *config.Config, maxOpen int) upstream.Config {
@@ -131,13 +157,3 @@
 		ReadTimeout: readTimeout, LingerTimeout: downstream.DefaultLingerTimeout,
 	}
 }
-
-// stopSpan is how long a stop may take. A request that is open for longer than that is
-// answered at its end, as failed if it has to be: the node would be killed under it.
-func stopSpan(c *config.Config) time.Duration {
-	longest := time.Duration(0)
-	for _, class := range c.Policy.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	return min(longest, killCap) + killSlack - killMargin
-}
--- /dev/null
+++ b/internal/node/request.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"time"
+
+	"calicohinge/internal/upstream"
+	"calicohinge/policy"
+)
+
+// clientConn is the connection of the client that waits for a request's response.
+type clientConn interface {
+	// ClientDisconnected reports whether the client has disconnected by now, however many
+	// events still wait for the loop. Any goroutine may call it.
+	ClientDisconnected() bool
+}
+
+// request is a client's request that has no final response yet, or an attempt in flight.
+type request struct {
+	upstream.Request
+	class, tenant int           // indexes into policy.Settings
+	costHint      time.Duration // 0: unknown
+	deadline      time.Duration // on the loop's clock: when the response must be on its way
+	client        clientConn
+	completion    chan completion // has capacity for the only one
+
+	// Only the goroutine of loop.run uses the fields below.
+	id            policy.RequestID
+	attempts      []*attempt
+	inFlight      int  // attempts with no outcome yet
+	completed     bool // it has its final response, or its client has disconnected
+	deadlineTimer *time.Timer
+}
+
+// completion is how a request ended for its client: with a response, or an error if there is none.
+type completion struct {
+	response response
+	err      error
+}
+
+// attempt is one send of a request. Only the goroutine of loop.run uses it.
+type attempt struct {
+	call     *upstream.Call
+	server   policy.ServerID
+	sentAt   time.Duration // on the loop's clock
+	reported bool          // the balancer has its outcome
+	neverRan bool          // by that outcome
+	timer    *time.Timer   // ends the attempt; nil: only the request's deadline does
+}
--- /dev/null
+++ b/internal/node/response.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// response is the final response to a request.
+type response struct {
+	status     int
+	header     http.Header   // end-to-end fields
+	body       []byte        // complete
+	retryAfter time.Duration // 0: no Retry-After
+}
+
+// writeResponse writes a final response.
+func writeResponse(w http.ResponseWriter, final response) {
+	header := w.Header()
+	for name, values := range final.header {
+		header[name] = values
+	}
+	if final.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(final.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	header.Set("Content-Length", strconv.Itoa(len(final.body)))
+	w.WriteHeader(final.status)
+	_, _ = w.Write(final.body) // a client that has disconnected is none to respond to
+}
+
+// writeText writes a response of plain text with status 200.
+func writeText(w http.ResponseWriter, text string) {
+	_, _ = io.WriteString(w, text) // as in writeResponse
+}
+
+// writeRejection answers a request that is not forwarded. The rest of its body is not
+// waited for: the connection closes.
+func writeRejection(w http.ResponseWriter, r *http.Request, err error) {
+	var rejection *rejectionError
+	if !errors.As(err, &rejection) {
+		rejection = badRequest("the body can't be read") // err is from its reader
+	}
+	if rejection.allow != "" {
+		w.Header().Set("Allow", rejection.allow)
+	}
+	if r.ContentLength != 0 || !r.ProtoAtLeast(1, 1) {
+		w.Header().Set("Connection", "close")
+	}
+	http.Error(w, rejection.reason, rejection.status)
+}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -17,7 +17,7 @@
 	for deadline, kill := range map[int]time.Duration{
 		160: 860 * time.Millisecond, 3000: 3700 * time.Millisecond, 60000: 3700 * time.Millisecond,
 	} {
-		span := stopSpan(testConfig(t, testkit.NewRegistry(t), deadlines(deadline)))
+		span := shutdownGracePeriod(testConfig(t, testkit.NewRegistry(t), deadlines(deadline)))
 		if span >= kill || span <= kill-300*time.Millisecond {
 			t.Errorf("deadline %d ms: stops in %v, killed after %v", deadline, span, kill)
 		}
@@ -44,7 +44,7 @@
 	if err != nil || resp.StatusCode != http.StatusBadGateway {
 		t.Fatalf("answered with %v, %v", resp, err)
 	}
-	if took := time.Since(began); took >= killCap+killSlack {
+	if took := time.Since(began); took >= killDeadlineCap+killDeadlineExtra {
 		t.Errorf("answered after %v: the node was killed before", took)
 	}
 	if err := testkit.Wait(t, n.done, "the end"); err != nil {
@@ -88,7 +88,7 @@
 					t.Fatalf("answered with %v, %v", resp, err)
 				}
 			}
-			if took := time.Since(began); took >= killCap+killSlack {
+			if took := time.Since(began); took >= killDeadlineCap+killDeadlineExtra {
 				t.Errorf("answered after %v", took)
 			}
 		})
@@ -117,9 +117,9 @@
 func TestRequestBehindTheLastAnswers(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	l := loopOf(t, b.Endpoint("s-0"))
-	l.abandon()
-	a, ok := l.do(t.Context(), l.ofClass(2, present))
-	if !ok || a.status != http.StatusServiceUnavailable || len(b.Requests) > 0 {
-		t.Errorf("answer %+v, %v; %d sends", a, ok, len(b.Requests))
+	l.terminateAll()
+	a, err := l.submit(t.Context(), l.newRequest(2, staysConnected))
+	if err != nil || a.status != http.StatusServiceUnavailable || len(b.Requests) > 0 {
+		t.Errorf("answer %+v, %v; %d sends", a, err, len(b.Requests))
 	}
 }
