downstream: give the connection set's fields and steps standard names

Change: rename unexported identifiers only; no statement changes. Result: go test -race ./internal/downstream passes.

--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -20,16 +20,16 @@
 )
 
 const (
-	// silentGrace is how long a new connection that says nothing is kept where
+	// silentGracePeriod is how long a new connection that says nothing is kept where
 	// others want its place. A client connects because it has something to ask.
-	silentGrace = 20 * time.Millisecond
-	// partGrace is the same for one that has sent a part of a request.
-	partGrace = 150 * time.Millisecond
+	silentGracePeriod = 20 * time.Millisecond
+	// partialGracePeriod is the same for one that has sent a part of a request.
+	partialGracePeriod = 150 * time.Millisecond
 	// DefaultLingerTimeout is how long a client may take to close a connection whose last answer is out.
 	DefaultLingerTimeout = 500 * time.Millisecond
 )
 
-var errTooFarAhead = errors.New("more than a whole request came ahead of an answer")
+var errReadAheadFull = errors.New("more than a whole request came ahead of an answer")
 
 // Config is what Conns is told at its creation.
 type Config struct {
@@ -49,23 +49,23 @@
 // A newcomer waits only while one of the others is about to come of age. Where all are
 // at work it is answered with a refusal, as long as spare descriptors last.
 type Conns struct {
-	config  Config
-	changed chan struct{} // poked when one ends or changes its phase
-	ended   chan struct{} // closed with the listener
-	endOnce sync.Once
-
-	mu       sync.Mutex
-	open     int
-	silent   list.List // of *Conn that has sent nothing yet, the longest first
-	partial  list.List // the same of those with a part of a request
-	idle     list.List // and of those between two requests
-	draining bool
-	ending   bool // nothing is read any more
+	config            Config
+	changed           chan struct{} // poked when one ends or changes its phase
+	listenerClosed    chan struct{} // closed with the listener
+	closeListenerOnce sync.Once
+
+	mu             sync.Mutex
+	open           int
+	silent         list.List // of *Conn that has sent nothing yet, the longest first
+	partial        list.List // the same of those with a part of a request
+	idle           list.List // and of those between two requests
+	draining       bool
+	readingStopped bool // nothing is read any more
 }
 
 // NewConns makes an empty set of connections.
 func NewConns(config Config) *Conns {
-	return &Conns{config: config, changed: make(chan struct{}, 1), ended: make(chan struct{})}
+	return &Conns{config: config, changed: make(chan struct{}, 1), listenerClosed: make(chan struct{})}
 }
 
 // Open counts the connections.
@@ -78,19 +78,19 @@
 // Conn is a connection that counts. It is in one of the lists, or at work.
 type Conn struct {
 	net.Conn
-	raw   syscall.RawConn
-	conns *Conns
-	over  bool // accepted over the cap
+	raw       syscall.RawConn
+	conns     *Conns
+	overLimit bool // accepted over the cap
 
 	// The fields below are guarded by conns.mu.
-	in    *list.List
-	place *list.Element
-	since time.Time // in this list
-	ahead []byte    // what came while it was at work
-	ended error     // what reading met when the client left
-	last  bool      // it has had its last answer: nothing is read any more
-	shut  bool
-	head  bool // the head of a request is being read
+	queue       *list.List
+	element     *list.Element
+	since       time.Time // in this list
+	readAhead   []byte    // what came while it was at work
+	readErr     error     // what reading met when the client left
+	lingering   bool      // it has had its last answer: nothing is read any more
+	closed      bool
+	readingHead bool // the head of a request is being read
 }
 
 // Read implements net.Conn. The bytes leave the socket under the same lock as the
@@ -113,60 +113,60 @@
 	cs := c.conns
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if c.shut {
+	if c.closed {
 		return 0, true, net.ErrClosed
 	}
 	// By reading a single byte net/http watches for the client's leaving, from a request's last
 	// byte on: a body is read in larger pieces. It may come before RequestComplete is called.
-	if c.in == nil || len(p) == 1 && !c.head {
+	if c.queue == nil || len(p) == 1 && !c.readingHead {
 		switch {
-		case c.last && sockstate.Peek(c.Conn) == sockstate.Closed:
+		case c.lingering && sockstate.Peek(c.Conn) == sockstate.Closed:
 			return 0, true, io.EOF
-		case !c.last && !cs.ending:
-			c.pull(fd)
+		case !c.lingering && !cs.readingStopped:
+			c.fillReadAhead(fd)
 		}
-		return 0, c.ended != nil, c.ended
+		return 0, c.readErr != nil, c.readErr
 	}
 	switch {
-	case len(c.ahead) > 0: // was taken, and is answered also by a node that ends
-		n = copy(p, c.ahead)
-		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-			c.ahead = nil
+	case len(c.readAhead) > 0: // was taken, and is answered also by a node that ends
+		n = copy(p, c.readAhead)
+		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
+			c.readAhead = nil
 		}
-	case c.ended != nil:
-		return 0, true, c.ended
-	case cs.ending:
+	case c.readErr != nil:
+		return 0, true, c.readErr
+	case cs.readingStopped:
 		return 0, true, net.ErrClosed
 	default:
-		if n, err = readNow(fd, p); err != nil {
-			c.ended = err
+		if n, err = readNonBlocking(fd, p); err != nil {
+			c.readErr = err
 			return 0, true, err
 		}
 	}
-	if n > 0 && (c.in == &cs.silent || c.in == &cs.idle) {
+	if n > 0 && (c.queue == &cs.silent || c.queue == &cs.idle) {
 		cs.move(c, &cs.partial)
 	}
 	return n, n > 0, nil
 }
 
-// pull takes in what came while a request is at work; conns.mu is held.
-func (c *Conn) pull(fd int) {
+// fillReadAhead takes in what came while a request is at work; conns.mu is held.
+func (c *Conn) fillReadAhead(fd int) {
 	var p [4096]byte
-	for c.ended == nil {
-		n, err := readNow(fd, p[:])
-		switch c.ahead = append(c.ahead, p[:n]...); {
+	for c.readErr == nil {
+		n, err := readNonBlocking(fd, p[:])
+		switch c.readAhead = append(c.readAhead, p[:n]...); {
 		case err != nil:
-			c.ended = err
-		case len(c.ahead) > c.conns.config.MaxReadAhead:
-			c.ended = errTooFarAhead
+			c.readErr = err
+		case len(c.readAhead) > c.conns.config.MaxReadAhead:
+			c.readErr = errReadAheadFull
 		case n == 0:
 			return
 		}
 	}
 }
 
-// readNow reads without waiting: 0 and no error if nothing is there.
-func readNow(fd int, p []byte) (int, error) {
+// readNonBlocking reads without waiting: 0 and no error if nothing is there.
+func readNonBlocking(fd int, p []byte) (int, error) {
 	for {
 		switch n, err := syscall.Read(fd, p); {
 		case err == syscall.EINTR:
@@ -189,40 +189,40 @@
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	switch {
-	case c.shut || c.ended != nil:
+	case c.closed || c.readErr != nil:
 		return true
-	case c.in != nil:
+	case c.queue != nil:
 		return false // its attempts are revoked
-	case c.conns.ending:
+	case c.conns.readingStopped:
 		return sockstate.Peek(c.Conn) == sockstate.Closed
 	}
-	if err := c.raw.Control(func(fd uintptr) { c.pull(int(fd)) }); err != nil {
+	if err := c.raw.Control(func(fd uintptr) { c.fillReadAhead(int(fd)) }); err != nil {
 		return true
 	}
-	return c.ended != nil
+	return c.readErr != nil
 }
 
 // OverLimit reports whether the connection was accepted over the limit.
-func (c *Conn) OverLimit() bool { return c.over }
+func (c *Conn) OverLimit() bool { return c.overLimit }
 
 // Closed reports whether the connection has been closed by this node.
 func (c *Conn) Closed() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	return c.shut
+	return c.closed
 }
 
 // Lingering reports whether the connection has had its last answer.
 func (c *Conn) Lingering() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	return c.last
+	return c.lingering
 }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.conns.mu.Lock()
-	first := c.conns.shut(c)
+	first := c.conns.close(c)
 	c.conns.mu.Unlock()
 	if !first {
 		return nil
@@ -242,7 +242,7 @@
 // while. A close of ours over bytes that arrive is a reset: what of the answer is on its way is lost.
 func (c *Conn) LingeringClose(ctx context.Context) {
 	c.conns.mu.Lock()
-	c.last = true
+	c.lingering = true
 	c.conns.mu.Unlock()
 	c.CloseWrite()
 	select {
@@ -255,46 +255,46 @@
 func (c *Conn) RequestComplete() {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if !c.shut {
+	if !c.closed {
 		c.conns.move(c, nil)
 	}
 }
 
-// shut bars a connection from being read, once, and gives its place back; cs.mu is
+// close bars a connection from being read, once, and gives its place back; cs.mu is
 // held. The caller closes the socket with the lock released.
-func (cs *Conns) shut(c *Conn) bool {
-	if c.shut {
+func (cs *Conns) close(c *Conn) bool {
+	if c.closed {
 		return false
 	}
-	c.shut = true
-	c.ahead = nil
+	c.closed = true
+	c.readAhead = nil
 	cs.open--
 	cs.move(c, nil)
 	return true
 }
 
-// shutIdle is shut for a connection between two requests, unless its client has
+// closeIdle is shut for a connection between two requests, unless its client has
 // asked again: that request is taken.
-func (cs *Conns) shutIdle(c *Conn) bool {
+func (cs *Conns) closeIdle(c *Conn) bool {
 	if sockstate.Peek(c.Conn) == sockstate.Readable {
 		cs.move(c, &cs.partial)
 		return false
 	}
-	return cs.shut(c)
+	return cs.close(c)
 }
 
 // move puts a connection into a list, or nil for one at work; cs.mu is held.
 func (cs *Conns) move(c *Conn, to *list.List) {
-	if c.in == &cs.idle && to == &cs.partial { // net/http waits for four bytes in the idle time
+	if c.queue == &cs.idle && to == &cs.partial { // net/http waits for four bytes in the idle time
 		c.SetReadDeadline(time.Now().Add(cs.config.ReadTimeout))
 	}
-	if c.in != nil {
-		c.in.Remove(c.place)
+	if c.queue != nil {
+		c.queue.Remove(c.element)
 	}
-	c.in, c.place, c.since = to, nil, time.Now()
-	c.head = to == &cs.partial
+	c.queue, c.element, c.since = to, nil, time.Now()
+	c.readingHead = to == &cs.partial
 	if to != nil {
-		c.place = to.PushBack(c)
+		c.element = to.PushBack(c)
 	}
 	select {
 	case cs.changed <- struct{}{}:
@@ -310,35 +310,35 @@
 	case s == http.StateActive:
 		cs.mu.Lock()
 		defer cs.mu.Unlock()
-		c.head = false
-	case s == http.StateIdle && cs.rest(c):
+		c.readingHead = false
+	case s == http.StateIdle && cs.requestFinished(c):
 		c.Conn.Close()
 	}
 }
 
-// rest takes note that a request is over; true if the connection is to be closed.
-func (cs *Conns) rest(c *Conn) bool {
+// requestFinished takes note that a request is over; true if the connection is to be closed.
+func (cs *Conns) requestFinished(c *Conn) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch {
-	case c.shut:
-	case len(c.ahead) > 0: // the next request, or a part of it
+	case c.closed:
+	case len(c.readAhead) > 0: // the next request, or a part of it
 		cs.move(c, &cs.partial)
 	case cs.draining:
-		return cs.shutIdle(c)
+		return cs.closeIdle(c)
 	default:
 		cs.move(c, &cs.idle)
 	}
 	return false
 }
 
-// oldest gives the connection that has to make room first, and in how long it
+// evictionCandidate gives the connection that has to make room first, and in how long it
 // may be asked to; nil if all are at work. cs.mu is held.
-func (cs *Conns) oldest() (first *Conn, wait time.Duration) {
+func (cs *Conns) evictionCandidate() (first *Conn, wait time.Duration) {
 	now := time.Now()
 	for e := cs.silent.Front(); e != nil; e = cs.silent.Front() {
 		c := e.Value.(*Conn)
-		if now.Sub(c.since) < silentGrace || sockstate.Peek(c.Conn) == sockstate.Quiet {
+		if now.Sub(c.since) < silentGracePeriod || sockstate.Peek(c.Conn) == sockstate.Quiet {
 			break
 		}
 		cs.move(c, &cs.partial) // it has spoken: this node was too busy to listen
@@ -353,7 +353,7 @@
 	for _, l := range []struct {
 		conns *list.List
 		grace time.Duration
-	}{{&cs.silent, silentGrace}, {&cs.idle, 0}, {&cs.partial, partGrace}} {
+	}{{&cs.silent, silentGracePeriod}, {&cs.idle, 0}, {&cs.partial, partialGracePeriod}} {
 		if e := l.conns.Front(); e != nil {
 			c := e.Value.(*Conn)
 			if left := l.grace - now.Sub(c.since); first == nil || left < wait {
@@ -381,23 +381,23 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for cs.open >= cs.config.MaxOpen {
-		first, wait := cs.oldest()
+		first, wait := cs.evictionCandidate()
 		if first == nil {
 			if cs.open >= cs.config.MaxOpen+cs.config.Reserve {
 				return nil
 			}
-			c.over = true
+			c.overLimit = true
 			break
 		}
 		if wait <= 0 {
-			cs.shut(first)
+			cs.close(first)
 			cs.mu.Unlock()
 			first.Conn.Close()
 			cs.mu.Lock()
 			continue
 		}
 		cs.mu.Unlock()
-		stopped := cs.pause(wait)
+		stopped := cs.waitForChange(wait)
 		cs.mu.Lock()
 		if stopped {
 			return nil
@@ -408,14 +408,14 @@
 	return c
 }
 
-// pause waits until something changes, for so long at most; true if the listener ended.
-func (cs *Conns) pause(most time.Duration) bool {
+// waitForChange waits until something changes, for so long at most; true if the listener ended.
+func (cs *Conns) waitForChange(most time.Duration) bool {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-cs.changed:
-	case <-cs.ended:
+	case <-cs.listenerClosed:
 		return true
 	}
 	return false
@@ -427,7 +427,7 @@
 	defer cs.mu.Unlock()
 	cs.draining = true
 	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
-		if c := e.Value.(*Conn); cs.shutIdle(c) {
+		if c := e.Value.(*Conn); cs.closeIdle(c) {
 			cs.mu.Unlock()
 			c.Conn.Close()
 			cs.mu.Lock()
@@ -448,20 +448,20 @@
 func (cs *Conns) StopReading() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.ending = true
+	cs.readingStopped = true
 }
 
 // Listener returns a listener that admits what inner accepts.
-func (cs *Conns) Listener(inner net.Listener) net.Listener { return cappedListener{inner, cs} }
+func (cs *Conns) Listener(inner net.Listener) net.Listener { return admittingListener{inner, cs} }
 
-// cappedListener counts what it accepts.
-type cappedListener struct {
+// admittingListener counts what it accepts.
+type admittingListener struct {
 	net.Listener
 	conns *Conns
 }
 
 // Accept implements net.Listener.
-func (l cappedListener) Accept() (net.Conn, error) {
+func (l admittingListener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
@@ -475,7 +475,7 @@
 }
 
 // Close implements net.Listener.
-func (l cappedListener) Close() error {
-	l.conns.endOnce.Do(func() { close(l.conns.ended) })
+func (l admittingListener) Close() error {
+	l.conns.closeListenerOnce.Do(func() { close(l.conns.listenerClosed) })
 	return l.Listener.Close()
 }
--- a/internal/downstream/conns_test.go
+++ b/internal/downstream/conns_test.go
@@ -24,8 +24,8 @@
 	})
 }
 
-// sees waits until a connection shows a state.
-func sees(t *testing.T, nc net.Conn, want sockstate.State) {
+// waitForState waits until a connection shows a state.
+func waitForState(t *testing.T, nc net.Conn, want sockstate.State) {
 	t.Helper()
 	testkit.Until(t, "the connection to be "+want.String(), func() bool { return sockstate.Peek(nc) == want })
 }
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	conns := newTestConns(1)
-	capped := cappedListener{l, conns}
+	capped := admittingListener{l, conns}
 	defer capped.Close()
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	conns.mu.Lock()
-	nc.(*Conn).shut = true // as by one that reads at the same time
+	nc.(*Conn).closed = true // as by one that reads at the same time
 	conns.mu.Unlock()
 	io.WriteString(client, "GET")
 	if n, err := nc.Read(make([]byte, 10)); n != 0 || err == nil {
@@ -69,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	capped := cappedListener{l, newTestConns(1)}
+	capped := admittingListener{l, newTestConns(1)}
 	defer capped.Close()
 	dial := func(say string) net.Conn {
 		client, err := net.Dial("tcp", l.Addr().String())
@@ -88,12 +88,12 @@
 	dial("GET /read")
 	began := time.Now()
 	dial("")
-	if took := time.Since(began); took < partGrace {
+	if took := time.Since(began); took < partialGracePeriod {
 		t.Errorf("the first one was shut after %v like a silent one", took)
 	}
 	began = time.Now()
 	dial("")
-	if took := time.Since(began); took < silentGrace {
+	if took := time.Since(began); took < silentGracePeriod {
 		t.Errorf("a silent one was shut after %v", took)
 	}
 }
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cs := newTestConns(5)
-			client, c := accepted(t, cs)
+			client, c := acceptConn(t, cs)
 			state(cs, c)
 			ended := make(chan error, 1)
 			go func() { _, err := c.Read(make([]byte, 10)); ended <- err }()
@@ -118,7 +118,7 @@
 				t.Fatalf("reading ended with %v", err)
 			}
 			io.WriteString(client, "GET")
-			sees(t, c.Conn, sockstate.Readable)
+			waitForState(t, c.Conn, sockstate.Readable)
 			if n, err := c.Read(p); n != 0 || !testkit.IsTimeout(err) || sockstate.Peek(c.Conn) != sockstate.Readable {
 				t.Errorf("%d bytes and %v after its time", n, err)
 			}
@@ -135,7 +135,7 @@
 func TestFirstByteBeginsARequestsTime(t *testing.T) {
 	t.Parallel()
 	cs := newTestConns(5)
-	client, c := accepted(t, cs)
+	client, c := acceptConn(t, cs)
 	c.RequestComplete()
 	cs.ConnState(c, http.StateIdle)
 	c.SetReadDeadline(time.Now().Add(time.Hour)) // as net/http would by its idle time
@@ -154,10 +154,10 @@
 // it; a client that goes on and on is given up.
 func TestBytesAheadAreBounded(t *testing.T) {
 	cs := newTestConns(5)
-	client, c := accepted(t, cs)
+	client, c := acceptConn(t, cs)
 	c.RequestComplete()
 	io.WriteString(client, "next")
-	sees(t, c.Conn, sockstate.Readable)
+	waitForState(t, c.Conn, sockstate.Readable)
 	if c.ClientDisconnected() {
 		t.Fatal("taken for gone")
 	}
@@ -173,8 +173,8 @@
 			t.Fatal("kept without an end")
 		}
 	}
-	if len(c.ahead) > maxReadAhead+4096 {
-		t.Errorf("%d bytes are kept", len(c.ahead))
+	if len(c.readAhead) > maxReadAhead+4096 {
+		t.Errorf("%d bytes are kept", len(c.readAhead))
 	}
 }
 
@@ -182,18 +182,18 @@
 // the last look nobody waits for it.
 func TestClientAsksAndGoesAtOnce(t *testing.T) {
 	cs := newTestConns(5)
-	client, c := accepted(t, cs)
+	client, c := acceptConn(t, cs)
 	c.RequestComplete()
 	cs.ConnState(c, http.StateIdle)
 	io.WriteString(client, "GET")
 	client.Close()
-	sees(t, c.Conn, sockstate.Readable)
+	waitForState(t, c.Conn, sockstate.Readable)
 	p := make([]byte, 10)
 	if n, err := c.Read(p); string(p[:n]) != "GET" || err != nil {
 		t.Fatalf("read %q, %v", p[:n], err)
 	}
 	c.RequestComplete()
-	sees(t, c.Conn, sockstate.Closed)
+	waitForState(t, c.Conn, sockstate.Closed)
 	if !c.ClientDisconnected() {
 		t.Error("the client is not seen to be gone")
 	}
@@ -209,28 +209,28 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cs := newTestConns(5)
-			client, c := accepted(t, cs)
+			client, c := acceptConn(t, cs)
 			c.RequestComplete()
 			state(cs, c)
 			if c.ClientDisconnected() {
 				t.Error("a silent client is taken for gone")
 			}
 			io.WriteString(client, "GET")
-			sees(t, c.Conn, sockstate.Readable)
+			waitForState(t, c.Conn, sockstate.Readable)
 			if c.ClientDisconnected() || sockstate.Peek(c.Conn) != sockstate.Readable {
 				t.Error("the next request was read, or its client is taken for gone")
 			}
-			if cs.Drain(ended()); c.shut {
+			if cs.Drain(canceledContext()); c.closed {
 				t.Error("the connection was shut as idle with a request on it")
 			}
 		})
 	}
 	cs := newTestConns(5)
-	client, c := accepted(t, cs)
+	client, c := acceptConn(t, cs)
 	c.RequestComplete()
 	cs.StopReading()
 	client.Close()
-	sees(t, c.Conn, sockstate.Closed)
+	waitForState(t, c.Conn, sockstate.Closed)
 	if !c.ClientDisconnected() {
 		t.Error("in the end of a stop a client that left is not seen to be gone")
 	}
@@ -241,7 +241,7 @@
 // handed none, or it would stop watching and an attempt that is out would not be given up.
 func TestWatchForTheClientIsHandedNothing(t *testing.T) {
 	cs := newTestConns(5)
-	client, c := accepted(t, cs)
+	client, c := acceptConn(t, cs)
 	io.WriteString(client, "head")
 	p := make([]byte, 2)
 	for _, want := range []string{"he", "a", "d"} { // of a head any piece is handed on
@@ -258,8 +258,8 @@
 	if n, err := c.Read(p[:1]); n != 0 || err != io.EOF {
 		t.Errorf("the watch got %d bytes, %v", n, err)
 	}
-	if string(c.ahead) != " and more" {
-		t.Errorf("%q is kept for the next request", c.ahead)
+	if string(c.readAhead) != " and more" {
+		t.Errorf("%q is kept for the next request", c.readAhead)
 	}
 }
 
@@ -267,23 +267,23 @@
 // then is not idle any more, though nobody has read a byte of it yet.
 func TestIdleConnectionAsksAsItIsShut(t *testing.T) {
 	for name, shut := range map[string]func(cs *Conns, c *Conn){
-		"by a stop":        func(cs *Conns, c *Conn) { cs.Drain(ended()) },
+		"by a stop":        func(cs *Conns, c *Conn) { cs.Drain(canceledContext()) },
 		"after its answer": func(cs *Conns, c *Conn) { c.RequestComplete(); cs.draining = true; cs.ConnState(c, http.StateIdle) },
 		"by a newcomer": func(cs *Conns, c *Conn) {
 			cs.mu.Lock()
 			defer cs.mu.Unlock()
-			if first, _ := cs.oldest(); first != c || first.in != &cs.partial {
+			if first, _ := cs.evictionCandidate(); first != c || first.queue != &cs.partial {
 				t.Errorf("the connection that makes room is %v", first)
 			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cs := newTestConns(5)
-			client, c := accepted(t, cs)
+			client, c := acceptConn(t, cs)
 			c.RequestComplete()
 			cs.ConnState(c, http.StateIdle)
 			io.WriteString(client, "GET")
-			sees(t, c.Conn, sockstate.Readable)
+			waitForState(t, c.Conn, sockstate.Readable)
 			shut(cs, c)
 			p := make([]byte, 10)
 			if n, err := c.Read(p); string(p[:n]) != "GET" || err != nil {
@@ -292,10 +292,10 @@
 		})
 	}
 	cs := newTestConns(5) // and one that says nothing is shut
-	_, c := accepted(t, cs)
+	_, c := acceptConn(t, cs)
 	c.RequestComplete()
 	cs.ConnState(c, http.StateIdle)
-	cs.Drain(ended())
+	cs.Drain(canceledContext())
 	if _, err := c.Read(make([]byte, 1)); err == nil {
 		t.Error("an idle connection outlasts a stop")
 	}
@@ -311,11 +311,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cs := newTestConns(5)
-			client, c := accepted(t, cs)
+			client, c := acceptConn(t, cs)
 			state(cs, c)
 			cs.StopReading()
 			io.WriteString(client, "GET")
-			sees(t, c.Conn, sockstate.Readable)
+			waitForState(t, c.Conn, sockstate.Readable)
 			cs.ConnState(c, http.StateIdle)
 			if n, err := c.Read(make([]byte, 10)); n != 0 || err == nil {
 				t.Errorf("read %d bytes, %v", n, err)
@@ -326,10 +326,10 @@
 		})
 	}
 	cs := newTestConns(5)
-	client, c := accepted(t, cs)
+	client, c := acceptConn(t, cs)
 	c.RequestComplete()
 	io.WriteString(client, "GET")
-	sees(t, c.Conn, sockstate.Readable)
+	waitForState(t, c.Conn, sockstate.Readable)
 	if c.ClientDisconnected() {
 		t.Fatal("taken for gone") // and the bytes are read
 	}
@@ -341,14 +341,14 @@
 	}
 }
 
-// accepted gives both ends of a connection that counts, in place of an idle one.
-func accepted(t *testing.T, conns *Conns) (client net.Conn, node *Conn) {
+// acceptConn gives both ends of a connection that counts, in place of an idle one.
+func acceptConn(t *testing.T, conns *Conns) (client net.Conn, node *Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	capped := cappedListener{l, conns}
+	capped := admittingListener{l, conns}
 	t.Cleanup(func() { capped.Close() })
 	client, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -363,7 +363,7 @@
 	return client, nc.(*Conn)
 }
 
-func ended() context.Context {
+func canceledContext() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	return ctx
