downstream: make a connection's phase a typed value, cut receive into steps

Change: type phase with String and one queue per evictable phase; receive becomes isBackgroundRead, receiveInBackground and receiveRequest. Tests set and compare the phase in place of the booleans.

--- a/internal/downstream/admission.go
+++ b/internal/downstream/admission.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"net"
-	"syscall"
 	"time"
 
 	"calicohinge/internal/sockstate"
@@ -19,15 +18,10 @@
 
 // admit counts a new connection; nil if there is no place for it.
 func (cs *Conns) admit(nc net.Conn) *Conn {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
+	c, err := newConn(nc, cs)
 	if err != nil {
 		return nil
 	}
-	c := &Conn{Conn: nc, raw: raw, conns: cs}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for cs.open >= cs.config.MaxOpen {
@@ -54,7 +48,7 @@
 		}
 	}
 	cs.open++
-	cs.move(c, &cs.silent)
+	cs.setPhase(c, phaseSilent)
 	return c
 }
 
@@ -62,24 +56,24 @@
 // may be asked to; nil if all are at work. cs.mu is held.
 func (cs *Conns) evictionCandidate() (first *Conn, wait time.Duration) {
 	now := time.Now()
-	for e := cs.silent.Front(); e != nil; e = cs.silent.Front() {
+	for e := cs.silent.conns.Front(); e != nil; e = cs.silent.conns.Front() {
 		c := e.Value.(*Conn)
 		if now.Sub(c.since) < silentGracePeriod || sockstate.Peek(c.Conn) == sockstate.Quiet {
 			break
 		}
-		cs.move(c, &cs.partial) // it has spoken: this node was too busy to listen
+		cs.setPhase(c, phaseReadingHead) // it has spoken: this node was too busy to listen
 	}
-	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
+	for e := cs.idle.conns.Front(); e != nil; e = cs.idle.conns.Front() {
 		c := e.Value.(*Conn)
 		if sockstate.Peek(c.Conn) != sockstate.Readable {
 			break
 		}
-		cs.move(c, &cs.partial)
+		cs.setPhase(c, phaseReadingHead)
 	}
 	for _, l := range []struct {
 		conns *list.List
 		grace time.Duration
-	}{{&cs.silent, silentGracePeriod}, {&cs.idle, 0}, {&cs.partial, partialGracePeriod}} {
+	}{{&cs.silent.conns, silentGracePeriod}, {&cs.idle.conns, 0}, {&cs.partial.conns, partialGracePeriod}} {
 		if e := l.conns.Front(); e != nil {
 			c := e.Value.(*Conn)
 			if left := l.grace - now.Sub(c.since); first == nil || left < wait {
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -11,91 +13,133 @@
 	"calicohinge/internal/sockstate"
 )
 
-// Conn is a connection that counts. It is in one of the lists, or at work.
+// Conn is a client connection in a set. It implements net.Conn.
 type Conn struct {
 	net.Conn
-	raw       syscall.RawConn
+	raw       syscall.RawConn // of the embedded connection
 	conns     *Conns
-	overLimit bool // accepted over the cap
+	overLimit bool // set at its admission
 
 	// The fields below are guarded by conns.mu.
-	queue       *list.List
-	element     *list.Element
-	since       time.Time // in this list
-	readAhead   []byte    // what came while it was at work
-	readErr     error     // what reading met when the client left
-	lingering   bool      // it has had its last answer: nothing is read any more
-	closed      bool
-	readingHead bool // the head of a request is being read
-}
-
-// Read implements net.Conn. The bytes leave the socket under the same lock as the
-// connection is shut: one that was shut is not read any more, and one that was read
-// is not shut as idle. While a request is at work no byte is handed on: that would
-// end net/http's reading, by which it sees the client leave.
+	phase     phase
+	since     time.Time     // when it was put at the end of its queue
+	element   *list.Element // in the queue of its phase; nil if the phase has none
+	readAhead []byte        // received while a request was active, not yet returned by Read
+	readErr   error         // the error that ended reading
+	lingering bool          // its last answer is sent: nothing is read any more
+}
+
+// newConn returns a connection that is not counted yet.
+func newConn(netConn net.Conn, conns *Conns) (*Conn, error) {
+	socket, ok := netConn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("raw connection: %w", err)
+	}
+	return &Conn{Conn: netConn, raw: raw, conns: conns}, nil
+}
+
+// Read implements net.Conn. It reads the socket under the lock that also guards the
+// closing of the connection: one that was closed is not read any more, and one from
+// which a byte was read is not closed as idle.
+//
+// While a request is active, Read returns no bytes but buffers them for the next
+// request. net/http reads in the background at that time and stops at the first
+// byte; it could not notice any more that the client disconnects.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	waiting := c.raw.Read(func(fd uintptr) (done bool) {
+	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
 		n, done, err = c.receive(int(fd), p)
 		return done
 	})
-	if waiting != nil {
-		return 0, waiting
+	if waitErr != nil {
+		return 0, waitErr
 	}
 	return n, err
 }
 
-// receive reads what is there; not done if there is nothing yet.
+// receive reads what has arrived without waiting. It returns done=false if Read has
+// to wait for the socket to become readable.
 func (c *Conn) receive(fd int, p []byte) (n int, done bool, err error) {
-	cs := c.conns
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	if c.closed {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	switch {
+	case c.phase == phaseClosed:
 		return 0, true, net.ErrClosed
+	case c.isBackgroundRead(p):
+		err = c.receiveInBackground(fd)
+		return 0, err != nil, err
 	}
-	// By reading a single byte net/http watches for the client's leaving, from a request's last
-	// byte on: a body is read in larger pieces. It may come before RequestComplete is called.
-	if c.queue == nil || len(p) == 1 && !c.readingHead {
-		switch {
-		case c.lingering && sockstate.Peek(c.Conn) == sockstate.Closed:
-			return 0, true, io.EOF
-		case !c.lingering && !cs.readingStopped:
-			c.fillReadAhead(fd)
-		}
-		return 0, c.readErr != nil, c.readErr
+	n, err = c.receiveRequest(fd, p)
+	if n > 0 && (c.phase == phaseSilent || c.phase == phaseIdle) {
+		c.conns.setPhase(c, phaseReadingHead)
 	}
+	return n, n > 0 || err != nil, err
+}
+
+// isBackgroundRead reports whether net/http reads into p only to notice that the
+// client disconnects. It does so from the last byte of a request on, by reading a
+// single byte, possibly before RequestComplete is called; a body is read in larger
+// pieces. The caller holds conns.mu.
+func (c *Conn) isBackgroundRead(p []byte) bool {
+	return c.phase == phaseActive || len(p) == 1 && c.phase != phaseReadingHead
+}
+
+// receiveInBackground returns an error if the client has disconnected. The caller
+// holds conns.mu.
+func (c *Conn) receiveInBackground(fd int) error {
 	switch {
-	case len(c.readAhead) > 0: // was taken, and is answered also by a node that ends
-		n = copy(p, c.readAhead)
-		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
-			c.readAhead = nil
+	case c.lingering:
+		if sockstate.Peek(c.Conn) == sockstate.Closed {
+			return io.EOF
 		}
+	case !c.conns.readingStopped:
+		c.fillReadAhead(fd)
+	}
+	return c.readErr
+}
+
+// receiveRequest reads a part of a request: 0 bytes and no error if nothing has
+// arrived. What is in the read-ahead buffer is returned also after reading stopped,
+// since the client cannot send it elsewhere. The caller holds conns.mu.
+func (c *Conn) receiveRequest(fd int, p []byte) (n int, err error) {
+	switch {
+	case len(c.readAhead) > 0:
+		return c.takeReadAhead(p), nil
 	case c.readErr != nil:
-		return 0, true, c.readErr
-	case cs.readingStopped:
-		return 0, true, net.ErrClosed
-	default:
-		if n, err = readNonBlocking(fd, p); err != nil {
-			c.readErr = err
-			return 0, true, err
-		}
+		return 0, c.readErr
+	case c.conns.readingStopped:
+		return 0, net.ErrClosed
 	}
-	if n > 0 && (c.queue == &cs.silent || c.queue == &cs.idle) {
-		cs.move(c, &cs.partial)
+	n, c.readErr = readNonBlocking(fd, p)
+	return n, c.readErr
+}
+
+// RequestComplete records that a request was read to its last byte. It is active
+// from now on, until ConnState is called with http.StateIdle.
+func (c *Conn) RequestComplete() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.phase != phaseClosed {
+		c.conns.setPhase(c, phaseActive)
 	}
-	return n, n > 0, nil
 }
 
-// ClientDisconnected tells whether the client of the request at work has left, by what its socket
-// says this moment, however busy the node is and whatever bytes lie ahead. Nothing is read
-// that may be a request to come once this one has its answer, or in the end of a stop.
+// ClientDisconnected reports whether the client of the active request has
+// disconnected, by the present state of the socket and not by what net/http has
+// noticed so far. It returns true also if the client has sent more than fits the
+// read-ahead buffer. Between two requests, and after StopReading, it reads nothing:
+// what arrives then belongs to a request that may be sent to another node.
 func (c *Conn) ClientDisconnected() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	switch {
-	case c.closed || c.readErr != nil:
+	case c.phase == phaseClosed || c.readErr != nil:
 		return true
-	case c.queue != nil:
-		return false // its attempts are revoked
+	case c.phase != phaseActive:
+		return false // the request has its answer, its attempts are revoked
 	case c.conns.readingStopped:
 		return sockstate.Peek(c.Conn) == sockstate.Closed
 	}
@@ -105,44 +149,41 @@
 	return c.readErr != nil
 }
 
-// RequestComplete tells that a request has come to its last byte.
-func (c *Conn) RequestComplete() {
-	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	if !c.closed {
-		c.conns.move(c, nil)
-	}
-}
-
-// OverLimit reports whether the connection was accepted over the limit.
+// OverLimit reports whether the connection was accepted from the reserve: its
+// request is to be rejected.
 func (c *Conn) OverLimit() bool { return c.overLimit }
 
 // Closed reports whether the connection has been closed by this node.
 func (c *Conn) Closed() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	return c.closed
+	return c.phase == phaseClosed
 }
 
-// Lingering reports whether the connection has had its last answer.
+// Lingering reports whether LingeringClose was called.
 func (c *Conn) Lingering() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	return c.lingering
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Further calls have no effect and return nil.
 func (c *Conn) Close() error {
-	c.conns.mu.Lock()
-	first := c.conns.close(c)
-	c.conns.mu.Unlock()
-	if !first {
+	if !c.markClosed() {
 		return nil
 	}
-	return c.Conn.Close() // with no lock: it waits for a reader, which waits for the lock
+	return c.Conn.Close()
 }
 
-// CloseWrite lets a client that still sends see the end of its answer.
+// markClosed is Conns.close for a caller that does not hold conns.mu.
+func (c *Conn) markClosed() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.conns.close(c)
+}
+
+// CloseWrite ends the sending direction, so that a client that still sends sees the
+// end of its answer.
 func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		return tcp.CloseWrite()
@@ -150,15 +191,21 @@
 	return nil
 }
 
-// LingeringClose ends the sending behind a last answer and waits for the client's close, for a
-// while. A close of ours over bytes that arrive is a reset: what of the answer is on its way is lost.
+// LingeringClose ends the sending direction after a last answer and waits for the
+// client to close the connection: until ctx ends, but for Config.LingerTimeout at
+// most. A close while bytes arrive would reset the connection, and the client would
+// lose what is in transit of the answer.
 func (c *Conn) LingeringClose(ctx context.Context) {
-	c.conns.mu.Lock()
-	c.lingering = true
-	c.conns.mu.Unlock()
-	c.CloseWrite()
+	c.beginLingering()
+	_ = c.CloseWrite() // fails if the client has reset the connection; then ctx ends
 	select {
 	case <-ctx.Done():
 	case <-time.After(c.conns.config.LingerTimeout):
 	}
 }
+
+func (c *Conn) beginLingering() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.lingering = true
+}
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -1,11 +1,12 @@
-// Package downstream owns the client connections of a node: their number, which
-// of them make room for others, what is read from them and when, and whether a
-// client has disconnected. It knows nothing of requests but where one begins and
-// ends.
+// Package downstream owns the client connections of a node: how many are open,
+// which of them are evicted for new ones, when their sockets are read, and whether
+// a client has disconnected. Package node calls it: it serves HTTP on the listener
+// of Conns and notifies each Conn when a request is complete. This package parses
+// no request and decides about none; all it knows of a request is where it begins
+// and ends.
 package downstream
 
 import (
-	"container/list"
 	"net"
 	"net/http"
 	"sync"
@@ -14,123 +15,121 @@
 	"calicohinge/internal/sockstate"
 )
 
-const (
-	// DefaultLingerTimeout is how long a client may take to close a connection whose last answer is out.
-	DefaultLingerTimeout = 500 * time.Millisecond
-)
+// DefaultLingerTimeout is how long a client may take to close a connection after
+// its last answer.
+const DefaultLingerTimeout = 500 * time.Millisecond
 
-// Config is what Conns is told at its creation.
+// Config holds the limits of a set of connections.
 type Config struct {
-	MaxOpen int // connections
-	Reserve int // further ones that are answered with a rejection while all others are at work
-	// MaxReadAhead bounds what is kept of a client that sends on while its request is at
-	// work, in bytes: one more request of the largest kind. Clients ask one at a time.
-	MaxReadAhead  int
-	ReadTimeout   time.Duration // from a request's first byte to its last
-	LingerTimeout time.Duration // see DefaultLingerTimeout
+	// MaxOpen is the number of connections from which on a new one evicts another.
+	MaxOpen int
+	// Reserve is the number of connections accepted beyond MaxOpen while all others
+	// are active. Their requests are to be rejected, see Conn.OverLimit.
+	Reserve int
+	// MaxReadAhead bounds what is buffered of a client that sends on while its
+	// request is active, in bytes. It has to hold one more request of the largest
+	// kind; a client that sends more is treated as disconnected.
+	MaxReadAhead int
+	// ReadTimeout is the time from the first to the last byte of a request.
+	ReadTimeout time.Duration
+	// LingerTimeout bounds Conn.LingeringClose, see DefaultLingerTimeout.
+	LingerTimeout time.Duration
 }
 
-// Conns keeps the number of client connections under a cap. Over it, those
-// make room that say nothing, then the longest idle ones, then those that don't say
-// all: a flood of them must not turn away clients that ask. Idle ones go at once: to
-// wait for them to age would hold up all that come behind, to the end of their time.
-// A newcomer waits only while one of the others is about to come of age. Where all are
-// at work it is answered with a refusal, as long as spare descriptors last.
+// Conns is the set of a node's client connections. It is safe for concurrent use.
 type Conns struct {
 	config            Config
-	changed           chan struct{} // poked when one ends or changes its phase
+	changed           chan struct{} // buffers one wake-up, sent when a connection changes its phase
 	listenerClosed    chan struct{} // closed with the listener
-	closeListenerOnce sync.Once
+	closeListenerOnce sync.Once     // guards the close of listenerClosed
 
 	mu             sync.Mutex
-	open           int
-	silent         list.List // of *Conn that has sent nothing yet, the longest first
-	partial        list.List // the same of those with a part of a request
-	idle           list.List // and of those between two requests
-	draining       bool
-	readingStopped bool // nothing is read any more
+	open           int       // connections that are admitted and not closed
+	silent         connQueue // those in phaseSilent
+	partial        connQueue // those in phaseReadingHead or phaseReadingBody
+	idle           connQueue // those in phaseIdle
+	draining       bool      // connections are closed instead of falling idle
+	readingStopped bool      // no socket is read any more
 }
 
-// NewConns makes an empty set of connections.
+// NewConns returns an empty set of connections.
 func NewConns(config Config) *Conns {
 	return &Conns{config: config, changed: make(chan struct{}, 1), listenerClosed: make(chan struct{})}
 }
 
-// Open counts the connections.
+// Open returns the number of open connections.
 func (cs *Conns) Open() int {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	return cs.open
 }
 
-// close bars a connection from being read, once, and gives its place back; cs.mu is
-// held. The caller closes the socket with the lock released.
-func (cs *Conns) close(c *Conn) bool {
-	if c.closed {
-		return false
-	}
-	c.closed = true
-	c.readAhead = nil
-	cs.open--
-	cs.move(c, nil)
-	return true
-}
-
-// closeIdle is shut for a connection between two requests, unless its client has
-// asked again: that request is taken.
-func (cs *Conns) closeIdle(c *Conn) bool {
-	if sockstate.Peek(c.Conn) == sockstate.Readable {
-		cs.move(c, &cs.partial)
-		return false
-	}
-	return cs.close(c)
-}
-
-// move puts a connection into a list, or nil for one at work; cs.mu is held.
-func (cs *Conns) move(c *Conn, to *list.List) {
-	if c.queue == &cs.idle && to == &cs.partial { // net/http waits for four bytes in the idle time
-		c.SetReadDeadline(time.Now().Add(cs.config.ReadTimeout))
-	}
-	if c.queue != nil {
-		c.queue.Remove(c.element)
+// ConnState is the callback for http.Server.ConnState. From it the set learns when
+// the head of a request has been read and when an answer is complete.
+func (cs *Conns) ConnState(netConn net.Conn, state http.ConnState) {
+	c, ok := netConn.(*Conn)
+	if !ok {
+		return
 	}
-	c.queue, c.element, c.since = to, nil, time.Now()
-	c.readingHead = to == &cs.partial
-	if to != nil {
-		c.element = to.PushBack(c)
-	}
-	select {
-	case cs.changed <- struct{}{}:
-	default:
+	switch state {
+	case http.StateActive:
+		cs.headComplete(c)
+	case http.StateIdle:
+		if cs.requestFinished(c) {
+			_ = c.Conn.Close() // net/http finds out when it reads
+		}
 	}
 }
 
-// ConnState follows which connections are between two requests, and whose next head is read.
-func (cs *Conns) ConnState(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*Conn)
-	switch {
-	case !ok:
-	case s == http.StateActive:
-		cs.mu.Lock()
-		defer cs.mu.Unlock()
-		c.readingHead = false
-	case s == http.StateIdle && cs.requestFinished(c):
-		c.Conn.Close()
+// headComplete records that net/http has read the head of a request. A phase that
+// counts from the first byte of the request goes on: c keeps its place in the queue.
+func (cs *Conns) headComplete(c *Conn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if c.phase == phaseReadingHead {
+		c.phase = phaseReadingBody
 	}
 }
 
-// requestFinished takes note that a request is over; true if the connection is to be closed.
-func (cs *Conns) requestFinished(c *Conn) bool {
+// requestFinished records that an answer is complete. It returns true if the
+// connection was marked closed and the caller has to close its socket.
+func (cs *Conns) requestFinished(c *Conn) (closed bool) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch {
-	case c.closed:
+	case c.phase == phaseClosed:
+		return false
 	case len(c.readAhead) > 0: // the next request, or a part of it
-		cs.move(c, &cs.partial)
+		cs.setPhase(c, phaseReadingHead)
+		return false
 	case cs.draining:
 		return cs.closeIdle(c)
 	default:
-		cs.move(c, &cs.idle)
+		cs.setPhase(c, phaseIdle)
+		return false
+	}
+}
+
+// close marks c closed, so that it is not read any more, and stops counting it. It
+// returns false if c was marked before. The caller holds cs.mu and closes the socket
+// after releasing it: closing waits for a reader, which may be waiting for cs.mu.
+func (cs *Conns) close(c *Conn) bool {
+	if c.phase == phaseClosed {
+		return false
 	}
-	return false
+	c.readAhead = nil
+	cs.open--
+	cs.setPhase(c, phaseClosed)
+	return true
+}
+
+// closeIdle is close for a connection between two requests. If the client has sent
+// bytes of its next request, the connection stays open and that request is read.
+// The caller holds cs.mu.
+func (cs *Conns) closeIdle(c *Conn) bool {
+	if sockstate.Peek(c.Conn) == sockstate.Readable {
+		cs.setPhase(c, phaseReadingHead)
+		return false
+	}
+	return cs.close(c)
 }
--- a/internal/downstream/conns_test.go
+++ b/internal/downstream/conns_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	conns.mu.Lock()
-	nc.(*Conn).closed = true // as by one that reads at the same time
+	nc.(*Conn).phase = phaseClosed // as by one that reads at the same time
 	conns.mu.Unlock()
 	io.WriteString(client, "GET")
 	if n, err := nc.Read(make([]byte, 10)); n != 0 || err == nil {
@@ -105,7 +105,7 @@
 	for name, state := range map[string]func(cs *Conns, c *Conn){
 		"new":    func(*Conns, *Conn) {},
 		"idle":   func(cs *Conns, c *Conn) { c.RequestComplete(); cs.ConnState(c, http.StateIdle) },
-		"partly": func(cs *Conns, c *Conn) { cs.mu.Lock(); defer cs.mu.Unlock(); cs.move(c, &cs.partial) },
+		"partly": func(cs *Conns, c *Conn) { cs.mu.Lock(); defer cs.mu.Unlock(); cs.setPhase(c, phaseReadingHead) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cs := newTestConns(5)
@@ -220,7 +220,7 @@
 			if c.ClientDisconnected() || sockstate.Peek(c.Conn) != sockstate.Readable {
 				t.Error("the next request was read, or its client is taken for gone")
 			}
-			if cs.Drain(canceledContext()); c.closed {
+			if cs.Drain(canceledContext()); c.phase == phaseClosed {
 				t.Error("the connection was shut as idle with a request on it")
 			}
 		})
@@ -272,7 +272,7 @@
 		"by a newcomer": func(cs *Conns, c *Conn) {
 			cs.mu.Lock()
 			defer cs.mu.Unlock()
-			if first, _ := cs.evictionCandidate(); first != c || first.queue != &cs.partial {
+			if first, _ := cs.evictionCandidate(); first != c || first.phase != phaseReadingHead {
 				t.Errorf("the connection that makes room is %v", first)
 			}
 		},
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -7,7 +7,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.draining = true
-	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
+	for e := cs.idle.conns.Front(); e != nil; e = cs.idle.conns.Front() {
 		if c := e.Value.(*Conn); cs.closeIdle(c) {
 			cs.mu.Unlock()
 			c.Conn.Close()
--- a/internal/downstream/read_ahead.go
+++ b/internal/downstream/read_ahead.go
@@ -7,14 +7,23 @@
 	"syscall"
 )
 
-var errReadAheadFull = errors.New("more than a whole request came ahead of an answer")
+// readAheadChunk is how much is read at once while a request is active, in bytes.
+// Clients rarely send anything at that time.
+const readAheadChunk = 4096
 
-// fillReadAhead takes in what came while a request is at work; conns.mu is held.
+// errReadAheadFull ends the reading of a client that sends on without waiting for
+// its answers.
+var errReadAheadFull = errors.New("client sent more than one request ahead of an answer")
+
+// fillReadAhead buffers what has arrived while a request is active, until the socket
+// is empty, the buffer is full or reading fails. It notes the latter two in
+// c.readErr. The caller holds conns.mu.
 func (c *Conn) fillReadAhead(fd int) {
-	var p [4096]byte
+	var chunk [readAheadChunk]byte
 	for c.readErr == nil {
-		n, err := readNonBlocking(fd, p[:])
-		switch c.readAhead = append(c.readAhead, p[:n]...); {
+		n, err := readNonBlocking(fd, chunk[:])
+		c.readAhead = append(c.readAhead, chunk[:n]...)
+		switch {
 		case err != nil:
 			c.readErr = err
 		case len(c.readAhead) > c.conns.config.MaxReadAhead:
@@ -25,19 +34,30 @@
 	}
 }
 
-// readNonBlocking reads without waiting: 0 and no error if nothing is there.
+// takeReadAhead moves buffered bytes to p. The caller holds conns.mu.
+func (c *Conn) takeReadAhead(p []byte) int {
+	n := copy(p, c.readAhead)
+	c.readAhead = c.readAhead[n:]
+	if len(c.readAhead) == 0 {
+		c.readAhead = nil // frees the buffer
+	}
+	return n
+}
+
+// readNonBlocking reads what has arrived: 0 bytes and no error if there is nothing.
 func readNonBlocking(fd int, p []byte) (int, error) {
 	for {
-		switch n, err := syscall.Read(fd, p); {
-		case err == syscall.EINTR:
-		case err == syscall.EAGAIN:
+		n, err := syscall.Read(fd, p)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN):
 			return 0, nil
 		case err != nil:
 			return 0, os.NewSyscallError("read", err)
 		case n == 0:
 			return 0, io.EOF
-		default:
-			return n, nil
 		}
+		return n, nil
 	}
 }
