--- a/internal/downstream/admission.go
+++ b/internal/downstream/admission.go
@@ -1,101 +1,101 @@
 package downstream
 
-import (
-	"container/list"
-	"net"
-	"time"
+import "time"
 
-	"calicohinge/internal/sockstate"
-)
+// decision is what to do with a new connection.
+type decision int
 
 const (
-	// silentGracePeriod is how long a new connection that says nothing is kept where
-	// others want its place. A client connects because it has something to ask.
-	silentGracePeriod = 20 * time.Millisecond
-	// partialGracePeriod is the same for one that has sent a part of a request.
-	partialGracePeriod = 150 * time.Millisecond
+	decisionAdmit  decision = iota // it is counted and in phaseSilent
+	decisionReject                 // it is to be closed
+	decisionEvict                  // close the victim's socket, then decide again
+	decisionWait                   // wait for a change, then decide again
 )
 
-// admit counts a new connection; nil if there is no place for it.
-func (cs *Conns) admit(nc net.Conn) *Conn {
-	c, err := newConn(nc, cs)
-	if err != nil {
-		return nil
+// String names the decision.
+func (d decision) String() string {
+	switch d {
+	case decisionAdmit:
+		return "admit"
+	case decisionReject:
+		return "reject"
+	case decisionEvict:
+		return "evict"
+	case decisionWait:
+		return "wait"
 	}
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	for cs.open >= cs.config.MaxOpen {
-		first, wait := cs.evictionCandidate()
-		if first == nil {
-			if cs.open >= cs.config.MaxOpen+cs.config.Reserve {
-				return nil
+	return "unknown"
+}
+
+// admission is one step of admitting a new connection. What it asks for is done
+// without holding cs.mu.
+type admission struct {
+	decision decision
+	victim   *Conn         // with decisionEvict: marked closed, its socket is still open
+	wait     time.Duration // with decisionWait: until a connection may be evicted
+}
+
+// admit makes c one of the set's connections and returns true, or returns false if
+// there is no capacity for it. It blocks while the first connection that may be
+// evicted is in its grace period.
+func (cs *Conns) admit(c *Conn) bool {
+	for {
+		step := cs.tryAdmit(c)
+		switch step.decision {
+		case decisionAdmit:
+			return true
+		case decisionReject:
+			return false
+		case decisionEvict:
+			_ = step.victim.Conn.Close() // nothing can be done about a failure
+		case decisionWait:
+			if !cs.waitForChange(step.wait) {
+				return false
 			}
-			c.overLimit = true
-			break
-		}
-		if wait <= 0 {
-			cs.close(first)
-			cs.mu.Unlock()
-			first.Conn.Close()
-			cs.mu.Lock()
-			continue
-		}
-		cs.mu.Unlock()
-		stopped := cs.waitForChange(wait)
-		cs.mu.Lock()
-		if stopped {
-			return nil
 		}
 	}
-	cs.open++
-	cs.setPhase(c, phaseSilent)
-	return c
 }
 
-// evictionCandidate gives the connection that has to make room first, and in how long it
-// may be asked to; nil if all are at work. cs.mu is held.
-func (cs *Conns) evictionCandidate() (first *Conn, wait time.Duration) {
-	now := time.Now()
-	for e := cs.silent.conns.Front(); e != nil; e = cs.silent.conns.Front() {
-		c := e.Value.(*Conn)
-		if now.Sub(c.since) < silentGracePeriod || sockstate.Peek(c.Conn) == sockstate.Quiet {
-			break
-		}
-		cs.setPhase(c, phaseReadingHead) // it has spoken: this node was too busy to listen
+// tryAdmit counts c if there is capacity, and otherwise chooses a connection to evict.
+// The reserve is used only while all connections are active, so that their clients
+// are not affected and the new one gets an answer.
+func (cs *Conns) tryAdmit(c *Conn) admission {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.open < cs.config.MaxOpen {
+		return cs.count(c)
 	}
-	for e := cs.idle.conns.Front(); e != nil; e = cs.idle.conns.Front() {
-		c := e.Value.(*Conn)
-		if sockstate.Peek(c.Conn) != sockstate.Readable {
-			break
-		}
-		cs.setPhase(c, phaseReadingHead)
+	candidate, wait := cs.evictionCandidate()
+	switch {
+	case candidate == nil && cs.open >= cs.config.MaxOpen+cs.config.Reserve:
+		return admission{decision: decisionReject}
+	case candidate == nil:
+		c.overLimit = true
+		return cs.count(c)
+	case wait > 0:
+		return admission{decision: decisionWait, wait: wait}
 	}
-	for _, l := range []struct {
-		conns *list.List
-		grace time.Duration
-	}{{&cs.silent.conns, silentGracePeriod}, {&cs.idle.conns, 0}, {&cs.partial.conns, partialGracePeriod}} {
-		if e := l.conns.Front(); e != nil {
-			c := e.Value.(*Conn)
-			if left := l.grace - now.Sub(c.since); first == nil || left < wait {
-				first, wait = c, left
-			}
-			if wait <= 0 {
-				break
-			}
-		}
-	}
-	return first, wait
+	cs.close(candidate)
+	return admission{decision: decisionEvict, victim: candidate}
+}
+
+// count makes c one of the set's connections. The caller holds cs.mu.
+func (cs *Conns) count(c *Conn) admission {
+	cs.open++
+	cs.setPhase(c, phaseSilent)
+	return admission{decision: decisionAdmit}
 }
 
-// waitForChange waits until something changes, for so long at most; true if the listener ended.
-func (cs *Conns) waitForChange(most time.Duration) bool {
-	timer := time.NewTimer(most)
+// waitForChange waits until a connection changes its phase, for timeout at most. It
+// returns false if the listener was closed.
+func (cs *Conns) waitForChange(timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-cs.changed:
 	case <-cs.listenerClosed:
-		return true
+		return false
 	}
-	return false
+	return true
 }
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -2,10 +2,13 @@
 
 import "net"
 
-// Listener returns a listener that admits what inner accepts.
-func (cs *Conns) Listener(inner net.Listener) net.Listener { return admittingListener{inner, cs} }
+// Listener returns a listener whose connections are admitted to the set and are of
+// type *Conn. It closes connections for which there is no capacity. A set has one
+// listener; closing it also ends an admission that waits.
+func (cs *Conns) Listener(inner net.Listener) net.Listener {
+	return admittingListener{Listener: inner, conns: cs}
+}
 
-// admittingListener counts what it accepts.
 type admittingListener struct {
 	net.Listener
 	conns *Conns
@@ -14,14 +17,15 @@
 // Accept implements net.Listener.
 func (l admittingListener) Accept() (net.Conn, error) {
 	for {
-		nc, err := l.Listener.Accept()
+		netConn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if c := l.conns.admit(nc); c != nil {
+		c, err := newConn(netConn, l.conns)
+		if err == nil && l.conns.admit(c) {
 			return c, nil
 		}
-		nc.Close()
+		_ = netConn.Close() // nothing can be done about a failure
 	}
 }
 
