--- /dev/null
+++ b/internal/downstream/admission.go
@@ -0,0 +1,101 @@
+package downstream
+
+import "time"
+
+// decision is what to do with a new connection.
+type decision int
+
+const (
+	decisionAdmit  decision = iota // it is counted and in phaseSilent
+	decisionReject                 // it is to be closed
+	decisionEvict                  // close the victim's socket, then decide again
+	decisionWait                   // wait for a change, then decide again
+)
+
+// String names the decision.
+func (d decision) String() string {
+	switch d {
+	case decisionAdmit:
+		return "admit"
+	case decisionReject:
+		return "reject"
+	case decisionEvict:
+		return "evict"
+	case decisionWait:
+		return "wait"
+	}
+	return "unknown"
+}
+
+// admission is one step of admitting a new connection. What it asks for is done
+// without holding cs.mu.
+type admission struct {
+	decision decision
+	victim   *Conn         // with decisionEvict: marked closed, its socket is still open
+	wait     time.Duration // with decisionWait: until a connection may be evicted
+}
+
+// admit makes c one of the set's connections and returns true, or returns false if
+// there is no capacity for it. It blocks while the first connection that may be
+// evicted is in its grace period.
+func (cs *Conns) admit(c *Conn) bool {
+	for {
+		step := cs.tryAdmit(c)
+		switch step.decision {
+		case decisionAdmit:
+			return true
+		case decisionReject:
+			return false
+		case decisionEvict:
+			_ = step.victim.Conn.Close() // nothing can be done about a failure
+		case decisionWait:
+			if !cs.waitForChange(step.wait) {
+				return false
+			}
+		}
+	}
+}
+
+// tryAdmit counts c if there is capacity, and otherwise chooses a connection to evict.
+// The reserve is used only while all connections are active, so that their clients
+// are not affected and the new one gets an answer.
+func (cs *Conns) tryAdmit(c *Conn) admission {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.open < cs.config.MaxOpen {
+		return cs.count(c)
+	}
+	candidate, wait := cs.evictionCandidate()
+	switch {
+	case candidate == nil && cs.open >= cs.config.MaxOpen+cs.config.Reserve:
+		return admission{decision: decisionReject}
+	case candidate == nil:
+		c.overLimit = true
+		return cs.count(c)
+	case wait > 0:
+		return admission{decision: decisionWait, wait: wait}
+	}
+	cs.close(candidate)
+	return admission{decision: decisionEvict, victim: candidate}
+}
+
+// count makes c one of the set's connections. The caller holds cs.mu.
+func (cs *Conns) count(c *Conn) admission {
+	cs.open++
+	cs.setPhase(c, phaseSilent)
+	return admission{decision: decisionAdmit}
+}
+
+// waitForChange waits until a connection changes its phase, for timeout at most. It
+// returns false if the listener was closed.
+func (cs *Conns) waitForChange(timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-cs.changed:
+	case <-cs.listenerClosed:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/downstream/conn.go
@@ -0,0 +1,211 @@
+package downstream
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"calicohinge/internal/sockstate"
+)
+
+// Conn is a client connection in a set. It implements net.Conn.
+type Conn struct {
+	net.Conn
+	raw       syscall.RawConn // of the embedded connection
+	conns     *Conns
+	overLimit bool // set at its admission
+
+	// The fields below are guarded by conns.mu.
+	phase     phase
+	since     time.Time     // when it was put at the end of its queue
+	element   *list.Element // in the queue of its phase; nil if the phase has none
+	readAhead []byte        // received while a request was active, not yet returned by Read
+	readErr   error         // the error that ended reading
+	lingering bool          // its last answer is sent: nothing is read any more
+}
+
+// newConn returns a connection that is not counted yet.
+func newConn(netConn net.Conn, conns *Conns) (*Conn, error) {
+	socket, ok := netConn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("raw connection: %w", err)
+	}
+	return &Conn{Conn: netConn, raw: raw, conns: conns}, nil
+}
+
+// Read implements net.Conn. It reads the socket under the lock that also guards the
+// closing of the connection: one that was closed is not read any more, and one from
+// which a byte was read is not closed as idle.
+//
+// While a request is active, Read returns no bytes but buffers them for the next
+// request. net/http reads in the background at that time and stops at the first
+// byte; it could not notice any more that the client disconnects.
+func (c *Conn) Read(p []byte) (n int, err error) {
+	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
+		n, done, err = c.receive(int(fd), p)
+		return done
+	})
+	if waitErr != nil {
+		return 0, waitErr
+	}
+	return n, err
+}
+
+// receive reads what has arrived without waiting. It returns done=false if Read has
+// to wait for the socket to become readable.
+func (c *Conn) receive(fd int, p []byte) (n int, done bool, err error) {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	switch {
+	case c.phase == phaseClosed:
+		return 0, true, net.ErrClosed
+	case c.isBackgroundRead(p):
+		err = c.receiveInBackground(fd)
+		return 0, err != nil, err
+	}
+	n, err = c.receiveRequest(fd, p)
+	if n > 0 && (c.phase == phaseSilent || c.phase == phaseIdle) {
+		c.conns.setPhase(c, phaseReadingHead)
+	}
+	return n, n > 0 || err != nil, err
+}
+
+// isBackgroundRead reports whether net/http reads into p only to notice that the
+// client disconnects. It does so from the last byte of a request on, by reading a
+// single byte, possibly before RequestComplete is called; a body is read in larger
+// pieces. The caller holds conns.mu.
+func (c *Conn) isBackgroundRead(p []byte) bool {
+	return c.phase == phaseActive || len(p) == 1 && c.phase != phaseReadingHead
+}
+
+// receiveInBackground returns an error if the client has disconnected. The caller
+// holds conns.mu.
+func (c *Conn) receiveInBackground(fd int) error {
+	switch {
+	case c.lingering:
+		if sockstate.Peek(c.Conn) == sockstate.Closed {
+			return io.EOF
+		}
+	case !c.conns.readingStopped:
+		c.fillReadAhead(fd)
+	}
+	return c.readErr
+}
+
+// receiveRequest reads a part of a request: 0 bytes and no error if nothing has
+// arrived. What is in the read-ahead buffer is returned also after reading stopped,
+// since the client cannot send it elsewhere. The caller holds conns.mu.
+func (c *Conn) receiveRequest(fd int, p []byte) (n int, err error) {
+	switch {
+	case len(c.readAhead) > 0:
+		return c.takeReadAhead(p), nil
+	case c.readErr != nil:
+		return 0, c.readErr
+	case c.conns.readingStopped:
+		return 0, net.ErrClosed
+	}
+	n, c.readErr = readNonBlocking(fd, p)
+	return n, c.readErr
+}
+
+// RequestComplete records that a request was read to its last byte. It is active
+// from now on, until ConnState is called with http.StateIdle.
+func (c *Conn) RequestComplete() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.phase != phaseClosed {
+		c.conns.setPhase(c, phaseActive)
+	}
+}
+
+// ClientDisconnected reports whether the client of the active request has
+// disconnected, by the present state of the socket and not by what net/http has
+// noticed so far. It returns true also if the client has sent more than fits the
+// read-ahead buffer. Between two requests, and after StopReading, it reads nothing:
+// what arrives then belongs to a request that may be sent to another node.
+func (c *Conn) ClientDisconnected() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	switch {
+	case c.phase == phaseClosed || c.readErr != nil:
+		return true
+	case c.phase != phaseActive:
+		return false // the request has its answer, its attempts are revoked
+	case c.conns.readingStopped:
+		return sockstate.Peek(c.Conn) == sockstate.Closed
+	}
+	if err := c.raw.Control(func(fd uintptr) { c.fillReadAhead(int(fd)) }); err != nil {
+		return true
+	}
+	return c.readErr != nil
+}
+
+// OverLimit reports whether the connection was accepted from the reserve: its
+// request is to be rejected.
+func (c *Conn) OverLimit() bool { return c.overLimit }
+
+// Closed reports whether the connection has been closed by this node.
+func (c *Conn) Closed() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.phase == phaseClosed
+}
+
+// Lingering reports whether LingeringClose was called.
+func (c *Conn) Lingering() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.lingering
+}
+
+// Close implements net.Conn. Further calls have no effect and return nil.
+func (c *Conn) Close() error {
+	if !c.markClosed() {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// markClosed is Conns.close for a caller that does not hold conns.mu.
+func (c *Conn) markClosed() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.conns.close(c)
+}
+
+// CloseWrite ends the sending direction, so that a client that still sends sees the
+// end of its answer.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// LingeringClose ends the sending direction after a last answer and waits for the
+// client to close the connection: until ctx ends, but for Config.LingerTimeout at
+// most. A close while bytes arrive would reset the connection, and the client would
+// lose what is in transit of the answer.
+func (c *Conn) LingeringClose(ctx context.Context) {
+	c.beginLingering()
+	_ = c.CloseWrite() // fails if the client has reset the connection; then ctx ends
+	select {
+	case <-ctx.Done():
+	case <-time.After(c.conns.config.LingerTimeout):
+	}
+}
+
+func (c *Conn) beginLingering() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.lingering = true
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"calicohinge/internal/endpoint"
+	"calicohinge/internal/upstream"
 	"calicohinge/policy"
 )
 
@@ -64,11 +65,11 @@
 // revokeUnsent revokes the attempts at the given servers of which no byte has been written.
 // One that waits for its connection could be sent after the grace that a drain allows, or
 // reach another process at the same address.
-func (l *loop) revokeUnsent(servers map[policy.ServerID]bool) []revokedAttempt {
+func (l *loop) revokeUnsent(servers upstream.RevokedServers) []revokedAttempt {
 	var revoked []revokedAttempt
 	for _, r := range l.requests {
 		for index, a := range r.attempts {
-			if !a.reported && servers[a.server] && a.call.Revoke() {
+			if !a.reported && servers.Contains(a.server) && a.call.Revoke() {
 				revoked = append(revoked, revokedAttempt{r, index})
 			}
 		}
