--- /dev/null
+++ b/internal/discovery/client.go
@@ -0,0 +1,135 @@
+// Package discovery keeps a node's endpoint list up to date: it calls the discovery service over HTTP,
+// repeats failed calls with a backoff, and follows the list at another address when that changes. It
+// owns the connections to the service and the generation of the list. It reports lists and failures to
+// a Handler, which internal/node implements, and neither interprets endpoints nor selects servers.
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/policy"
+)
+
+// addressChangeDeadline is the time after a change of the address within which a node counts as notified
+// of the list at the new one. The operators' contract gives it, from SIGHUP on.
+const addressChangeDeadline = 4 * time.Second
+
+// maxConnections allows the first call at a new address beside one that is being cancelled.
+const maxConnections = 2
+
+// Handler receives what a Client learns. Its methods are called from the goroutine
+// of Client.Run, one at a time.
+type Handler interface {
+	// UpdateEndpoints receives an endpoint list, or changes to the former one.
+	UpdateEndpoints(kind policy.UpdateKind, endpoints []endpoint.Endpoint)
+	// EndpointsKnown is called after each list, also one without endpoints or changes.
+	EndpointsKnown()
+	// WatchFailed is called in polling mode after a failed call. The node counts as notified at the
+	// given time of what the call has missed. The next call waits for RequestWatch.
+	WatchFailed(notifiedAt time.Time)
+}
+
+// Config parameterizes a Client.
+type Config struct {
+	Address    string        // host and port of the discovery service
+	Known      endpoint.List // the cached list, possibly empty
+	Poll       bool          // polling mode: after a failure, the next call waits for RequestWatch
+	DrainGrace time.Duration // how long a draining server still serves, from the notification on
+}
+
+// Client follows the endpoint list. RequestWatch and Move may be called while Run is active.
+type Client struct {
+	address        string // the first one; Run keeps the present one
+	cached         endpoint.List
+	polling        bool
+	maxBackoff     time.Duration
+	watchRequests  chan struct{} // holds at most one
+	addressChanges chan string   // holds the latest one only
+	httpClient     *http.Client
+}
+
+// New makes a client. It sends nothing before Run.
+func New(config Config) *Client {
+	return &Client{
+		address:        config.Address,
+		cached:         config.Known,
+		polling:        config.Poll,
+		maxBackoff:     maxBackoffFor(config.DrainGrace),
+		watchRequests:  make(chan struct{}, 1),
+		addressChanges: make(chan string, 1),
+		httpClient:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections}},
+	}
+}
+
+// RequestWatch starts a watch in polling mode, unless one is active. It never blocks.
+func (c *Client) RequestWatch() {
+	select {
+	case c.watchRequests <- struct{}{}:
+	default: // a request is pending
+	}
+}
+
+// Move changes the address of the discovery service. It has one caller at a time and never blocks.
+func (c *Client) Move(addr string) {
+	select {
+	case <-c.addressChanges: // only the latest address counts
+	default:
+	}
+	c.addressChanges <- addr
+}
+
+// Run reports the cached list and follows it until the context ends. After a change of the address it
+// requests the complete list from the new one; the node uses the former list until that arrives.
+func (c *Client) Run(ctx context.Context, handler Handler) {
+	c.reportCached(handler)
+	current := newFollower(c, handler, c.address)
+	current.watching = !c.polling
+	current.haveList = len(c.cached.Endpoints) > 0
+	current.generation = c.cached.Generation
+	for ctx.Err() == nil {
+		address, changed := c.followUntilAddressChange(ctx, current)
+		if !changed {
+			return
+		}
+		slog.Info("discovery address changed", "discovery_addr", address)
+		c.httpClient.CloseIdleConnections()
+		current = newFollower(c, handler, address)
+		current.watching = true
+		current.listDue = time.Now().Add(addressChangeDeadline)
+	}
+}
+
+// reportCached reports the list that the node starts with.
+func (c *Client) reportCached(handler Handler) {
+	if len(c.cached.Endpoints) > 0 {
+		handler.UpdateEndpoints(policy.UpdateCached, c.cached.Endpoints)
+		handler.EndpointsKnown()
+	} else if c.polling {
+		handler.UpdateEndpoints(policy.UpdateCached, nil) // makes package policy request a watch
+	}
+}
+
+// followUntilAddressChange runs the follower until the address changes or the context ends, and returns
+// once the follower has stopped.
+func (c *Client) followUntilAddressChange(ctx context.Context, current *follower) (address string, changed bool) {
+	followCtx, cancel := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		current.run(followCtx)
+	}()
+	defer func() {
+		cancel()
+		<-stopped
+	}()
+	select {
+	case address = <-c.addressChanges:
+		return address, true
+	case <-ctx.Done():
+		return "", false
+	}
+}
--- /dev/null
+++ b/internal/discovery/client_test.go
@@ -0,0 +1,123 @@
+package discovery
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
+	"calicohinge/policy"
+)
+
+// recorder is a Handler that records its calls.
+type recorder struct {
+	updates chan policy.UpdateKind
+	failed  chan time.Time
+}
+
+func newRecorder() *recorder {
+	return &recorder{updates: make(chan policy.UpdateKind, 100), failed: make(chan time.Time, 100)}
+}
+
+func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, _ []endpoint.Endpoint) { r.updates <- kind }
+func (r *recorder) EndpointsKnown()                                               {}
+func (r *recorder) WatchFailed(notifiedAt time.Time)                              { r.failed <- notifiedAt }
+
+// A watch is requested while one is active, which then fails: the handler requests the next one itself,
+// and the stale request must not make all nodes call at once.
+func TestStaleWatchRequestIsDropped(t *testing.T) {
+	scripted := testkit.NewScriptedDiscovery(t)
+	handler := newRecorder()
+	client := New(Config{Address: scripted.Address, Poll: true})
+	watch := newFollower(client, handler, scripted.Address)
+	watch.watching, watch.haveList = true, true
+	stopped := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { defer close(stopped); watch.run(ctx) }()
+	testkit.Wait(t, scripted.Calls, "the watch")
+	client.RequestWatch()
+	scripted.Answers <- testkit.AnswerReset
+	testkit.Wait(t, handler.failed, "the failure")
+	if len(client.watchRequests) > 0 || len(scripted.Calls) > 0 {
+		t.Error("the stale request stays, or was followed")
+	}
+	client.RequestWatch() // the one after the failure is followed
+	testkit.Wait(t, scripted.Calls, "the watch after the failure")
+	cancel()
+	testkit.Wait(t, stopped, "the follower to stop")
+}
+
+// startOf is how a client starts.
+type startOf struct {
+	known   endpoint.List
+	poll    bool
+	updates []policy.UpdateKind // before the first call
+	query   string              // of the first call
+}
+
+// In polling mode no call is made before a request.
+func TestCachedListIsReportedBeforeTheFirstCall(t *testing.T) {
+	cached := endpoint.List{Generation: 7, Endpoints: []endpoint.Endpoint{{InstanceID: "s"}}}
+	update := []policy.UpdateKind{policy.UpdateCached}
+	for name, c := range map[string]startOf{
+		"polled, cached list": {cached, true, update, "after=7&wait_ms=3000"},
+		"polled, no list":     {endpoint.List{}, true, update, ""}, // package policy requests the first watch
+		"pushed, cached list": {cached, false, update, "after=7&wait_ms=3000"},
+		"pushed, no list":     {endpoint.List{}, false, nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
+
+func (c startOf) check(t *testing.T) {
+	scripted := testkit.NewScriptedDiscovery(t)
+	handler := newRecorder()
+	client := New(Config{Address: scripted.Address, Known: c.known, Poll: c.poll})
+	go client.Run(t.Context(), handler)
+	for _, want := range c.updates {
+		if kind := testkit.Wait(t, handler.updates, "an update"); kind != want {
+			t.Errorf("update %v, want %v", kind, want)
+		}
+	}
+	if c.poll {
+		if len(scripted.Calls) > 0 {
+			t.Error("called without a request")
+		}
+		client.RequestWatch()
+	}
+	if query := testkit.Wait(t, scripted.Calls, "the first call").URL.RawQuery; query != c.query {
+		t.Errorf("query %q, want %q", query, c.query)
+	}
+	if len(handler.updates) > 0 {
+		t.Errorf("more updates than %v", c.updates)
+	}
+}
+
+// After a change of the address the pending call ends, and the complete list is requested from the
+// latest address, in polling mode too.
+func TestAddressChangeRequestsTheCompleteList(t *testing.T) {
+	for name, poll := range map[string]bool{"polled": true, "pushed": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			former, skipped, latest := testkit.NewScriptedDiscovery(t), testkit.FreeAddr(t), testkit.NewScriptedDiscovery(t)
+			client := New(Config{
+				Address: former.Address, Poll: poll,
+				Known: endpoint.List{Generation: 7, Endpoints: []endpoint.Endpoint{{InstanceID: "s"}}},
+			})
+			client.RequestWatch()
+			go client.Run(t.Context(), newRecorder())
+			pending := testkit.Wait(t, former.Calls, "the first call")
+			client.Move(skipped)
+			client.Move(latest.Address)
+			if query := testkit.Wait(t, latest.Calls, "a call to the new address").URL.RawQuery; query != "" {
+				t.Errorf("query %q, want none", query)
+			}
+			testkit.Wait(t, pending.Context().Done(), "the end of the former call")
+		})
+	}
+}
--- /dev/null
+++ b/internal/testkit/backend.go
@@ -0,0 +1,54 @@
+package testkit
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"calicohinge/internal/endpoint"
+)
+
+// maxRecordedRequests bounds Backend.Requests; further requests are handled and not recorded.
+const maxRecordedRequests = 1000
+
+// Backend is an HTTP server that records the requests it receives.
+type Backend struct {
+	*httptest.Server
+	Requests chan *http.Request // each with its body read and restored
+}
+
+// NewBackend starts a server that records each request before it handles it. It stops at the end of
+// the test.
+func NewBackend(t *testing.T, handle http.HandlerFunc) *Backend {
+	t.Helper()
+	backend := &Backend{Requests: make(chan *http.Request, maxRecordedRequests)}
+	backend.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		select {
+		case backend.Requests <- r:
+		default: // a handler must not block when no test reads the channel
+		}
+		handle(w, r)
+	}))
+	t.Cleanup(func() {
+		backend.CloseClientConnections()
+		backend.Close()
+	})
+	return backend
+}
+
+// Address returns the host and port at which the server listens.
+func (b *Backend) Address() string { return b.Listener.Addr().String() }
+
+// Endpoint returns the server's entry in an endpoint list.
+func (b *Backend) Endpoint(id string) endpoint.Endpoint { return readyEndpoint(id, b.Address()) }
+
+func readyEndpoint(id, address string) endpoint.Endpoint {
+	return endpoint.Endpoint{InstanceID: id, Address: address, Zone: "a", Lifecycle: "Ready", Weight: 1}
+}
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,54 @@
+// Package testkit holds what the tests of several packages share: functions that wait for a
+// condition, stand-ins for servers and for the discovery service, and listeners. Whatever a function
+// starts ends with the test that it was given. Only tests import it.
+package testkit
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// Patience bounds the wait for a condition that must come true. It ends a test that fails and never
+// delays one that passes.
+const Patience = 20 * time.Second
+
+// Wait returns the next value of a channel, or fails the test. The description completes the words
+// "timed out waiting for".
+func Wait[T any](t *testing.T, values <-chan T, description string) T {
+	t.Helper()
+	select {
+	case value := <-values:
+		return value
+	case <-time.After(Patience):
+		t.Fatalf("timed out waiting for %s", description)
+		panic("unreachable")
+	}
+}
+
+// pollInterval is the pause between two checks of a condition: short beside what tests wait for.
+const pollInterval = time.Millisecond
+
+// Until waits until a condition holds, or fails the test.
+func Until(t *testing.T, description string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting for %s", description)
+		}
+	}
+}
+
+// IsTimeout reports whether a deadline ended a network operation.
+func IsTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// JSON is text that is marshalled as it is: a part of a configuration file that a test writes itself.
+type JSON string
+
+// MarshalJSON implements json.Marshaler.
+func (j JSON) MarshalJSON() ([]byte, error) { return json.RawMessage(j), nil }
