simproto: name event and action codes descriptively, with a prefix

Change: renaming only (EventOpen, EventClientDisconnected, ...; Reply.For is Reply.SelectInstance). Tests of simproto and simadapter pass.

--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -61,12 +61,12 @@
 			return err
 		}
 		e := &h.event
-		if e.Code == simproto.Instance {
+		if e.Code == simproto.EventInstance {
 			h.current, h.named = e.Instance, true
-			h.reply.For(e.Instance)
+			h.reply.SelectInstance(e.Instance)
 			continue
 		}
-		if !h.named || (e.Code != simproto.Open && h.instances[h.current] == nil) {
+		if !h.named || (e.Code != simproto.EventOpen && h.instances[h.current] == nil) {
 			return fmt.Errorf("%w: batch %d, record %d: event %d for an instance never opened",
 				simproto.ErrFormat, b.Number, i, e.Code)
 		}
@@ -85,25 +85,25 @@
 	}()
 	inst := h.instances[h.current]
 	switch e.Code {
-	case simproto.Open:
+	case simproto.EventOpen:
 		h.open(e)
-	case simproto.Stop:
+	case simproto.EventStop:
 		delete(h.instances, h.current)
-	case simproto.Members:
+	case simproto.EventEndpoints:
 		if e.Failed {
 			inst.WatchFailed(b.Now, b.Now+policy.NotificationDeadline)
 		} else {
 			inst.UpdateEndpoints(b.Now, e.Kind, e.Entries)
 		}
-	case simproto.Request:
+	case simproto.EventRequest:
 		inst.Request(b.Now, e.Request)
-	case simproto.Started:
+	case simproto.EventStreamStarted:
 		inst.StreamStarted(b.Now, e.Outcome.ID, e.Outcome.Attempt)
-	case simproto.Outcome:
+	case simproto.EventOutcome:
 		inst.Outcome(b.Now, e.Outcome)
-	case simproto.Left:
+	case simproto.EventClientDisconnected:
 		inst.ClientDisconnected(b.Now, e.Outcome.ID)
-	case simproto.Timer:
+	case simproto.EventTimer:
 		inst.Timer(b.Now, e.Token)
 	}
 }
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -103,8 +103,8 @@
 func TestPanicIsReportedAsFatal(t *testing.T) {
 	h := host{instances: map[uint16]*policy.Balancer{4: nil}, current: 4}
 	h.reply.Reset()
-	h.reply.For(4)
-	h.handle(&simproto.Batch{Number: 7}, &simproto.Event{Code: simproto.Request})
+	h.reply.SelectInstance(4)
+	h.handle(&simproto.Batch{Number: 7}, &simproto.Event{Code: simproto.EventRequest})
 	var out bytes.Buffer
 	if err := h.reply.WriteTo(bufio.NewWriter(&out), 7); err != nil {
 		t.Fatal(err)
--- a/internal/simproto/simproto.go
+++ b/internal/simproto/simproto.go
@@ -27,34 +27,34 @@
 	maxBody     = 1 << 30
 )
 
-// Code tells what an event record is.
-type Code uint8
+// EventCode tells what an event record is.
+type EventCode uint8
 
 // The events.
 const (
-	Open     Code = 1
-	Members  Code = 2
-	Request  Code = 3
-	Started  Code = 4
-	Outcome  Code = 5
-	Left     Code = 6
-	Timer    Code = 7
-	Probed   Code = 8
-	Peer     Code = 9
-	Stop     Code = 10
-	Instance Code = 11
+	EventOpen               EventCode = 1
+	EventEndpoints          EventCode = 2
+	EventRequest            EventCode = 3
+	EventStreamStarted      EventCode = 4
+	EventOutcome            EventCode = 5
+	EventClientDisconnected EventCode = 6
+	EventTimer              EventCode = 7
+	EventProbeResult        EventCode = 8
+	EventPeerMessage        EventCode = 9
+	EventStop               EventCode = 10
+	EventInstance           EventCode = 11
 )
 
 // The actions.
 const (
-	actCancel  = 65
-	actSend    = 66
-	actContext = 68
-	actRefuse  = 71
-	actTimer   = 72
-	actFail    = 73
-	actWatch   = 75
-	actFatal   = 77
+	actionCancel         = 65
+	actionSend           = 66
+	actionContext        = 68
+	actionReject         = 71
+	actionSetTimer       = 72
+	actionFail           = 73
+	actionWatchEndpoints = 75
+	actionFatal          = 77
 )
 
 // ErrFormat is wrapped by every complaint about a malformed frame.
@@ -134,7 +134,7 @@
 
 // Event is one record of a batch. Which fields count depends on Code.
 type Event struct {
-	Code     Code
+	Code     EventCode
 	Instance uint16 // Instance
 	Seed     uint64 // Open
 	Settings []byte // Open: JSON
@@ -161,18 +161,18 @@
 	fail := func(what string, v any) error {
 		return fmt.Errorf("%w: batch %d, record %d: %s %v", ErrFormat, b.Number, i, what, v)
 	}
-	e.Code = Code(rec[0])
+	e.Code = EventCode(rec[0])
 	switch e.Code {
-	case Instance:
+	case EventInstance:
 		e.Instance = u16(1)
-	case Open:
+	case EventOpen:
 		e.Seed = u64(1)
 		text, ok := b.slice(u32(9), u32(13), 1)
 		if !ok {
 			return fail("settings out of the tail:", u32(9))
 		}
 		e.Settings = text
-	case Members:
+	case EventEndpoints:
 		e.Kind, e.Failed = policy.UpdateKind(rec[1]), rec[1] == listFailed
 		if e.Kind > policy.UpdateCached && !e.Failed {
 			return fail("list kind", rec[1])
@@ -182,7 +182,7 @@
 			return fail("entries out of the tail:", u32(10))
 		}
 		return decodeEntries(e, raw, fail)
-	case Request:
+	case EventRequest:
 		left, ok1 := milliseconds.ToDuration(f64(16))
 		hint, ok2 := milliseconds.ToDuration(f64(24))
 		if !ok1 || !ok2 {
@@ -195,11 +195,11 @@
 			ID: policy.RequestID(u32(1)), Class: int(rec[5]), Tenant: int(u16(6)),
 			Timeout: left, CostHint: hint,
 		}
-	case Started:
+	case EventStreamStarted:
 		e.Outcome = policy.Outcome{
 			ID: policy.RequestID(u32(1)), Attempt: int(u16(5)), Server: serverID(rec[15:]),
 		}
-	case Outcome:
+	case EventOutcome:
 		status, ok := statuses[u16(5)]
 		if !ok {
 			return fail("status", u16(5))
@@ -212,15 +212,15 @@
 			ID: policy.RequestID(u32(1)), Status: status, RequestEnded: rec[7] != 0,
 			Server: serverID(rec[8:]), Attempt: int(u16(14)), Latency: latency,
 		}
-	case Left:
+	case EventClientDisconnected:
 		e.Outcome = policy.Outcome{ID: policy.RequestID(u32(1))}
-	case Timer:
+	case EventTimer:
 		e.Token = u64(1)
-	case Peer:
+	case EventPeerMessage:
 		if _, ok := b.slice(u32(5), u32(9), 1); !ok {
 			return fail("message out of the tail:", u32(5))
 		}
-	case Probed, Stop:
+	case EventProbeResult, EventStop:
 	default:
 		return fail("unknown event code", rec[0])
 	}
@@ -280,14 +280,14 @@
 	r.current = -1
 }
 
-// For names the instance that the actions from here on belong to.
-func (r *Reply) For(instance uint16) { r.target = instance }
+// SelectInstance names the instance that the actions from here on belong to.
+func (r *Reply) SelectInstance(instance uint16) { r.target = instance }
 
 // record appends an action record, preceded by its context where that changes.
 func (r *Reply) record(code byte) []byte {
 	if r.current != int(r.target) {
 		r.current = int(r.target)
-		binary.BigEndian.PutUint16(r.append(actContext)[1:], r.target)
+		binary.BigEndian.PutUint16(r.append(actionContext)[1:], r.target)
 	}
 	return r.append(code)
 }
@@ -309,7 +309,7 @@
 
 // Send implements policy.Host.
 func (r *Reply) Send(id policy.RequestID, server policy.ServerID, timeout time.Duration) {
-	rec := r.forRequest(actSend, id)
+	rec := r.forRequest(actionSend, id)
 	binary.BigEndian.PutUint32(rec[5:], uint32(server>>16))
 	binary.BigEndian.PutUint16(rec[9:], uint16(server))
 	putMs(rec[11:], timeout)
@@ -317,30 +317,30 @@
 
 // Cancel implements policy.Host.
 func (r *Reply) Cancel(id policy.RequestID, attempt int) {
-	binary.BigEndian.PutUint16(r.forRequest(actCancel, id)[5:], uint16(attempt))
+	binary.BigEndian.PutUint16(r.forRequest(actionCancel, id)[5:], uint16(attempt))
 }
 
 // Reject implements policy.Host.
 func (r *Reply) Reject(id policy.RequestID, retryAfter time.Duration) {
-	putMs(r.forRequest(actRefuse, id)[5:], retryAfter)
+	putMs(r.forRequest(actionReject, id)[5:], retryAfter)
 }
 
 // Fail implements policy.Host.
-func (r *Reply) Fail(id policy.RequestID) { r.forRequest(actFail, id) }
+func (r *Reply) Fail(id policy.RequestID) { r.forRequest(actionFail, id) }
 
 // SetTimer implements policy.Host.
 func (r *Reply) SetTimer(at time.Duration, token uint64) {
-	rec := r.record(actTimer)
+	rec := r.record(actionSetTimer)
 	putMs(rec[1:], at)
 	binary.BigEndian.PutUint64(rec[9:], token)
 }
 
 // WatchEndpoints implements policy.Host.
-func (r *Reply) WatchEndpoints() { r.record(actWatch)[1] = 1 }
+func (r *Reply) WatchEndpoints() { r.record(actionWatchEndpoints)[1] = 1 }
 
 // Fatal says that the decision code has failed.
 func (r *Reply) Fatal(text string) {
-	rec := r.record(actFatal)
+	rec := r.record(actionFatal)
 	binary.BigEndian.PutUint32(rec[1:], uint32(len(r.tail)))
 	binary.BigEndian.PutUint32(rec[5:], uint32(len(text)))
 	r.tail = append(r.tail, text...)
--- a/internal/simproto/simproto_test.go
+++ b/internal/simproto/simproto_test.go
@@ -76,7 +76,7 @@
 	if !errors.Is(err, io.EOF) || errors.Is(err, ErrFormat) {
 		t.Fatalf("ends with %v, want a clean end", err)
 	}
-	if events[0].Instance != 3 || events[2].Token != 0x4d || events[7].Code != Stop {
+	if events[0].Instance != 3 || events[2].Token != 0x4d || events[7].Code != EventStop {
 		t.Fatalf("instance %d, token %d, last code %d", events[0].Instance, events[2].Token, events[7].Code)
 	}
 	wantRequest := policy.Request{ID: 0x5d3a91c4, Tenant: 1,
@@ -109,11 +109,11 @@
 	var r Reply
 	r.Reset()
 	const server = policy.ServerID(0x0a124a071f93)
-	r.For(3)
+	r.SelectInstance(3)
 	r.Send(0x5d3a91c4, server, 80*time.Millisecond)
 	r.SetTimer(8400*time.Millisecond, 0x4d)
 	r.Cancel(0x5d3a91c4, 1)
-	r.For(5)
+	r.SelectInstance(5)
 	r.Reject(0x0e6f2b19, 250*time.Millisecond)
 	r.Fail(7)
 	r.WatchEndpoints()
