simproto: decode each event in its own function, report typed format errors

Cause: one file read, decoded and encoded frames; Batch.Event exceeded the linter's complexity, statuses came from a mutable map, and a caller could not ask which batch and record were malformed.

Change: the files are event.go (messages), reader.go (frames), decode.go, encode.go, record.go (fields of a record) and error.go. FormatError gives batch, record and cause; errors.Is still finds ErrFormat. Kinds, states and statuses are decoded by switch functions; positions of fields are named. Event.Failed is WatchFailed, Event.Entries is Endpoints; EventCode has a String. Of several faults in one record another may be reported first.

Tests: split by concern, malformed frames come from a function. New: all status codes, a failed watch, an invalid cost hint, names of events, reuse of a reply, errors of the writer, position and cause of format errors.

--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -90,10 +90,10 @@
 	case simproto.EventStop:
 		delete(h.instances, h.current)
 	case simproto.EventEndpoints:
-		if e.Failed {
+		if e.WatchFailed {
 			inst.WatchFailed(b.Now, b.Now+policy.NotificationDeadline)
 		} else {
-			inst.UpdateEndpoints(b.Now, e.Kind, e.Entries)
+			inst.UpdateEndpoints(b.Now, e.Kind, e.Endpoints)
 		}
 	case simproto.EventRequest:
 		inst.Request(b.Now, e.Request)
--- /dev/null
+++ b/internal/simproto/encode.go
@@ -0,0 +1,156 @@
+package simproto
+
+import (
+	"bufio"
+	"fmt"
+	"time"
+
+	"calicohinge/policy"
+)
+
+// actionCode is the code of an action record.
+type actionCode uint8
+
+const (
+	actionCancel         actionCode = 65
+	actionSend           actionCode = 66
+	actionContext        actionCode = 68 // selects the instance of the actions that follow
+	actionReject         actionCode = 71
+	actionSetTimer       actionCode = 72
+	actionFail           actionCode = 73
+	actionWatchEndpoints actionCode = 75
+	actionFatal          actionCode = 77
+)
+
+// The positions of the fields in a reply's header.
+const (
+	replyCountAt    = 0
+	replyBodySizeAt = 4
+	replyBatchAt    = 8
+)
+
+// initialReplyCapacity holds the reply to a usual batch, in bytes.
+const initialReplyCapacity = 1 << 14
+
+// Reply collects the actions that answer one batch. It implements policy.Host for the instance
+// selected. Reset must be called before the first use. It is not safe for concurrent use.
+type Reply struct {
+	frame    []byte // the header, filled in by WriteTo, and the records
+	tail     []byte
+	count    uint32 // records so far
+	selected uint16 // the instance of the next action
+	context  int    // the instance of the last context record, or noInstance
+}
+
+var _ policy.Host = (*Reply)(nil)
+
+// Reset starts a new reply.
+func (r *Reply) Reset() {
+	if r.frame == nil {
+		r.frame = make([]byte, 0, initialReplyCapacity)
+	}
+	r.frame = r.frame[:replyHeaderSize]
+	r.tail = r.tail[:0]
+	r.count = 0
+	r.context = noInstance
+}
+
+// SelectInstance sets the instance to which the following actions belong.
+func (r *Reply) SelectInstance(instance uint16) { r.selected = instance }
+
+// action appends an action record, after a context record if the instance has changed.
+func (r *Reply) action(code actionCode) record {
+	if r.context != int(r.selected) {
+		r.context = int(r.selected)
+		r.appendRecord(actionContext).putUint16(1, r.selected)
+	}
+	return r.appendRecord(code)
+}
+
+func (r *Reply) appendRecord(code actionCode) record {
+	var blank [actionSize]byte
+	r.frame = append(r.frame, blank[:]...)
+	r.count++
+	rec := record(r.frame[len(r.frame)-actionSize:])
+	rec[0] = byte(code)
+	return rec
+}
+
+func (r *Reply) requestAction(code actionCode, id policy.RequestID) record {
+	rec := r.action(code)
+	rec.putRequestID(id)
+	return rec
+}
+
+// Send implements policy.Host.
+func (r *Reply) Send(id policy.RequestID, server policy.ServerID, timeout time.Duration) {
+	const (
+		serverAt  = 5
+		timeoutAt = 11
+	)
+	rec := r.requestAction(actionSend, id)
+	rec.putServerID(serverAt, server)
+	rec.putDuration(timeoutAt, timeout)
+}
+
+// Cancel implements policy.Host.
+func (r *Reply) Cancel(id policy.RequestID, attempt int) {
+	const attemptAt = 5
+	r.requestAction(actionCancel, id).putUint16(attemptAt, uint16(attempt))
+}
+
+// Reject implements policy.Host.
+func (r *Reply) Reject(id policy.RequestID, retryAfter time.Duration) {
+	const retryAfterAt = 5
+	r.requestAction(actionReject, id).putDuration(retryAfterAt, retryAfter)
+}
+
+// Fail implements policy.Host.
+func (r *Reply) Fail(id policy.RequestID) { r.requestAction(actionFail, id) }
+
+// SetTimer implements policy.Host.
+func (r *Reply) SetTimer(at time.Duration, token uint64) {
+	const (
+		timeAt  = 1
+		tokenAt = 9
+	)
+	rec := r.action(actionSetTimer)
+	rec.putDuration(timeAt, at)
+	rec.putUint64(tokenAt, token)
+}
+
+// WatchEndpoints implements policy.Host.
+func (r *Reply) WatchEndpoints() {
+	const (
+		subscribeAt = 1
+		subscribe   = 1 // 0 would end the subscription
+	)
+	r.action(actionWatchEndpoints)[subscribeAt] = subscribe
+}
+
+// Fatal reports that the decision code has failed, which ends the simulation with the text.
+func (r *Reply) Fatal(text string) {
+	const (
+		textOffsetAt = 1
+		textSizeAt   = 5
+	)
+	rec := r.action(actionFatal)
+	rec.putUint32(textOffsetAt, uint32(len(r.tail)))
+	rec.putUint32(textSizeAt, uint32(len(text)))
+	r.tail = append(r.tail, text...)
+}
+
+// WriteTo writes the reply to the batch of the given number and flushes the writer.
+func (r *Reply) WriteTo(w *bufio.Writer, batch uint32) error {
+	header := record(r.frame[:replyHeaderSize])
+	header.putUint32(replyCountAt, r.count)
+	header.putUint32(replyBodySizeAt, uint32(len(r.frame)-replyHeaderSize+len(r.tail)))
+	header.putUint32(replyBatchAt, batch)
+	// A bufio.Writer keeps its first error, which Flush returns.
+	_, _ = w.Write(r.frame)
+	_, _ = w.Write(r.tail)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write reply %d: %w", batch, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/simproto/encode_test.go
@@ -0,0 +1,74 @@
+package simproto
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"calicohinge/policy"
+)
+
+func TestReplyEncodesActions(t *testing.T) {
+	var reply Reply
+	reply.Reset()
+	const server = policy.ServerID(0x0a124a071f93)
+	reply.SelectInstance(3)
+	reply.Send(0x5d3a91c4, server, 80*time.Millisecond)
+	reply.SetTimer(8400*time.Millisecond, 0x4d)
+	reply.Cancel(0x5d3a91c4, 1)
+	reply.SelectInstance(5)
+	reply.Reject(0x0e6f2b19, 250*time.Millisecond)
+	reply.Fail(7)
+	reply.WatchEndpoints()
+	reply.Fatal("broken")
+	var out bytes.Buffer
+	if err := reply.WriteTo(bufio.NewWriter(&out), 12); err != nil {
+		t.Fatal(err)
+	}
+	action := func(text string) []byte { return padded(t, actionSize, text) }
+	want := join(unhex(t, "00000009 000000de 0000000c"),
+		action("44 0003"), action("42 5d3a91c4 0a124a07 1f93 4054000000000000"),
+		action("48 40c0680000000000 000000000000004d"),
+		action("41 5d3a91c4 0001"), action("44 0005"), action("47 0e6f2b19 406f400000000000"), action("49 00000007"),
+		action("4b 01"), action("4d 00000000 00000006"), []byte("broken"))
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Fatalf("got\n%x\nwant\n%x", out.Bytes(), want)
+	}
+}
+
+func TestSecondReplyHasNothingOfTheFirst(t *testing.T) {
+	var reply Reply
+	reply.Reset()
+	reply.SelectInstance(3)
+	reply.Fatal("broken")
+	reply.Reset()
+	reply.Fail(7)
+	var out bytes.Buffer
+	if err := reply.WriteTo(bufio.NewWriter(&out), 13); err != nil {
+		t.Fatal(err)
+	}
+	want := join(unhex(t, "00000002 00000030 0000000d"),
+		padded(t, actionSize, "44 0003"), padded(t, actionSize, "49 00000007"))
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Fatalf("got\n%x\nwant\n%x", out.Bytes(), want)
+	}
+}
+
+var errBroken = errors.New("broken pipe")
+
+type brokenWriter struct{}
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errBroken }
+
+func TestWriteToReturnsTheErrorOfTheWriter(t *testing.T) {
+	for name, size := range map[string]int{"at the flush": 4096, "at the first write": 16} {
+		var reply Reply
+		reply.Reset()
+		reply.Fail(7)
+		if err := reply.WriteTo(bufio.NewWriterSize(brokenWriter{}, size), 12); !errors.Is(err, errBroken) {
+			t.Errorf("%s: error %v, want one that wraps %v", name, err, errBroken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/simproto/error.go
@@ -0,0 +1,29 @@
+package simproto
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrFormat is in the tree of every error about a malformed frame.
+var ErrFormat = errors.New("malformed frame")
+
+// WholeFrame is the Record of a FormatError that does not concern a single record.
+const WholeFrame = -1
+
+// FormatError reports a malformed frame. errors.Is finds ErrFormat in it.
+type FormatError struct {
+	Batch  uint32 // number of the batch
+	Record int    // index of the record in the batch, from 0, or WholeFrame
+	Err    error  // the cause
+}
+
+func (e *FormatError) Error() string {
+	if e.Record == WholeFrame {
+		return fmt.Sprintf("%v: batch %d: %v", ErrFormat, e.Batch, e.Err)
+	}
+	return fmt.Sprintf("%v: batch %d, record %d: %v", ErrFormat, e.Batch, e.Record, e.Err)
+}
+
+// Unwrap returns ErrFormat and the cause.
+func (e *FormatError) Unwrap() []error { return []error{ErrFormat, e.Err} }
--- /dev/null
+++ b/internal/simproto/frame_test.go
@@ -0,0 +1,63 @@
+package simproto
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"math"
+	"strings"
+	"testing"
+)
+
+// unhex reads hexadecimal digits; spaces are ignored.
+func unhex(t testing.TB, text string) []byte {
+	t.Helper()
+	raw, err := hex.DecodeString(strings.ReplaceAll(text, " ", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// padded returns the bytes of a record, written as hexadecimal digits, padded to its size.
+func padded(t testing.TB, size int, text string) []byte {
+	t.Helper()
+	raw := unhex(t, text)
+	return append(raw, make([]byte, size-len(raw))...)
+}
+
+func eventRecord(t testing.TB, text string) []byte {
+	t.Helper()
+	return padded(t, eventSize, text)
+}
+
+// frame builds batch 12, whose clock is 8,500 ms.
+func frame(count int, records, tail []byte) []byte {
+	header := make([]byte, batchHeaderSize)
+	binary.BigEndian.PutUint32(header[0:], uint32(len(records)+len(tail)))
+	binary.BigEndian.PutUint64(header[4:], math.Float64bits(8500))
+	binary.BigEndian.PutUint32(header[12:], uint32(count))
+	binary.BigEndian.PutUint32(header[16:], 12)
+	return append(append(header, records...), tail...)
+}
+
+func join(parts ...[]byte) []byte { return bytes.Join(parts, nil) }
+
+// decodeAll decodes batches until an error, which io.EOF is too.
+func decodeAll(raw []byte) ([]Event, error) {
+	reader := NewReader(bytes.NewReader(raw))
+	var events []Event
+	for {
+		batch, err := reader.Read()
+		if err != nil {
+			return events, err
+		}
+		for i := range batch.Count {
+			var event Event
+			if err := batch.Event(i, &event); err != nil {
+				return events, err
+			}
+			events = append(events, event)
+		}
+	}
+}
--- /dev/null
+++ b/internal/simproto/malformed_test.go
@@ -0,0 +1,96 @@
+package simproto
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+// malformedFrames returns frames of which each must give an error of one line with its batch,
+// and no panic.
+func malformedFrames(t testing.TB) map[string][]byte {
+	t.Helper()
+	return map[string][]byte{
+		"truncated header":           frame(0, nil, nil)[:7],
+		"truncated body":             frame(1, eventRecord(t, "0b 0003"), nil)[:40],
+		"huge claimed length":        replaced(frame(0, nil, nil), 0, 0xff),
+		"long claimed length":        replaced(frame(0, nil, nil), 0, 0x30),
+		"more records than bytes":    frame(9, eventRecord(t, "0b 0003"), nil),
+		"unknown event":              frame(1, eventRecord(t, "63"), nil),
+		"settings outside the tail":  frame(1, eventRecord(t, "01 0000000000000001 00000000 00000009"), []byte("{}")),
+		"endpoints outside the tail": frame(1, eventRecord(t, "02 01 0000000000000001 fffffff0 ffffffff"), nil),
+		"unknown kind of update":     frame(1, eventRecord(t, "02 09"), nil),
+		"unknown status":             frame(1, eventRecord(t, "05 5d3a91c4 0001"), nil),
+		"latency not a number":       frame(1, eventRecord(t, "05 5d3a91c4 00c8 01 0a124a07 1f93 0000 7ff8000000000001"), nil),
+		"timeout not finite":         frame(1, eventRecord(t, "03 5d3a91c4 00 0000 91f03b7c55d20a64 7ff0000000000000"), nil),
+		"message outside the tail":   frame(1, eventRecord(t, "09 00000002 00000000 00000004"), nil),
+		"clock not a number":         replaced(frame(0, nil, nil), 4, 0x7f, 0xf8),
+		"unknown server state": frame(1, eventRecord(t, "02 01 0000000000000001 00000000 00000001"),
+			unhex(t, "0a124a07 1f93 0000 0000 0000 07 3f800000 0000000000000000")),
+		"weight not a number": frame(1, eventRecord(t, "02 01 0000000000000001 00000000 00000001"),
+			unhex(t, "0a124a07 1f93 0000 0000 0000 01 7fc00000 0000000000000000")),
+	}
+}
+
+// replaced writes other bytes into a frame, from the given position on.
+func replaced(frame []byte, at int, other ...byte) []byte {
+	copy(frame[at:], other)
+	return frame
+}
+
+func TestMalformedFramesGiveAnErrorOfOneLine(t *testing.T) {
+	for name, raw := range malformedFrames(t) {
+		t.Run(name, func(t *testing.T) {
+			_, err := decodeAll(raw)
+			if !errors.Is(err, ErrFormat) || !strings.Contains(err.Error(), "batch") || strings.Contains(err.Error(), "\n") {
+				t.Fatalf("error %v", err)
+			}
+		})
+	}
+}
+
+func TestFormatErrorNamesBatchRecordAndCause(t *testing.T) {
+	timer := eventRecord(t, "07 000000000000004d")
+	for _, test := range []struct {
+		raw    []byte
+		batch  uint32
+		record int
+		text   string
+		cause  error
+	}{
+		{frame(0, nil, nil)[:7], 0, WholeFrame,
+			"malformed frame: batch 0: header of the next batch: unexpected EOF", io.ErrUnexpectedEOF},
+		{join(frame(0, nil, nil), []byte{0}), 12, WholeFrame,
+			"malformed frame: batch 12: header of the next batch: unexpected EOF", io.ErrUnexpectedEOF},
+		{frame(1, timer, nil)[:20], 12, WholeFrame,
+			"malformed frame: batch 12: body: unexpected EOF", io.ErrUnexpectedEOF},
+		{frame(9, timer, nil), 12, WholeFrame, "malformed frame: batch 12: 9 records in 48 bytes", nil},
+		{frame(2, join(timer, eventRecord(t, "63")), nil), 12, 1,
+			"malformed frame: batch 12, record 1: unknown event code 99", nil},
+		{frame(1, eventRecord(t, "05 5d3a91c4 0001"), nil), 12, 0,
+			"malformed frame: batch 12, record 0: unknown status 1", nil},
+	} {
+		_, err := decodeAll(test.raw)
+		var formatError *FormatError
+		if !errors.As(err, &formatError) || formatError.Batch != test.batch || formatError.Record != test.record {
+			t.Errorf("error %v, want a *FormatError for batch %d, record %d", err, test.batch, test.record)
+			continue
+		}
+		if err.Error() != test.text || test.cause != nil && !errors.Is(err, test.cause) {
+			t.Errorf("error %q, want %q with the cause %v", err, test.text, test.cause)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, raw := range malformedFrames(f) {
+		f.Add(raw)
+	}
+	f.Add(frame(2, join(eventRecord(f, "0b 0003"), eventRecord(f, "07 000000000000004d")), nil))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if _, err := decodeAll(raw); err == nil {
+			t.Fatal("an input that ends must give an error or io.EOF")
+		}
+	})
+}
--- /dev/null
+++ b/internal/simproto/reader.go
@@ -0,0 +1,106 @@
+package simproto
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"calicohinge/internal/milliseconds"
+)
+
+const (
+	readBufferSize = 1 << 16
+	// bodyGrowth is the number of bytes by which the body grows at most before they have been
+	// read: memory grows with the input and not with what a malformed header claims.
+	bodyGrowth = 1 << 20
+)
+
+// The positions of the fields in a batch's header.
+const (
+	batchBodySizeAt = 0
+	batchTimeAt     = 4
+	batchCountAt    = 12
+	batchNumberAt   = 16
+)
+
+// Batch is one frame of events. It is valid until the next Reader.Read.
+type Batch struct {
+	Now    time.Duration // time of all events of the batch
+	Number uint32        // sequence number, which the reply repeats
+	Count  int           // number of event records
+
+	records []byte
+	tail    []byte
+}
+
+// Reader reads batches. It is not safe for concurrent use.
+type Reader struct {
+	in     *bufio.Reader
+	header [batchHeaderSize]byte
+	body   []byte
+	batch  Batch
+}
+
+// NewReader returns a Reader that reads batches from in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, readBufferSize)}
+}
+
+// Read returns the next batch. It returns io.EOF if the input ends between two batches, and a
+// *FormatError if it ends elsewhere, cannot be read or is malformed.
+func (r *Reader) Read() (*Batch, error) {
+	if n, err := io.ReadFull(r.in, r.header[:]); err != nil {
+		if n == 0 && errors.Is(err, io.EOF) {
+			return nil, io.EOF
+		}
+		return nil, r.formatError("header of the next batch: %w", err)
+	}
+	header := r.header[:]
+	size := binary.BigEndian.Uint32(header[batchBodySizeAt:])
+	count := binary.BigEndian.Uint32(header[batchCountAt:])
+	r.batch.Number = binary.BigEndian.Uint32(header[batchNumberAt:])
+	if size > maxBodySize || uint64(count)*eventSize > uint64(size) {
+		return nil, r.formatError("%d records in %d bytes", count, size)
+	}
+	if err := r.readBody(int(size)); err != nil {
+		return nil, r.formatError("body: %w", err)
+	}
+	clock := math.Float64frombits(binary.BigEndian.Uint64(header[batchTimeAt:]))
+	now, ok := milliseconds.ToDuration(clock)
+	if !ok {
+		return nil, r.formatError("clock %v", clock)
+	}
+	r.batch.Now = now
+	r.batch.Count = int(count)
+	r.batch.records = r.body[:int(count)*eventSize]
+	r.batch.tail = r.body[int(count)*eventSize:]
+	return &r.batch, nil
+}
+
+func (r *Reader) formatError(format string, args ...any) error {
+	return &FormatError{Batch: r.batch.Number, Record: WholeFrame, Err: fmt.Errorf(format, args...)}
+}
+
+// readBody reads size bytes into the body.
+func (r *Reader) readBody(size int) error {
+	r.body = r.body[:0]
+	for len(r.body) < size {
+		start := len(r.body)
+		end := min(size, start+bodyGrowth)
+		if cap(r.body) < end {
+			r.body = append(r.body, make([]byte, end-start)...)
+		}
+		r.body = r.body[:end]
+		if _, err := io.ReadFull(r.in, r.body[start:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/simproto/record.go
@@ -0,0 +1,52 @@
+package simproto
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"calicohinge/internal/milliseconds"
+	"calicohinge/policy"
+)
+
+// serverIDPortBits is the number of low bits of a policy.ServerID that hold the port; the
+// address is above them.
+const serverIDPortBits = 16
+
+// requestIDAt is the position of the request's ID in all events and actions that concern one.
+const requestIDAt = 1
+
+// record is the bytes of an event or of an endpoint. Positions count from its first byte.
+type record []byte
+
+func (r record) uint16(at int) uint16 { return binary.BigEndian.Uint16(r[at:]) }
+func (r record) uint32(at int) uint32 { return binary.BigEndian.Uint32(r[at:]) }
+func (r record) uint64(at int) uint64 { return binary.BigEndian.Uint64(r[at:]) }
+
+func (r record) float32(at int) float64 { return float64(math.Float32frombits(r.uint32(at))) }
+func (r record) float64(at int) float64 { return math.Float64frombits(r.uint64(at)) }
+
+// duration reads a time; it reports false for one that is not a number or out of range.
+func (r record) duration(at int) (time.Duration, bool) { return milliseconds.ToDuration(r.float64(at)) }
+
+func (r record) requestID() policy.RequestID { return policy.RequestID(r.uint32(requestIDAt)) }
+
+// serverID reads four bytes of address and a port.
+func (r record) serverID(at int) policy.ServerID {
+	return policy.ServerID(r.uint32(at))<<serverIDPortBits | policy.ServerID(r.uint16(at+4))
+}
+
+func (r record) putUint16(at int, value uint16) { binary.BigEndian.PutUint16(r[at:], value) }
+func (r record) putUint32(at int, value uint32) { binary.BigEndian.PutUint32(r[at:], value) }
+func (r record) putUint64(at int, value uint64) { binary.BigEndian.PutUint64(r[at:], value) }
+
+func (r record) putDuration(at int, value time.Duration) {
+	r.putUint64(at, math.Float64bits(milliseconds.FromDuration(value)))
+}
+
+func (r record) putRequestID(id policy.RequestID) { r.putUint32(requestIDAt, uint32(id)) }
+
+func (r record) putServerID(at int, server policy.ServerID) {
+	r.putUint32(at, uint32(server>>serverIDPortBits))
+	r.putUint16(at+4, uint16(server))
+}
