--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -18,8 +18,9 @@
 // of the list at the new one. The operators' contract gives it, from SIGHUP on.
 const addressChangeDeadline = 4 * time.Second
 
-// maxConnections allows the first call at a new address beside one that is being cancelled.
-const maxConnections = 2
+// maxConnectionsPerHost bounds the connections to the discovery service: that of a call, and that of a
+// cancelled call that is still being closed.
+const maxConnectionsPerHost = 2
 
 // Handler receives what a Client learns. Its methods are called from the goroutine
 // of Client.Run, one at a time.
@@ -61,7 +62,7 @@
 		maxBackoff:     maxBackoffFor(config.DrainGrace),
 		watchRequests:  make(chan struct{}, 1),
 		addressChanges: make(chan string, 1),
-		httpClient:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections}},
+		httpClient:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnectionsPerHost}},
 	}
 }
 
