Give the upstream pool the standard names

acquire, release, evict and closeLocked; response instead of answer; fields of a connection say what they bound. Methods that need the lock end in Locked.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -44,8 +44,8 @@
 // SetWriteDeadline sets the time from which on nothing of the call is written.
 func (c *Call) SetWriteDeadline(deadline time.Time) { c.writeDeadline.Store(&deadline) }
 
-// latest returns the write deadline; zero if there is none.
-func (c *Call) latest() (deadline time.Time) {
+// deadline returns the write deadline; zero if there is none.
+func (c *Call) deadline() (deadline time.Time) {
 	if p := c.writeDeadline.Load(); p != nil {
 		deadline = *p
 	}
--- a/internal/upstream/endpoints.go
+++ b/internal/upstream/endpoints.go
@@ -7,10 +7,10 @@
 
 // server is where a server listens, under one start of it.
 type server struct {
-	addr    string
-	started float64 // as discovery tells it
-	idle    []*conn // the one used last at the end
-	gone    bool    // or restarted, or moved: connections are not kept
+	address          string
+	startedUnixMilli float64       // as discovery tells it
+	idle             []*connection // the one used last at the end
+	removed          bool          // or restarted, or moved: connections are not kept
 }
 
 // RevokedServers is the set of servers whose attempts must not be written any
@@ -29,56 +29,56 @@
 // the endpoints that changed. A server with a new address or a new start time is
 // another process: connections to the former one are closed. It returns the
 // servers that were removed, drain or are another process now.
-func (u *Pool) UpdateEndpoints(complete bool, endpoints []endpoint.Endpoint) RevokedServers {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+func (p *Pool) UpdateEndpoints(complete bool, endpoints []endpoint.Endpoint) RevokedServers {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	listed := make(map[policy.ServerID]struct{}, len(endpoints))
 	revoked := RevokedServers{}
 	for _, current := range endpoints {
 		id := current.ServerID()
 		if current.State() == policy.Gone {
 			revoked.add(id)
-			u.drop(id, u.servers[id])
+			p.removeLocked(id, p.servers[id])
 			continue
 		}
 		listed[id] = struct{}{}
-		if replaced := u.update(id, current); replaced || current.State() != policy.Ready {
+		if replaced := p.updateLocked(id, current); replaced || current.State() != policy.Ready {
 			revoked.add(id)
 		}
 	}
 	if !complete {
 		return revoked
 	}
-	for id, s := range u.servers {
+	for id, s := range p.servers {
 		if _, ok := listed[id]; !ok {
 			revoked.add(id)
-			u.drop(id, s)
+			p.removeLocked(id, s)
 		}
 	}
 	return revoked
 }
 
-// update records an endpoint that is not gone. It reports whether the server is
-// new or another process than before; u.mu is held.
-func (u *Pool) update(id policy.ServerID, current endpoint.Endpoint) (replaced bool) {
-	old := u.servers[id]
-	if old != nil && old.addr == current.Address && old.started == current.StartedUnixMilli {
+// updateLocked records an endpoint that is not gone. It reports whether the server is
+// new or another process than before; p.mu is held.
+func (p *Pool) updateLocked(id policy.ServerID, current endpoint.Endpoint) (replaced bool) {
+	old := p.servers[id]
+	if old != nil && old.address == current.Address && old.startedUnixMilli == current.StartedUnixMilli {
 		return false
 	}
-	u.drop(id, old)
-	u.servers[id] = &server{addr: current.Address, started: current.StartedUnixMilli}
+	p.removeLocked(id, old)
+	p.servers[id] = &server{address: current.Address, startedUnixMilli: current.StartedUnixMilli}
 	return true
 }
 
-// drop forgets a server; u.mu is held.
-func (u *Pool) drop(id policy.ServerID, s *server) {
+// removeLocked forgets a server; p.mu is held.
+func (p *Pool) removeLocked(id policy.ServerID, s *server) {
 	if s == nil {
 		return
 	}
-	s.gone = true
+	s.removed = true
 	for _, c := range s.idle {
-		u.shut(c)
+		p.closeLocked(c)
 	}
 	s.idle = nil
-	delete(u.servers, id)
+	delete(p.servers, id)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,20 +13,20 @@
 // exchange writes the request and reads the answer. The last byte of the
 // request being written decides whether it may have run. It tells whether the
 // connection is of use for a further request.
-func (c *conn) exchange(req *http.Request, message []byte) (Result, bool) {
+func (c *connection) exchange(req *http.Request, message []byte) (Result, bool) {
 	if _, err := c.Conn.Write(message); err != nil {
 		return Result{Status: policy.ConnectFailed}, false // its last byte was not written
 	}
-	c.budget = maxAnswer
-	resp, err := c.answer(req)
+	c.responseBudget = maxResponse
+	resp, err := c.readHead(req)
 	for n := 0; err == nil && resp.StatusCode/100 == 1; n++ {
-		if resp.StatusCode == http.StatusSwitchingProtocols || n == maxInterim {
+		if resp.StatusCode == http.StatusSwitchingProtocols || n == maxInterimResponses {
 			return Result{Status: policy.ServerError}, false
 		}
-		resp, err = c.answer(req)
+		resp, err = c.readHead(req)
 	}
 	if err != nil {
-		return Result{Status: c.broken()}, false
+		return Result{Status: c.failureStatus()}, false
 	}
 	if resp.ContentLength > maxBody {
 		return Result{Status: policy.ServerError}, false // not even looked at: it may have gigabytes
@@ -36,7 +36,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	switch {
 	case err != nil:
-		return Result{Status: c.broken()}, false
+		return Result{Status: c.failureStatus()}, false
 	case len(body) > maxBody:
 		return Result{Status: policy.ServerError}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
@@ -54,30 +54,30 @@
 	return Result{Status: policy.ServerError}, keep
 }
 
-// answer reads the head of an answer. A server may think for as long as the
-// request has; but once it speaks, the whole answer has to follow soon. One that
+// readHead reads the head of an readHead. A server may think for as long as the
+// request has; but once it speaks, the whole readHead has to follow soon. One that
 // was spoilt leaves its connection open and says no more: to wait for the rest
 // would take the time of a further attempt.
-func (c *conn) answer(req *http.Request) (*http.Response, error) {
+func (c *connection) readHead(req *http.Request) (*http.Response, error) {
 	c.SetReadDeadline(time.Time{})
 	_, err := c.reader.Peek(1)
 	if err != nil {
 		return nil, err
 	}
-	c.SetReadDeadline(time.Now().Add(c.span))
-	start, err := c.reader.Peek(len(answerStart))
+	c.SetReadDeadline(time.Now().Add(c.responseReadTimeout))
+	start, err := c.reader.Peek(len(responsePrefix))
 	if err != nil {
 		return nil, err
 	}
-	if string(start) != answerStart {
-		return nil, errNoAnswer // which need not even end its line
+	if string(start) != responsePrefix {
+		return nil, errNotHTTP // which need not even end its line
 	}
 	return http.ReadResponse(c.reader, req)
 }
 
-// broken tells a connection that ended from an answer that makes no sense.
-func (c *conn) broken() policy.Status {
-	if c.ended != nil && !errors.Is(c.ended, os.ErrDeadlineExceeded) {
+// failureStatus tells a connection that ended from an answer that makes no sense.
+func (c *connection) failureStatus() policy.Status {
+	if c.readErr != nil && !errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 		return policy.Reset
 	}
 	return policy.ServerError
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -3,25 +3,25 @@
 import "errors"
 
 const (
-	maxBody    = 64 << 10         // bytes of a message's body
-	maxAnswer  = maxBody + 64<<10 // of a server's answer with head and framing
-	maxInterim = 8                // 1xx answers ahead of the real one
+	maxBody             = 64 << 10         // bytes of a message's body
+	maxResponse         = maxBody + 64<<10 // of a server's answer with head and framing
+	maxInterimResponses = 8                // 1xx answers ahead of the real one
 )
 
 var (
-	errTooLarge = errors.New("answer too large")
-	errNoAnswer = errors.New("no HTTP answer")
+	errResponseTooLarge = errors.New("answer too large")
+	errNotHTTP          = errors.New("no HTTP answer")
 )
 
-const answerStart = "HTTP/1."
+const responsePrefix = "HTTP/1."
 
 // Read bounds what a server may send for one request.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.budget <= 0 {
-		return 0, errTooLarge
+func (c *connection) Read(p []byte) (int, error) {
+	if c.responseBudget <= 0 {
+		return 0, errResponseTooLarge
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
-	c.budget -= n
-	c.ended = err
+	n, err := c.Conn.Read(p[:min(len(p), c.responseBudget)])
+	c.responseBudget -= n
+	c.readErr = err
 	return n, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	idlePart      = 0.6 // of the servers' idle time, after which a connection is retired
-	idlePerServer = 32  // idle connections kept to a server
+	idleTimeoutShare = 0.6 // of the servers' idle time, after which a connection is retired
+	maxIdlePerServer = 32  // idle connections kept to a server
 )
 
 // DefaultSettleDelay is kept from an answer to the next request on its connection. With
@@ -43,19 +43,19 @@
 
 // NewPool makes a pool that knows no server yet.
 func NewPool(config Config) *Pool {
-	config.IdleTimeout = time.Duration(float64(config.IdleTimeout) * idlePart)
+	config.IdleTimeout = time.Duration(float64(config.IdleTimeout) * idleTimeoutShare)
 	return &Pool{config: config, servers: map[policy.ServerID]*server{}}
 }
 
-// shut closes a connection; u.mu is held.
-func (u *Pool) shut(c *conn) {
-	u.open--
+// closeLocked closes a connection; p.mu is held.
+func (p *Pool) closeLocked(c *connection) {
+	p.open--
 	c.Conn.Close()
 }
 
 // RetireIdle closes connections that were idle for too long, until the context ends.
-func (u *Pool) RetireIdle(ctx context.Context) {
-	tick := time.NewTicker(max(u.config.IdleTimeout/8, 10*time.Millisecond))
+func (p *Pool) RetireIdle(ctx context.Context) {
+	tick := time.NewTicker(max(p.config.IdleTimeout/8, 10*time.Millisecond))
 	defer tick.Stop()
 	for {
 		select {
@@ -63,25 +63,25 @@
 			return
 		case <-tick.C:
 		}
-		u.mu.Lock()
-		for _, s := range u.servers {
+		p.mu.Lock()
+		for _, s := range p.servers {
 			n := 0
-			for n < len(s.idle) && time.Since(s.idle[n].since) > u.config.IdleTimeout {
-				u.shut(s.idle[n])
+			for n < len(s.idle) && time.Since(s.idle[n].idleSince) > p.config.IdleTimeout {
+				p.closeLocked(s.idle[n])
 				n++
 			}
 			s.idle = append(s.idle[:0], s.idle[n:]...)
 		}
-		u.mu.Unlock()
+		p.mu.Unlock()
 	}
 }
 
-// take gives an idle connection, or leave to open one: nil and the server. At
+// acquire gives an idle connection, or leave to open one: nil and the server. At
 // the cap it makes room at the expense of another server's idle connection.
-func (u *Pool) take(id policy.ServerID) (*conn, *server, policy.Status) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	s := u.servers[id]
+func (p *Pool) acquire(id policy.ServerID) (*connection, *server, policy.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
 	if s == nil {
 		return nil, nil, policy.ConnectFailed
 	}
@@ -91,49 +91,49 @@
 	// what belongs to the former one: nothing in an answer names its request.
 	for n := len(s.idle) - 1; n >= 0; n-- {
 		c := s.idle[n]
-		rested := time.Since(c.since)
-		if rested < u.config.SettleDelay {
+		rested := time.Since(c.idleSince)
+		if rested < p.config.SettleDelay {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, n, n+1)
 		// The server closes idle connections too, and a request written to one
 		// that is closed counts as one that may have run.
-		if rested <= u.config.IdleTimeout {
+		if rested <= p.config.IdleTimeout {
 			return c, s, policy.OK
 		}
-		u.shut(c)
+		p.closeLocked(c)
 	}
-	if u.open >= u.config.MaxOpen && !u.evict() {
+	if p.open >= p.config.MaxOpen && !p.evictLocked() {
 		return nil, nil, policy.NotSent // nobody's fault, and nothing was sent
 	}
-	u.open++
+	p.open++
 	return nil, s, policy.OK
 }
 
-// evict closes the connection that is idle for longest; u.mu is held.
-func (u *Pool) evict() bool {
+// evictLocked closes the connection that is idle for longest; p.mu is held.
+func (p *Pool) evictLocked() bool {
 	var from *server
-	for _, s := range u.servers {
-		if len(s.idle) > 0 && (from == nil || s.idle[0].since.Before(from.idle[0].since)) {
+	for _, s := range p.servers {
+		if len(s.idle) > 0 && (from == nil || s.idle[0].idleSince.Before(from.idle[0].idleSince)) {
 			from = s
 		}
 	}
 	if from == nil {
 		return false
 	}
-	u.shut(from.idle[0])
+	p.closeLocked(from.idle[0])
 	from.idle = from.idle[1:]
 	return true
 }
 
-// put takes a connection back, for the next request if keep.
-func (u *Pool) put(c *conn, keep bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !keep || c.server.gone || len(c.server.idle) >= idlePerServer {
-		u.shut(c)
+// release takes a connection back, for the next request if keep.
+func (p *Pool) release(c *connection, keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !keep || c.server.removed || len(c.server.idle) >= maxIdlePerServer {
+		p.closeLocked(c)
 		return
 	}
-	c.used, c.since = true, time.Now()
+	c.reused, c.idleSince = true, time.Now()
 	c.server.idle = append(c.server.idle, c)
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -20,8 +20,8 @@
 	ResponseReadTimeout time.Duration
 }
 
-// request makes what goes to a server, with the time that is left for it.
-func (o *Request) request(left time.Duration) *http.Request {
+// httpRequest makes what goes to a server, with the time that is left for it.
+func (o *Request) httpRequest(left time.Duration) *http.Request {
 	req := &http.Request{
 		Method: o.Method, URL: o.URL, Host: o.Host, Header: o.Header.Clone(),
 		Body: http.NoBody, ContentLength: int64(len(o.Body)),
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -19,22 +19,22 @@
 
 // Send makes one attempt and tells how it ended. The caller stops the call
 // when it gives up; what comes back then is of no interest.
-func (u *Pool) Send(c *Call, id policy.ServerID, o *Request, left time.Duration) Result {
+func (p *Pool) Send(c *Call, id policy.ServerID, o *Request, left time.Duration) Result {
 	started := time.Now()
 	for {
-		conn, status := u.connect(c.ctx, id)
+		conn, status := p.connect(c.ctx, id)
 		if conn == nil {
 			return Result{Status: status}
 		}
-		req := o.request(left - time.Since(started))
+		req := o.httpRequest(left - time.Since(started))
 		var message bytes.Buffer
 		if err := req.Write(&message); err != nil {
-			u.put(conn, true)
+			p.release(conn, true)
 			return Result{Status: policy.NotSent}
 		}
 		if sockstate.Peek(conn.Conn) != sockstate.Quiet { // closed, or out of step
-			u.put(conn, false)
-			if conn.used {
+			p.release(conn, false)
+			if conn.reused {
 				continue
 			}
 			return Result{Status: policy.ConnectFailed}
@@ -43,18 +43,18 @@
 		// The last looks before the first byte goes out: the news of a client's leaving may
 		// still wait in a queue, the loop may have barred the call, or be too late to do so.
 		if c.clientDisconnected() {
-			u.put(conn, unhook())
+			p.release(conn, unhook())
 			return Result{Status: policy.NotSent, ClientDisconnected: true}
 		}
-		latest := c.latest()
+		latest := c.deadline()
 		if !latest.IsZero() && !time.Now().Before(latest) || !c.gate.CompareAndSwap(unsent, sending) {
-			u.put(conn, unhook())
+			p.release(conn, unhook())
 			return Result{Status: policy.NotSent}
 		}
 		conn.Conn.SetWriteDeadline(latest) // a server begins a request with its last byte
-		conn.span = o.ResponseReadTimeout
+		conn.responseReadTimeout = o.ResponseReadTimeout
 		res, keep := conn.exchange(req, message.Bytes())
-		u.put(conn, unhook() && keep)
+		p.release(conn, unhook() && keep)
 		return res
 	}
 }
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -23,12 +23,12 @@
 }
 
 // Stats returns the pool's present state.
-func (u *Pool) Stats() Stats {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	stats := Stats{Open: u.open, Servers: make(map[policy.ServerID]ServerStats, len(u.servers))}
-	for id, s := range u.servers {
-		stats.Servers[id] = ServerStats{Address: s.addr, Idle: len(s.idle)}
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := Stats{Open: p.open, Servers: make(map[policy.ServerID]ServerStats, len(p.servers))}
+	for id, s := range p.servers {
+		stats.Servers[id] = ServerStats{Address: s.address, Idle: len(s.idle)}
 	}
 	return stats
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -115,7 +115,7 @@
 		"length no number":      {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nhi", false, policy.ServerError, 2},
 		"1xx for ever":          {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20), false, policy.ServerError, 2},
 		"1xx, then nothing":     {"HTTP/1.1 103 Early Hints\r\n\r\nHT", false, policy.ServerError, 2},
-		"large head":            {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxAnswer+1), false, policy.ServerError, 2},
+		"large head":            {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponse+1), false, policy.ServerError, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr, conns := script(t, c.answer, c.close)
@@ -271,7 +271,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	conn.server.idle = append(conn.server.idle, conn) // for the next send, though never used
-	conn.since = time.Now()
+	conn.idleSince = time.Now()
 	if res := u.Send(NewCall(t.Context(), present), id, anyRequest(), time.Minute); res.Status != policy.ConnectFailed {
 		t.Errorf("status %d", res.Status)
 	}
