Make the steps of an upstream attempt named functions

It is now acquire, encode, quiet, and on the connection start, exchange and release, in the same order. The outcome of an exchange is told by sentinel errors, a reservation replaces three results, and the retirement of idle connections no longer unlocks within its loop. The idle limit is a field of its own, not a changed setting.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -2,52 +2,88 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 )
 
-// Call is the socket side of one attempt.
+// The reasons for which an attempt is not written although it has its connection.
+var (
+	errClientDisconnected = errors.New("client disconnected")
+	errWriteDeadline      = errors.New("write deadline has passed")
+	errRevoked            = errors.New("attempt was revoked")
+)
+
+// Call controls one attempt from outside of its Send. Its methods may be called
+// from several goroutines.
 type Call struct {
 	ctx                context.Context
 	cancel             context.CancelFunc
 	clientDisconnected func() bool
-	gate               atomic.Int32
+	state              atomic.Int32              // of type callState
 	writeDeadline      atomic.Pointer[time.Time] // nil: none
 }
 
+// callState says whether an attempt has been written. The first byte is written
+// after the change from unsent to sending, which excludes the change to revoked.
+type callState int32
+
 const (
-	unsent int32 = iota
+	unsent callState = iota
 	sending
 	revoked
 )
 
-// NewCall prepares an attempt. Just before its first byte is written,
-// clientDisconnected is asked whether somebody still waits for the answer.
+// NewCall prepares an attempt that ends with ctx or Cancel. clientDisconnected is
+// called just before the first byte is written: nothing is written if it reports
+// that nobody waits for the response any more.
 func NewCall(ctx context.Context, clientDisconnected func() bool) *Call {
-	c := &Call{clientDisconnected: clientDisconnected}
-	c.ctx, c.cancel = context.WithCancel(ctx)
-	return c
+	call := &Call{clientDisconnected: clientDisconnected}
+	call.ctx, call.cancel = context.WithCancel(ctx)
+	return call
 }
 
-// Cancel gives the attempt up: its connection is closed.
+// Cancel ends the attempt: its connection is closed.
 func (c *Call) Cancel() { c.cancel() }
 
-// Revoke keeps the call from being written; it reports false if that has begun.
-func (c *Call) Revoke() bool { return c.gate.CompareAndSwap(unsent, revoked) }
+// Revoke prevents the attempt from being written. It reports false if the attempt
+// has started or was revoked before.
+func (c *Call) Revoke() bool { return c.transition(revoked) }
 
 // Revoked reports whether Revoke came before the first byte.
-func (c *Call) Revoked() bool { return c.gate.Load() == revoked }
+func (c *Call) Revoked() bool { return c.is(revoked) }
 
-// Started reports whether the first byte has been released for writing.
-func (c *Call) Started() bool { return c.gate.Load() == sending }
+// Started reports whether writing the first byte has been permitted.
+func (c *Call) Started() bool { return c.is(sending) }
 
-// SetWriteDeadline sets the time from which on nothing of the call is written.
+// SetWriteDeadline sets the time from which on no byte of the attempt is written.
+// It has no effect on an attempt that has started.
 func (c *Call) SetWriteDeadline(deadline time.Time) { c.writeDeadline.Store(&deadline) }
 
-// deadline returns the write deadline; zero if there is none.
-func (c *Call) deadline() (deadline time.Time) {
-	if p := c.writeDeadline.Load(); p != nil {
-		deadline = *p
+// start permits the first byte to be written and returns the write deadline, zero
+// if there is none; or it returns why nothing may be written. The client is asked
+// again here, as the event of its disconnection may still be queued; and the loop
+// may have revoked the attempt, or be late to do so at the write deadline.
+func (c *Call) start() (writeDeadline time.Time, err error) {
+	if c.clientDisconnected() {
+		return time.Time{}, errClientDisconnected
+	}
+	if deadline := c.writeDeadline.Load(); deadline != nil {
+		writeDeadline = *deadline
+	}
+	if !writeDeadline.IsZero() && !time.Now().Before(writeDeadline) {
+		return time.Time{}, errWriteDeadline
 	}
-	return deadline
+	if !c.transition(sending) {
+		return time.Time{}, errRevoked
+	}
+	return writeDeadline, nil
+}
+
+// transition changes an unsent attempt's state; it reports false if the attempt is
+// not unsent any more.
+func (c *Call) transition(to callState) bool {
+	return c.state.CompareAndSwap(int32(unsent), int32(to))
 }
+
+func (c *Call) is(state callState) bool { return c.state.Load() == int32(state) }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -4,16 +4,55 @@
 	"bufio"
 	"net"
 	"time"
+
+	"calicohinge/internal/sockstate"
 )
 
-// connection is a connection to a server.
+// connection is a connection to a server. While it is idle the pool's lock guards
+// it; while it is acquired only its Send uses it.
 type connection struct {
 	net.Conn
-	server              *server
-	reader              *bufio.Reader
-	responseBudget      int           // bytes that the present answer may still have
-	responseReadTimeout time.Duration // and how long it may take from its first byte
-	readErr             error         // what reading met when the connection broke or ended
-	reused              bool          // it comes from the pool
-	idleSince           time.Time
+	server         *server
+	reader         *bufio.Reader // reads through connection.Read
+	responseBudget int           // bytes that the present response may still take
+	readErr        error         // result of the last read from the socket
+	reused         bool          // it has been released before
+	idleSince      time.Time     // its last release
+}
+
+func newConnection(socket net.Conn, target *server) *connection {
+	conn := &connection{Conn: socket, server: target}
+	conn.reader = bufio.NewReader(conn)
+	return conn
+}
+
+// Read implements io.Reader. It bounds what a server may send for one request and
+// returns errResponseTooLarge beyond that.
+func (c *connection) Read(buffer []byte) (int, error) {
+	if c.responseBudget <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.responseBudget)])
+	c.responseBudget -= n
+	c.readErr = err
+	return n, err
+}
+
+// quiet reports whether the connection is open and has nothing to read. Bytes
+// that arrive before a request is written belong to no response of ours.
+func (c *connection) quiet() bool { return sockstate.Peek(c.Conn) == sockstate.Quiet }
+
+// limitRead sets the time at which reads fail; zero is none.
+func (c *connection) limitRead(deadline time.Time) {
+	_ = c.SetReadDeadline(deadline) // fails on a closed connection, as the next read does
+}
+
+// limitWrite sets the time at which writes fail; zero is none.
+func (c *connection) limitWrite(deadline time.Time) {
+	_ = c.SetWriteDeadline(deadline) // fails on a closed connection, as the next write does
+}
+
+// abort closes the socket; reads and writes in progress fail.
+func (c *connection) abort() {
+	_ = c.Close() // nothing is buffered for writing that an error could concern
 }
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -1,27 +1,45 @@
 package upstream
 
 import (
-	"bufio"
-	"calicohinge/policy"
 	"context"
+	"errors"
 	"net"
+
+	"calicohinge/policy"
 )
 
-// connect gives a connection to a server, idle or new.
-func (p *Pool) connect(ctx context.Context, id policy.ServerID) (*connection, policy.Status) {
-	c, s, status := p.acquire(id)
-	if c != nil || status != policy.OK {
-		return c, status
+// acquire returns a connection to a server, an idle or a new one. It returns
+// errUnknownServer, errPoolExhausted or the error of the dialer.
+func (p *Pool) acquire(ctx context.Context, id policy.ServerID) (*connection, error) {
+	reserved, err := p.reserve(id)
+	if err != nil {
+		return nil, err
+	}
+	if reserved.idle != nil {
+		return reserved.idle, nil
+	}
+	conn, err := p.dial(ctx, reserved.server)
+	if err != nil {
+		p.cancelReservation()
+		return nil, err
 	}
+	return conn, nil
+}
+
+// dial opens a connection for which there is a reservation.
+func (p *Pool) dial(ctx context.Context, target *server) (*connection, error) {
 	dialer := net.Dialer{Timeout: p.config.ConnectTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", s.address)
+	socket, err := dialer.DialContext(ctx, "tcp", target.address)
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
-		return nil, policy.ConnectFailed
+		return nil, err
+	}
+	return newConnection(socket, target), nil
+}
+
+// acquireStatus is the status of an attempt whose acquire failed with err.
+func acquireStatus(err error) policy.Status {
+	if errors.Is(err, errPoolExhausted) {
+		return policy.NotSent // no server is at fault
 	}
-	c = &connection{Conn: nc, server: s}
-	c.reader = bufio.NewReader(c)
-	return c, policy.OK
+	return policy.ConnectFailed
 }
--- a/internal/upstream/endpoints.go
+++ b/internal/upstream/endpoints.go
@@ -5,16 +5,8 @@
 	"calicohinge/policy"
 )
 
-// server is where a server listens, under one start of it.
-type server struct {
-	address          string
-	startedUnixMilli float64       // as discovery tells it
-	idle             []*connection // the one used last at the end
-	removed          bool          // or restarted, or moved: connections are not kept
-}
-
-// RevokedServers is the set of servers whose attempts must not be written any
-// more after an update of the endpoint list, as far as they have not begun.
+// RevokedServers is the set of servers to which, after an update of the endpoint
+// list, no attempt decided before may be written any more.
 type RevokedServers map[policy.ServerID]struct{}
 
 // Contains reports whether id is in the set.
@@ -27,8 +19,9 @@
 
 // UpdateEndpoints applies an update of the endpoint list: the complete list, or
 // the endpoints that changed. A server with a new address or a new start time is
-// another process: connections to the former one are closed. It returns the
-// servers that were removed, drain or are another process now.
+// another process: idle connections to the former one are closed, and those in use
+// once they are released. It returns the servers that were added or removed, that
+// are not ready, or that are another process now.
 func (p *Pool) UpdateEndpoints(complete bool, endpoints []endpoint.Endpoint) RevokedServers {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,8 +51,8 @@
 	return revoked
 }
 
-// updateLocked records an endpoint that is not gone. It reports whether the server is
-// new or another process than before; p.mu is held.
+// updateLocked records an endpoint that is not gone. It reports whether the server
+// is new or another process than before.
 func (p *Pool) updateLocked(id policy.ServerID, current endpoint.Endpoint) (replaced bool) {
 	old := p.servers[id]
 	if old != nil && old.address == current.Address && old.startedUnixMilli == current.StartedUnixMilli {
@@ -70,7 +63,8 @@
 	return true
 }
 
-// removeLocked forgets a server; p.mu is held.
+// removeLocked closes the idle connections to a server, which may be nil, and
+// forgets it.
 func (p *Pool) removeLocked(id policy.ServerID, s *server) {
 	if s == nil {
 		return
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,84 +1,127 @@
 package upstream
 
 import (
-	"calicohinge/internal/httpheader"
-	"calicohinge/policy"
 	"errors"
 	"io"
 	"net/http"
 	"os"
 	"time"
+
+	"calicohinge/internal/httpheader"
+	"calicohinge/policy"
+)
+
+const (
+	// responsePrefix begins every response that can be parsed.
+	responsePrefix = "HTTP/1."
+	// notProcessedHeader is "1" where a server guarantees that it did not execute
+	// the request.
+	notProcessedHeader = "X-Not-Processed"
 )
 
-// exchange writes the request and reads the answer. The last byte of the
-// request being written decides whether it may have run. It tells whether the
-// connection is of use for a further request.
-func (c *connection) exchange(req *http.Request, message []byte) (Result, bool) {
-	if _, err := c.Conn.Write(message); err != nil {
+// exchange writes a request and reads its response. A request may have been
+// executed once its last byte is written, and not before. It reports whether the
+// connection can carry a further request.
+func (c *connection) exchange(request *encodedRequest) (result Result, reusable bool) {
+	if _, err := c.Write(request.message); err != nil {
 		return Result{Status: policy.ConnectFailed}, false // its last byte was not written
 	}
 	c.responseBudget = maxResponse
-	resp, err := c.readHead(req)
-	for n := 0; err == nil && resp.StatusCode/100 == 1; n++ {
-		if resp.StatusCode == http.StatusSwitchingProtocols || n == maxInterimResponses {
-			return Result{Status: policy.ServerError}, false
-		}
-		resp, err = c.readHead(req)
-	}
+	response, err := c.readFinalHeader(request)
 	if err != nil {
-		return Result{Status: c.failureStatus()}, false
-	}
-	if resp.ContentLength > maxBody {
-		return Result{Status: policy.ServerError}, false // not even looked at: it may have gigabytes
+		return Result{Status: c.failureStatus(err)}, false
 	}
-	// The body is never closed, which would read it to its end; the connection is,
-	// unless the body was read.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	switch {
-	case err != nil:
-		return Result{Status: c.failureStatus()}, false
-	case len(body) > maxBody:
-		return Result{Status: policy.ServerError}, false
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		return Result{Status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
+	body, err := readBody(response)
+	if err != nil {
+		return Result{Status: c.failureStatus(err)}, false
 	}
-	c.SetReadDeadline(time.Time{})
-	keep := !resp.Close && c.reader.Buffered() == 0 // more than the answer: out of step
-	switch {
-	case resp.StatusCode == http.StatusOK:
-		return Result{Status: policy.OK, Header: httpheader.EndToEnd(resp.Header), Body: body}, keep
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Not-Processed") == "1":
-		return Result{Status: policy.Rejected}, keep
+	c.limitRead(time.Time{})
+	// Bytes beyond the response could be taken for the next one.
+	reusable = !response.Close && c.reader.Buffered() == 0
+	return classify(response, body), reusable
+}
+
+// readFinalHeader reads interim responses and returns the final response, of which
+// the header has been read.
+func (c *connection) readFinalHeader(request *encodedRequest) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		response, err := c.readHeader(request)
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitchingProtocols
+		case response.StatusCode/100 != 1:
+			return response, nil
+		}
 	}
-	return Result{Status: policy.ServerError}, keep
+	return nil, errInterimResponses
 }
 
-// readHead reads the head of an readHead. A server may think for as long as the
-// request has; but once it speaks, the whole readHead has to follow soon. One that
-// was spoilt leaves its connection open and says no more: to wait for the rest
-// would take the time of a further attempt.
-func (c *connection) readHead(req *http.Request) (*http.Response, error) {
-	c.SetReadDeadline(time.Time{})
-	_, err := c.reader.Peek(1)
-	if err != nil {
+// readHeader reads the header of one response. Its first byte may take as long as
+// the attempt lasts; from then on the response has responseReadTimeout to arrive.
+// Otherwise a server that stops within a response and leaves the connection open
+// would take up the time of a retry.
+func (c *connection) readHeader(request *encodedRequest) (*http.Response, error) {
+	c.limitRead(time.Time{})
+	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
-	c.SetReadDeadline(time.Now().Add(c.responseReadTimeout))
-	start, err := c.reader.Peek(len(responsePrefix))
+	c.limitRead(time.Now().Add(request.responseReadTimeout))
+	prefix, err := c.reader.Peek(len(responsePrefix))
 	if err != nil {
 		return nil, err
 	}
-	if string(start) != responsePrefix {
-		return nil, errNotHTTP // which need not even end its line
+	if string(prefix) != responsePrefix {
+		return nil, errNotHTTP // the parser would wait for the end of a line
+	}
+	return http.ReadResponse(c.reader, request.http)
+}
+
+// readBody reads the body of a response. It never closes the body, as that would
+// read a body of any length to its end: the connection is closed instead, unless
+// the body has been read.
+func readBody(response *http.Response) ([]byte, error) {
+	if response.ContentLength > maxBody {
+		return nil, errBodyTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > maxBody:
+		return nil, errBodyTooLarge
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+		return nil, errUnframedBody
+	}
+	return body, nil
+}
+
+// classify returns the result of an attempt that got a complete response.
+func classify(response *http.Response, body []byte) Result {
+	switch response.StatusCode {
+	case http.StatusOK:
+		return Result{Status: policy.OK, Header: httpheader.EndToEnd(response.Header), Body: body}
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if response.Header.Get(notProcessedHeader) == "1" {
+			return Result{Status: policy.Rejected}
+		}
 	}
-	return http.ReadResponse(c.reader, req)
+	return Result{Status: policy.ServerError}
 }
 
-// failureStatus tells a connection that ended from an answer that makes no sense.
-func (c *connection) failureStatus() policy.Status {
-	if c.readErr != nil && !errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+// failureStatus returns the status of an attempt whose response failed with err: it
+// tells a connection that ended from a response that is invalid or stopped.
+func (c *connection) failureStatus(err error) policy.Status {
+	switch {
+	case errors.Is(err, errUnframedBody):
 		return policy.Reset
+	case errors.Is(err, errBodyTooLarge),
+		errors.Is(err, errInterimResponses),
+		errors.Is(err, errSwitchingProtocols):
+		return policy.ServerError
+	case c.readErr == nil, errors.Is(c.readErr, os.ErrDeadlineExceeded):
+		return policy.ServerError
 	}
-	return policy.ServerError
+	return policy.Reset
 }
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -3,25 +3,21 @@
 import "errors"
 
 const (
-	maxBody             = 64 << 10         // bytes of a message's body
-	maxResponse         = maxBody + 64<<10 // of a server's answer with head and framing
-	maxInterimResponses = 8                // 1xx answers ahead of the real one
+	// maxBody bounds the body of a response, in bytes.
+	maxBody = 64 << 10
+	// maxResponse bounds a response with its header and framing, interim responses
+	// included, in bytes.
+	maxResponse = maxBody + 64<<10
+	// maxInterimResponses bounds the 1xx responses ahead of the final one.
+	maxInterimResponses = 8
 )
 
+// The ways in which a response exceeds its limits or breaks the protocol.
 var (
-	errResponseTooLarge = errors.New("answer too large")
-	errNotHTTP          = errors.New("no HTTP answer")
+	errResponseTooLarge   = errors.New("response is too large")
+	errBodyTooLarge       = errors.New("body of the response is too large")
+	errInterimResponses   = errors.New("too many interim responses")
+	errSwitchingProtocols = errors.New("server switches protocols unasked")
+	errNotHTTP            = errors.New("response is not HTTP/1")
+	errUnframedBody       = errors.New("body ends with the connection and may be incomplete")
 )
-
-const responsePrefix = "HTTP/1."
-
-// Read bounds what a server may send for one request.
-func (c *connection) Read(p []byte) (int, error) {
-	if c.responseBudget <= 0 {
-		return 0, errResponseTooLarge
-	}
-	n, err := c.Conn.Read(p[:min(len(p), c.responseBudget)])
-	c.responseBudget -= n
-	c.readErr = err
-	return n, err
-}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,10 +1,12 @@
 // Package upstream owns the connections to servers and carries out single
-// attempts over them. It decides nothing: which server gets an attempt, and when,
-// is told by its caller, and each Send writes a request at most once.
+// attempts over them. The event loop of package node tells it the endpoint list
+// and which server gets an attempt, and when; the package decides neither. Each
+// Send writes a request at most once. It may not touch the state of requests or
+// of package policy: an attempt is described by its Call and its Result alone.
 package upstream
 
 import (
-	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -13,127 +15,151 @@
 )
 
 const (
-	idleTimeoutShare = 0.6 // of the servers' idle time, after which a connection is retired
-	maxIdlePerServer = 32  // idle connections kept to a server
+	// idleTimeoutShare is the part of the servers' idle timeout after which the
+	// pool closes an idle connection, so that it does so before the server.
+	idleTimeoutShare = 0.6
+	// maxIdlePerServer bounds the idle connections kept to a server.
+	maxIdlePerServer = 32
 )
 
-// DefaultSettleDelay is kept from an answer to the next request on its connection. With
-// ten times as much the connections rest longer, and more of them are reset at
-// their next request (327 against 91 on the same day).
+// DefaultSettleDelay is the shortest time between a response and the next request
+// on its connection. A server may close its connection after a response, or send
+// more than the response, and that takes a moment to show. A longer delay leaves
+// connections idle for longer, and then servers reset more of them at their next
+// request.
 const DefaultSettleDelay = time.Millisecond
 
-// Config is what a Pool is told at its creation.
+var (
+	errUnknownServer = errors.New("server is not on the endpoint list")
+	errPoolExhausted = errors.New("connection limit reached and no connection is idle")
+)
+
+// Config sets the limits of a Pool.
 type Config struct {
 	MaxOpen        int           // connections to all servers
-	IdleTimeout    time.Duration // servers close a connection that was idle for so long
-	ConnectTimeout time.Duration
+	IdleTimeout    time.Duration // time after which the servers close an idle connection
+	ConnectTimeout time.Duration // limit for opening a connection
 	SettleDelay    time.Duration // see DefaultSettleDelay
 }
 
-// Pool holds the servers' addresses and the idle connections to them. The
-// connections are its own, not those of an http.Transport: that one sends a
-// request again by itself, which would be an attempt nobody decided on.
+// Pool holds the servers' addresses and the idle connections to them. It does not
+// use http.Transport, which retries a request by itself: every attempt has to be
+// decided by the caller. Its methods may be called from several goroutines; those
+// whose names end in Locked need mu.
 type Pool struct {
-	config Config
+	config  Config
+	maxIdle time.Duration // time after which an idle connection is closed
 
 	mu      sync.Mutex
 	servers map[policy.ServerID]*server
 	open    int // connections to all servers, those being opened included
 }
 
-// NewPool makes a pool that knows no server yet.
-func NewPool(config Config) *Pool {
-	config.IdleTimeout = time.Duration(float64(config.IdleTimeout) * idleTimeoutShare)
-	return &Pool{config: config, servers: map[policy.ServerID]*server{}}
+// server is one process of a server: what is known at one address since one start.
+type server struct {
+	address          string
+	startedUnixMilli float64       // as discovery reports it
+	idle             []*connection // in the order of their release
+	removed          bool          // no longer listed, or replaced: connections are not kept
 }
 
-// closeLocked closes a connection; p.mu is held.
-func (p *Pool) closeLocked(c *connection) {
-	p.open--
-	c.Conn.Close()
+// reservation is the right to use one connection to a server.
+type reservation struct {
+	server *server
+	idle   *connection // nil: a new connection, which Pool.open already counts
 }
 
-// RetireIdle closes connections that were idle for too long, until the context ends.
-func (p *Pool) RetireIdle(ctx context.Context) {
-	tick := time.NewTicker(max(p.config.IdleTimeout/8, 10*time.Millisecond))
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		p.mu.Lock()
-		for _, s := range p.servers {
-			n := 0
-			for n < len(s.idle) && time.Since(s.idle[n].idleSince) > p.config.IdleTimeout {
-				p.closeLocked(s.idle[n])
-				n++
-			}
-			s.idle = append(s.idle[:0], s.idle[n:]...)
-		}
-		p.mu.Unlock()
+// NewPool returns a pool that knows no server yet.
+func NewPool(config Config) *Pool {
+	return &Pool{
+		config:  config,
+		maxIdle: time.Duration(float64(config.IdleTimeout) * idleTimeoutShare),
+		servers: map[policy.ServerID]*server{},
 	}
 }
 
-// acquire gives an idle connection, or leave to open one: nil and the server. At
-// the cap it makes room at the expense of another server's idle connection.
-func (p *Pool) acquire(id policy.ServerID) (*connection, *server, policy.Status) {
+// reserve reserves an idle connection or the capacity for a new one. At the limit
+// of connections it closes an idle connection to any server for it. It returns
+// errUnknownServer or errPoolExhausted.
+func (p *Pool) reserve(id policy.ServerID) (reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.servers[id]
-	if s == nil {
-		return nil, nil, policy.ConnectFailed
+	target := p.servers[id]
+	if target == nil {
+		return reservation{}, errUnknownServer
 	}
-	// The one used last that has settled: what a server does with a connection
-	// behind an answer, to close it or to send more than belongs to the answer,
-	// takes a moment to show. A request written before that is lost, or would get
-	// what belongs to the former one: nothing in an answer names its request.
-	for n := len(s.idle) - 1; n >= 0; n-- {
-		c := s.idle[n]
-		rested := time.Since(c.idleSince)
-		if rested < p.config.SettleDelay {
-			continue
-		}
-		s.idle = slices.Delete(s.idle, n, n+1)
-		// The server closes idle connections too, and a request written to one
-		// that is closed counts as one that may have run.
-		if rested <= p.config.IdleTimeout {
-			return c, s, policy.OK
-		}
-		p.closeLocked(c)
+	if conn := p.takeIdleLocked(target); conn != nil {
+		return reservation{server: target, idle: conn}, nil
 	}
 	if p.open >= p.config.MaxOpen && !p.evictLocked() {
-		return nil, nil, policy.NotSent // nobody's fault, and nothing was sent
+		return reservation{}, errPoolExhausted
 	}
 	p.open++
-	return nil, s, policy.OK
+	return reservation{server: target}, nil
+}
+
+// cancelReservation gives back the capacity for a connection that was not opened.
+func (p *Pool) cancelReservation() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// takeIdleLocked removes and returns the connection that was released last among
+// those that have settled, or nil. A request written before its connection has
+// settled may be lost, or get bytes that belong to the former response: nothing in
+// a response names its request.
+func (p *Pool) takeIdleLocked(target *server) *connection {
+	for i := len(target.idle) - 1; i >= 0; i-- {
+		conn := target.idle[i]
+		idleFor := time.Since(conn.idleSince)
+		if idleFor < p.config.SettleDelay {
+			continue
+		}
+		target.idle = slices.Delete(target.idle, i, i+1)
+		// The server closes idle connections too, and a request written to a closed
+		// one counts as possibly executed.
+		if idleFor <= p.maxIdle {
+			return conn
+		}
+		p.closeLocked(conn)
+	}
+	return nil
 }
 
-// evictLocked closes the connection that is idle for longest; p.mu is held.
+// evictLocked closes the connection that has been idle for the longest time. It
+// reports false if none is idle.
 func (p *Pool) evictLocked() bool {
-	var from *server
+	var owner *server
 	for _, s := range p.servers {
-		if len(s.idle) > 0 && (from == nil || s.idle[0].idleSince.Before(from.idle[0].idleSince)) {
-			from = s
+		if len(s.idle) > 0 && (owner == nil || s.idle[0].idleSince.Before(owner.idle[0].idleSince)) {
+			owner = s
 		}
 	}
-	if from == nil {
+	if owner == nil {
 		return false
 	}
-	p.closeLocked(from.idle[0])
-	from.idle = from.idle[1:]
+	p.closeLocked(owner.idle[0])
+	owner.idle = owner.idle[1:]
 	return true
 }
 
-// release takes a connection back, for the next request if keep.
-func (p *Pool) release(c *connection, keep bool) {
+// release returns a connection to the pool, which keeps it for a further request
+// if it is reusable and closes it otherwise.
+func (p *Pool) release(conn *connection, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !keep || c.server.removed || len(c.server.idle) >= maxIdlePerServer {
-		p.closeLocked(c)
+	target := conn.server
+	if !reusable || target.removed || len(target.idle) >= maxIdlePerServer {
+		p.closeLocked(conn)
 		return
 	}
-	c.reused, c.idleSince = true, time.Now()
-	c.server.idle = append(c.server.idle, c)
+	conn.reused = true
+	conn.idleSince = time.Now()
+	target.idle = append(target.idle, conn)
+}
+
+func (p *Pool) closeLocked(conn *connection) {
+	p.open--
+	conn.abort()
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -9,7 +9,10 @@
 	"time"
 )
 
-// Request is what of a client's request goes on to a server.
+// timeoutHeader tells a server the milliseconds that the client still waits.
+const timeoutHeader = "X-Timeout-Ms"
+
+// Request is the part of a client's request that is forwarded to a server.
 type Request struct {
 	Method string
 	URL    *url.URL
@@ -20,18 +23,44 @@
 	ResponseReadTimeout time.Duration
 }
 
-// httpRequest makes what goes to a server, with the time that is left for it.
-func (o *Request) httpRequest(left time.Duration) *http.Request {
-	req := &http.Request{
-		Method: o.Method, URL: o.URL, Host: o.Host, Header: o.Header.Clone(),
-		Body: http.NoBody, ContentLength: int64(len(o.Body)),
+// encodedRequest is a request in the form in which a connection writes it.
+type encodedRequest struct {
+	http                *http.Request // the request that its response is parsed for
+	message             []byte
+	responseReadTimeout time.Duration
+}
+
+// encode serializes the request for one attempt; see httpRequest for the timeout.
+func (r *Request) encode(timeout time.Duration) (*encodedRequest, error) {
+	request := r.httpRequest(timeout)
+	var message bytes.Buffer
+	if err := request.Write(&message); err != nil {
+		return nil, err
+	}
+	return &encodedRequest{
+		http:                request,
+		message:             message.Bytes(),
+		responseReadTimeout: r.ResponseReadTimeout,
+	}, nil
+}
+
+// httpRequest returns the request to a server, which is told timeout in whole
+// milliseconds, at least one.
+func (r *Request) httpRequest(timeout time.Duration) *http.Request {
+	request := &http.Request{
+		Method:        r.Method,
+		URL:           r.URL,
+		Host:          r.Host,
+		Header:        r.Header.Clone(),
+		Body:          http.NoBody,
+		ContentLength: int64(len(r.Body)),
 	}
-	if len(o.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(o.Body))
+	if len(r.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
-	if req.Header["User-Agent"] == nil {
-		req.Header.Set("User-Agent", "") // else Request.Write puts one of its own
+	if request.Header["User-Agent"] == nil {
+		request.Header.Set("User-Agent", "") // http.Request.Write adds its own otherwise
 	}
-	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	return req
+	request.Header.Set(timeoutHeader, strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
+	return request
 }
--- /dev/null
+++ b/internal/upstream/retire.go
@@ -0,0 +1,41 @@
+package upstream
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// retireChecks is how often RetireIdle checks within the longest idle time.
+	retireChecks = 8
+	// minRetireInterval bounds the checks' cost when that time is short.
+	minRetireInterval = 10 * time.Millisecond
+)
+
+// RetireIdle closes connections that have been idle for too long, until ctx ends.
+func (p *Pool) RetireIdle(ctx context.Context) {
+	ticker := time.NewTicker(max(p.maxIdle/retireChecks, minRetireInterval))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.closeExpired()
+		}
+	}
+}
+
+// closeExpired closes the connections whose idle time has expired now.
+func (p *Pool) closeExpired() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		expired := 0
+		for expired < len(s.idle) && time.Since(s.idle[expired].idleSince) > p.maxIdle {
+			p.closeLocked(s.idle[expired])
+			expired++
+		}
+		s.idle = append(s.idle[:0], s.idle[expired:]...)
+	}
+}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -1,60 +1,61 @@
 package upstream
 
 import (
-	"bytes"
-	"calicohinge/internal/sockstate"
-	"calicohinge/policy"
 	"context"
+	"errors"
 	"net/http"
 	"time"
+
+	"calicohinge/policy"
 )
 
-// Result is how an attempt ended, and the answer if it was served.
+// Result is the outcome of an attempt.
 type Result struct {
 	Status             policy.Status
-	ClientDisconnected bool // the client was found to have disconnected
-	Header             http.Header
-	Body               []byte
+	ClientDisconnected bool        // the attempt was not sent as its client had disconnected
+	Header             http.Header // end-to-end fields of the response, if Status is policy.OK
+	Body               []byte      // of the response, if Status is policy.OK
 }
 
-// Send makes one attempt and tells how it ended. The caller stops the call
-// when it gives up; what comes back then is of no interest.
-func (p *Pool) Send(c *Call, id policy.ServerID, o *Request, left time.Duration) Result {
+// Send makes one attempt on a server and returns its outcome. The server is told
+// timeout, less the time for getting a connection, as the time that the client
+// still waits. Send itself ends with the call: once that is cancelled, its result
+// has no meaning.
+func (p *Pool) Send(call *Call, id policy.ServerID, request *Request, timeout time.Duration) Result {
 	started := time.Now()
 	for {
-		conn, status := p.connect(c.ctx, id)
-		if conn == nil {
-			return Result{Status: status}
+		conn, err := p.acquire(call.ctx, id)
+		if err != nil {
+			return Result{Status: acquireStatus(err)}
 		}
-		req := o.httpRequest(left - time.Since(started))
-		var message bytes.Buffer
-		if err := req.Write(&message); err != nil {
+		encoded, err := request.encode(timeout - time.Since(started))
+		if err != nil {
 			p.release(conn, true)
 			return Result{Status: policy.NotSent}
 		}
-		if sockstate.Peek(conn.Conn) != sockstate.Quiet { // closed, or out of step
-			p.release(conn, false)
-			if conn.reused {
-				continue
-			}
-			return Result{Status: policy.ConnectFailed}
-		}
-		unhook := context.AfterFunc(c.ctx, func() { conn.Conn.Close() })
-		// The last looks before the first byte goes out: the news of a client's leaving may
-		// still wait in a queue, the loop may have barred the call, or be too late to do so.
-		if c.clientDisconnected() {
-			p.release(conn, unhook())
-			return Result{Status: policy.NotSent, ClientDisconnected: true}
+		if conn.quiet() {
+			return p.sendOn(conn, call, encoded)
 		}
-		latest := c.deadline()
-		if !latest.IsZero() && !time.Now().Before(latest) || !c.gate.CompareAndSwap(unsent, sending) {
-			p.release(conn, unhook())
-			return Result{Status: policy.NotSent}
+		p.release(conn, false)
+		if !conn.reused {
+			return Result{Status: policy.ConnectFailed}
 		}
-		conn.Conn.SetWriteDeadline(latest) // a server begins a request with its last byte
-		conn.responseReadTimeout = o.ResponseReadTimeout
-		res, keep := conn.exchange(req, message.Bytes())
-		p.release(conn, unhook() && keep)
-		return res
 	}
 }
+
+// sendOn carries out an attempt on an acquired connection and releases that.
+func (p *Pool) sendOn(conn *connection, call *Call, request *encodedRequest) Result {
+	stopAbort := context.AfterFunc(call.ctx, conn.abort)
+	writeDeadline, err := call.start()
+	if err != nil {
+		p.release(conn, stopAbort())
+		return Result{Status: policy.NotSent, ClientDisconnected: errors.Is(err, errClientDisconnected)}
+	}
+	// A server does not begin a request before its last byte, so a deadline within
+	// the write is early enough.
+	conn.limitWrite(writeDeadline)
+	result, reusable := conn.exchange(request)
+	notAborted := stopAbort()
+	p.release(conn, notAborted && reusable)
+	return result
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -171,7 +171,7 @@
 func TestIdleConnectionsRetire(t *testing.T) {
 	addr, conns := script(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false)
 	u, id := poolTo(poolConfig(), addr)
-	u.config.IdleTimeout = 20 * time.Millisecond
+	u.maxIdle = 20 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go u.RetireIdle(ctx)
@@ -261,7 +261,10 @@
 	}
 	defer l.Close()
 	u, id := poolTo(poolConfig(), l.Addr().String())
-	conn, _ := u.connect(t.Context(), id)
+	conn, err := u.acquire(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
 	nc, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
