--- /dev/null
+++ b/internal/downstream/conn_test.go
@@ -0,0 +1,113 @@
+package downstream
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"calicohinge/internal/sockstate"
+	"calicohinge/internal/testkit"
+)
+
+// Bytes that arrive at a connection which was closed concurrently stay unread: nobody
+// would answer them. Only the caller that marked it closed gives its capacity back.
+func TestReadAfterConcurrentCloseReturnsNothing(t *testing.T) {
+	conns := newTestConns(1)
+	client, c := acceptConn(t, conns)
+	conns.mu.Lock()
+	c.phase = phaseClosed // as by a concurrent caller of Conns.close
+	conns.mu.Unlock()
+	send(t, client, "GET")
+	expectReadError(t, c)
+	if err := c.Close(); err != nil {
+		t.Errorf("second close: %v", err)
+	}
+	if open := conns.Open(); open != 1 {
+		t.Errorf("%d connections are counted, want the one of the concurrent caller", open)
+	}
+	if err := c.Conn.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A read deadline, of an idle connection or of a request, may pass just as bytes
+// arrive. They are read and served, or stay unread if the connection is closed; none
+// is read and dropped.
+func TestReadAfterDeadlineLeavesBytesUnread(t *testing.T) {
+	past := time.Unix(1, 0)
+	for name, prepare := range map[string]func(conns *Conns, c *Conn){
+		"silent": func(*Conns, *Conn) {},
+		"idle":   makeIdle,
+		"reading head": func(conns *Conns, c *Conn) {
+			conns.mu.Lock()
+			defer conns.mu.Unlock()
+			conns.setPhase(c, phaseReadingHead)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := newTestConns(5)
+			client, c := acceptConn(t, conns)
+			prepare(conns, c)
+			ended := startRead(c)
+			setReadDeadline(t, c, past)
+			if err := testkit.Wait(t, ended, "the reader"); !testkit.IsTimeout(err) {
+				t.Fatalf("reading ended with %v", err)
+			}
+			sendUnread(t, client, c, "GET")
+			n, err := c.Read(make([]byte, 10))
+			if n != 0 || !testkit.IsTimeout(err) || sockstate.Peek(c.Conn) != sockstate.Readable {
+				t.Errorf("%d bytes and %v after the deadline", n, err)
+			}
+			setReadDeadline(t, c, time.Time{})
+			expectRead(t, c, "GET")
+		})
+	}
+}
+
+// On an idle connection net/http applies the read timeout once four bytes have
+// arrived. Until then the deadline would be that of the idle timeout, too early or
+// too late for a request.
+func TestFirstByteOfRequestStartsReadTimeout(t *testing.T) {
+	t.Parallel()
+	conns := newTestConns(5)
+	client, c := acceptConn(t, conns)
+	makeIdle(conns, c)
+	setReadDeadline(t, c, time.Now().Add(time.Hour)) // as net/http does by its idle timeout
+	send(t, client, "G")
+	if n, err := c.Read(make([]byte, 10)); n != 1 || err != nil {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	if err := testkit.Wait(t, startRead(c), "the read timeout"); !testkit.IsTimeout(err) {
+		t.Errorf("reading ended with %v", err)
+	}
+}
+
+// net/http watches for a disconnect by reading a single byte, and may do so before
+// RequestComplete is called. If a client sends on behind its request and disconnects,
+// Read must not return that byte: net/http would stop watching, and the attempts
+// of the request would not be revoked.
+func TestBackgroundReadReturnsNoBytes(t *testing.T) {
+	conns := newTestConns(5)
+	client, c := acceptConn(t, conns)
+	send(t, client, "head")
+	buffer := make([]byte, 2)
+	for _, want := range []string{"he", "a", "d"} { // a head is returned in pieces of any size
+		if n, err := c.Read(buffer[:len(want)]); string(buffer[:n]) != want || err != nil {
+			t.Fatalf("read %q, %v", buffer[:n], err)
+		}
+	}
+	conns.ConnState(c, http.StateActive)
+	send(t, client, "body and more")
+	if n, err := c.Read(make([]byte, 4)); n != 4 || err != nil {
+		t.Fatalf("read %d bytes of the body, %v", n, err)
+	}
+	closeClient(t, client)
+	// io.EOF itself is wanted: net/http, like any caller of an io.Reader, compares with it.
+	if n, err := io.Reader(c).Read(buffer[:1]); n != 0 || err != io.EOF {
+		t.Errorf("the background read got %d bytes, %v", n, err)
+	}
+	if string(c.readAhead) != " and more" {
+		t.Errorf("%q is buffered for the next request", c.readAhead)
+	}
+}
--- /dev/null
+++ b/internal/downstream/disconnect_test.go
@@ -0,0 +1,65 @@
+package downstream
+
+import (
+	"net/http"
+	"testing"
+
+	"calicohinge/internal/sockstate"
+)
+
+// A client sends a request on its idle connection and closes it at once: the request
+// is read, and before its first attempt ClientDisconnected returns true.
+func TestClientDisconnectedAfterRequestAndClose(t *testing.T) {
+	conns := newTestConns(5)
+	client, c := acceptConn(t, conns)
+	makeIdle(conns, c)
+	send(t, client, "GET")
+	closeClient(t, client)
+	waitForState(t, c, sockstate.Readable)
+	expectRead(t, c, "GET")
+	c.RequestComplete()
+	waitForState(t, c, sockstate.Closed)
+	if !c.ClientDisconnected() {
+		t.Error("the disconnect is not noticed")
+	}
+}
+
+// An attempt may ask whether its client has disconnected when the request already has
+// an answer (a hedged request whose connection comes up just then) or after
+// StopReading. What the client sends next stays unread then.
+func TestClientDisconnectedLeavesNextRequestUnread(t *testing.T) {
+	for name, prepare := range map[string]func(conns *Conns, c *Conn){
+		"between two requests": func(conns *Conns, c *Conn) { conns.ConnState(c, http.StateIdle) },
+		"after StopReading":    func(conns *Conns, _ *Conn) { conns.StopReading() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := newTestConns(5)
+			client, c := acceptConn(t, conns)
+			c.RequestComplete()
+			prepare(conns, c)
+			if c.ClientDisconnected() {
+				t.Error("a client that sends nothing counts as disconnected")
+			}
+			sendUnread(t, client, c, "GET")
+			if c.ClientDisconnected() || sockstate.Peek(c.Conn) != sockstate.Readable {
+				t.Error("the next request was read, or its client counts as disconnected")
+			}
+			conns.Drain(canceledContext())
+			if c.Closed() {
+				t.Error("a connection with an unread request was closed as idle")
+			}
+		})
+	}
+}
+
+func TestClientDisconnectedAfterStopReading(t *testing.T) {
+	conns := newTestConns(5)
+	client, c := acceptConn(t, conns)
+	c.RequestComplete()
+	conns.StopReading()
+	closeClient(t, client)
+	waitForState(t, c, sockstate.Closed)
+	if !c.ClientDisconnected() {
+		t.Error("the disconnect is not noticed")
+	}
+}
--- /dev/null
+++ b/internal/downstream/eviction_test.go
@@ -0,0 +1,27 @@
+package downstream
+
+import (
+	"testing"
+	"time"
+)
+
+// A client whose bytes the node was too busy to read is not evicted as a silent one.
+func TestUnreadBytesExtendGracePeriod(t *testing.T) {
+	listener := listen(t, newTestConns(1))
+	connect := func(text string) {
+		client := dial(t, listener)
+		send(t, client, text)
+		accept(t, listener)
+	}
+	connect("GET /read")
+	began := time.Now()
+	connect("")
+	if took := time.Since(began); took < partialGracePeriod {
+		t.Errorf("a connection with unread bytes was evicted after %v like a silent one", took)
+	}
+	began = time.Now()
+	connect("")
+	if took := time.Since(began); took < silentGracePeriod {
+		t.Errorf("a silent connection was evicted after %v", took)
+	}
+}
