downstream: name the unsupported connection in the error, say admitted for counted

Cause: a bare ErrUnsupported does not say what was unsupported; count reads as a query. Change: wrap the error with the connection's type; rename Conns.count to add.

--- a/internal/downstream/admission.go
+++ b/internal/downstream/admission.go
@@ -6,7 +6,7 @@
 type decision int
 
 const (
-	decisionAdmit  decision = iota // it is counted and in phaseSilent
+	decisionAdmit  decision = iota // it is in the set, in phaseSilent
 	decisionReject                 // it is to be closed
 	decisionEvict                  // close the victim's socket, then decide again
 	decisionWait                   // wait for a change, then decide again
@@ -56,14 +56,14 @@
 	}
 }
 
-// tryAdmit counts c if there is capacity, and otherwise chooses a connection to evict.
+// tryAdmit adds c if there is capacity, and otherwise chooses a connection to evict.
 // The reserve is used only while all connections are active, so that their clients
 // are not affected and the new one gets an answer.
 func (cs *Conns) tryAdmit(c *Conn) admission {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if cs.open < cs.config.MaxOpen {
-		return cs.count(c)
+		return cs.add(c)
 	}
 	candidate, wait := cs.evictionCandidate()
 	switch {
@@ -71,7 +71,7 @@
 		return admission{decision: decisionReject}
 	case candidate == nil:
 		c.overLimit = true
-		return cs.count(c)
+		return cs.add(c)
 	case wait > 0:
 		return admission{decision: decisionWait, wait: wait}
 	}
@@ -79,8 +79,8 @@
 	return admission{decision: decisionEvict, victim: candidate}
 }
 
-// count makes c one of the set's connections. The caller holds cs.mu.
-func (cs *Conns) count(c *Conn) admission {
+// add makes c one of the set's connections. The caller holds cs.mu.
+func (cs *Conns) add(c *Conn) admission {
 	cs.open++
 	cs.setPhase(c, phaseSilent)
 	return admission{decision: decisionAdmit}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -29,11 +29,11 @@
 	lingering bool          // its last answer is sent: nothing is read any more
 }
 
-// newConn returns a connection that is not counted yet.
+// newConn returns a connection that is not admitted yet.
 func newConn(netConn net.Conn, conns *Conns) (*Conn, error) {
 	socket, ok := netConn.(syscall.Conn)
 	if !ok {
-		return nil, errors.ErrUnsupported
+		return nil, fmt.Errorf("no socket below %T: %w", netConn, errors.ErrUnsupported)
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
--- a/internal/downstream/phase.go
+++ b/internal/downstream/phase.go
@@ -10,8 +10,8 @@
 
 // The phases of a connection.
 const (
-	phaseNew         phase = iota // accepted, but not counted yet
-	phaseSilent                   // counted; the client has sent nothing yet
+	phaseNew         phase = iota // accepted, but not admitted yet
+	phaseSilent                   // admitted; the client has sent nothing yet
 	phaseReadingHead              // the head of a request is being read
 	phaseReadingBody              // net/http has the head; the rest of the request is being read
 	phaseActive                   // the request is complete and its answer is not
