--- a/internal/node/leave_test.go
+++ b/internal/node/disconnect_test.go
@@ -1,17 +1,37 @@
 package node
 
 import (
-	"calicohinge/internal/downstream"
-	"calicohinge/internal/sockstate"
-	"calicohinge/internal/testkit"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"calicohinge/internal/downstream"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/sockstate"
+	"calicohinge/internal/testkit"
+	"calicohinge/policy"
 )
 
+func TestClientGone(t *testing.T) {
+	left := make(chan struct{}, 1)
+	b := testkit.NewBackend(t, testkit.Silent(left))
+	n, _ := startReady(t, b)
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.request("read").Write(nc); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Wait(t, b.Requests, "the request")
+	nc.Close()
+	testkit.Wait(t, left, "the attempt to be given up")
+}
+
 // A client leaves while its request is held for want of room: it is never sent.
 func TestClientLeavesWhileHeld(t *testing.T) {
 	release := make(chan struct{})
@@ -110,3 +130,63 @@
 	nc.Close()
 	testkit.Wait(t, left, "the attempt to be given up")
 }
+
+// A client leaves while a connection for its first or its second attempt is being opened,
+// which comes up before the loop has heard: nothing is written on it.
+func TestClientLeavesBeforeALateConnection(t *testing.T) {
+	for name, attempt := range map[string]int{"first attempt": 0, "second attempt": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			far, bad := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.ServerError)
+			s := serve(t, []endpoint.Endpoint{far.Endpoint("s-0"), bad.Endpoint("s-1")}[attempt])
+			l := s.loop
+			client := s.asks("read", "")
+			if attempt > 0 {
+				testkit.Wait(t, bad.Requests, "the first attempt")
+				l.open(t, 1, 0)
+				l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{far.Endpoint("s-0")})
+				l.post(eventFunc(l.due))
+			}
+			l.open(t, 1, 1)
+			reached, release := l.hold(t)
+			testkit.Wait(t, reached, "the loop")
+			r := l.requests[l.lastID]
+			client.Close()
+			s.shows(client)
+			said := far.Admit()
+			s.up(1, far.Addr())
+			release()
+			s.forgotten()
+			if n := begun(r); len(r.attempts) != attempt+1 || n != attempt || len(said) > 0 {
+				t.Errorf("%d of %d attempts began, want %d", n, len(r.attempts), attempt)
+			}
+		})
+	}
+}
+
+// A client leaves with a part of its request sent: there never is a request.
+func TestPartsOfARequestAreNeverSent(t *testing.T) {
+	b := testkit.NewBackend(t, testkit.OK)
+	s := serve(t, b.Endpoint("s-0"))
+	whole := s.text("pay")
+	for name, part := range map[string]string{
+		"nothing": "", "half of the head": whole[:len(whole)/2], "the head": whole[:strings.Index(whole, "{")],
+		"half of the body": whole[:len(whole)-3],
+	} {
+		for way, leave := range map[string]func(nc *net.TCPConn){
+			"closes": func(nc *net.TCPConn) { nc.Close() }, "resets": func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
+			"ends its sending": func(nc *net.TCPConn) { nc.CloseWrite() },
+		} {
+			client := s.dial().(*net.TCPConn)
+			io.WriteString(client, part)
+			leave(client)
+			testkit.Until(t, "the end of the connection", func() bool {
+				c := s.conn(client)
+				return c != nil && c.Closed()
+			})
+			if len(b.Requests) > 0 || s.loop.lastID > 0 {
+				t.Errorf("%s, %s: taken for a request", name, way)
+			}
+		}
+	}
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -2,21 +2,22 @@
 
 import (
 	"bytes"
-	"calicohinge/internal/config"
-	"calicohinge/internal/downstream"
-	"calicohinge/internal/endpoint"
-	"calicohinge/internal/testkit"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"calicohinge/internal/config"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
 )
 
 const settingsText = `{
@@ -57,6 +58,25 @@
 	return cfg
 }
 
+// deadlines replaces the deadlines of all classes.
+func deadlines(ms int) func(file map[string]any) {
+	return func(file map[string]any) {
+		text := strings.ReplaceAll(settingsText, `"DeadlineMs": 8000, "PromiseMs": 6000`,
+			fmt.Sprintf(`"DeadlineMs": %d, "PromiseMs": %d`, ms, ms*3/4))
+		file["settings"] = json.RawMessage(text)
+	}
+}
+
+// largeFleet is the configuration of a node among many before a discovery that is asked seldom.
+func largeFleet(discovery string) func(file map[string]any) {
+	return func(file map[string]any) {
+		file["discovery"] = discovery
+		text := strings.Replace(settingsText, "pushed", "on_request", 1)
+		file["settings"] = testkit.JSON(strings.Replace(text, `"Limits"`,
+			`"Balancers": 650, "Me": 649, "Contract": {"MustAskInMs": 30000}, "Limits"`, 1))
+	}
+}
+
 // running is a node that serves.
 type running struct {
 	t    *testing.T
@@ -100,6 +120,17 @@
 	return n, d
 }
 
+// startSmall starts a node with places for 20 client connections and 2 to spare.
+func startSmall(t *testing.T, b *testkit.Backend) *running {
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
+	}))
+	n.waitReady(http.StatusOK)
+	http.DefaultClient.CloseIdleConnections()
+	return n
+}
+
 func (n *running) waitReady(status int) {
 	n.t.Helper()
 	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
@@ -173,29 +204,15 @@
 	return d.Address, d.Calls, d.Answers
 }
 
-// unwatched stands for discovery in a test that has none.
-type unwatched struct{}
-
-func (unwatched) RequestWatch() {}
-
-// accepted gives both ends of a connection that counts.
-func accepted(t *testing.T, conns *downstream.Conns) (client net.Conn, node *downstream.Conn) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	capped := conns.Listener(l)
-	t.Cleanup(func() { capped.Close() })
-	client, err = net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { client.Close() })
-	nc, err := capped.Accept()
-	if err != nil {
-		t.Fatal(err)
+// firstFails gives two servers of which whichever is met first runs fail.
+func firstFails(t *testing.T, fail http.HandlerFunc) []*testkit.Backend {
+	var met atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if met.CompareAndSwap(false, true) {
+			fail(w, r)
+			return
+		}
+		testkit.OK(w, r)
 	}
-	t.Cleanup(func() { nc.Close() })
-	return client, nc.(*downstream.Conn)
+	return []*testkit.Backend{testkit.NewBackend(t, handle), testkit.NewBackend(t, handle)}
 }
--- a/internal/node/bytes_test.go
+++ b/internal/node/retry_test.go
@@ -1,19 +1,12 @@
 package node
 
-// What arrives in the moment of a close, breaks off, comes very slowly, in floods or too late
-// to be dropped as a repeat.
-
 import (
-	"bufio"
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"strconv"
 	"sync/atomic"
-	"syscall"
 	"testing"
-	"testing/iotest"
 	"time"
 
 	"calicohinge/internal/endpoint"
@@ -22,128 +15,111 @@
 	"calicohinge/policy"
 )
 
-// Connections come up when a keyed request's window for repeats has passed, or before. Of its
-// attempts none is written then, the first one itself included, if another may have run.
-func TestRepeatsStayInsideTheirWindow(t *testing.T) {
-	t.Parallel()
-	const safe, keyed = 0, 1
-	for name, c := range map[string]struct {
-		class int
-		first policy.Status // of the attempt before, Cancelled for one that is still out
-		over  bool
-		late  int // the attempt whose connection comes up late
-		sent  bool
+func TestRetries(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		fail        http.HandlerFunc
+		sends       int
+		status      int
 	}{
-		"a repeat in time":                    {keyed, policy.ServerError, false, 1, true},
-		"a repeat too late":                   {keyed, policy.ServerError, true, 1, false},
-		"a hedged request too late":           {keyed, policy.Cancelled, true, 1, false},
-		"the first one, too late for a hedge": {keyed, policy.Cancelled, true, 0, false},
-		"behind one that never ran":           {keyed, policy.Rejected, true, 1, true},
-		"of a safe class":                     {safe, policy.ServerError, true, 1, true},
+		{"safe after an error", "read", testkit.ServerError, 2, 200},
+		{"safe after a reset", "read", testkit.Reset, 2, 200},
+		{"keyed after an error", "push", testkit.ServerError, 2, 200},
+		{"keyed after a reset", "push", testkit.Reset, 2, 200},
+		{"unsafe after an error", "pay", testkit.ServerError, 1, 502},
+		{"unsafe after a reset", "pay", testkit.Reset, 1, 502},
+		{"unsafe that was turned away", "pay", testkit.NotProcessed, 2, 200},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			far, quiet := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
-			l := loopWith(t, func(pool *upstream.Config) { pool.ConnectTimeout = testkit.Patience },
-				far.Endpoint("late"), quiet.Endpoint("quiet"))
-			r := l.newRequest(c.class, staysConnected)
-			servers := []policy.ServerID{(&endpoint.Endpoint{InstanceID: "quiet"}).ServerID(), (&endpoint.Endpoint{InstanceID: "quiet"}).ServerID()}
-			servers[c.late] = (&endpoint.Endpoint{InstanceID: "late"}).ServerID()
-			l.then(t, func() {
-				r.id, r.completion = 1000, make(chan completion, 1)
-				r.deadlineTimer = time.NewTimer(time.Hour)
-				l.requests[r.id] = r
-				l.Send(r.id, servers[0], 0)
-				if c.first != policy.Cancelled {
-					l.reportOutcome(l.clock(), r, 0, upstream.Result{Status: c.first})
-				}
-				if c.over { // by the time that the connection comes up
-					r.attempts[0].sentAt += 20*time.Millisecond - l.classes[keyed].KeyRetention
+		t.Run(c.name, func(t *testing.T) {
+			bs := firstFails(t, c.fail)
+			n, _ := startReady(t, bs...)
+			r := n.request(c.class)
+			a := n.do(r)
+			if sends := len(bs[0].Requests) + len(bs[1].Requests); a.status != c.status || sends != c.sends {
+				t.Fatalf("status %d after %d sends, want %d after %d", a.status, sends, c.status, c.sends)
+			}
+			for _, b := range bs {
+				for len(b.Requests) > 0 {
+					got := <-b.Requests
+					for _, name := range []string{"X-Request-ID", "Idempotency-Key"} {
+						if got.Header.Get(name) != r.Header.Get(name) {
+							t.Errorf("%s changed to %q", name, got.Header.Get(name))
+						}
+					}
 				}
-				l.Send(r.id, servers[1], 0)
-			})
-			testkit.Until(t, "the window's end", func() bool { // which is under test
-				return !c.over || l.clock() >= r.attempts[0].sentAt+l.classes[keyed].KeyRetention
-			})
-			said := far.Admit()
-			testkit.Until(t, "the outcome", func() (told bool) {
-				l.then(t, func() { told = r.attempts[c.late].reported })
-				return told
-			})
-			if len(said) != map[bool]int{true: 1}[c.sent] {
-				t.Errorf("%d sends", len(said))
 			}
 		})
 	}
 }
 
-// empty waits until nothing is open but idle connections to servers.
-func (f *handler) empty(t *testing.T) {
-	t.Helper()
-	f.loop.open(t, 0, 0)
-	testkit.Until(t, "the connections' end", func() bool {
-		pool := f.loop.pool.Stats()
-		return f.conns.Open() == 0 && pool.Open == pool.Idle()
-	})
+// A server that says nothing must not keep the client past its time, and once
+// the client has its answer nothing more is sent and the attempt is given up.
+func TestSilentServer(t *testing.T) {
+	left := make(chan struct{}, 1)
+	b := testkit.NewBackend(t, testkit.Silent(left))
+	n, _ := startReady(t, b)
+	r := n.request("pay")
+	r.Header.Set("X-Timeout-Ms", "300")
+	a := n.do(r)
+	if a.status != http.StatusBadGateway || a.took < 200*time.Millisecond {
+		t.Errorf("status %d after %v", a.status, a.took)
+	}
+	testkit.Wait(t, left, "the attempt to be given up")
+	if len(b.Requests) != 1 {
+		t.Errorf("%d sends", len(b.Requests))
+	}
 }
 
-// slowDial gives a connection that takes little in until it is read.
-func (n *running) slowDial() net.Conn {
-	n.t.Helper()
-	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
-		return errors.Join(c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
-		}), err)
-	}}
-	nc, err := d.Dial("tcp", n.addr)
-	if err != nil {
-		n.t.Fatal(err)
+// When a server falls silent a hedged request goes elsewhere; once that is served
+// the first attempt is cancelled, which closes its connection.
+func TestHedgedRequestPastASilentServer(t *testing.T) {
+	left := make(chan struct{}, 1)
+	var quiet atomic.Bool // the next request met stays without an answer
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if quiet.CompareAndSwap(true, false) {
+			testkit.Silent(left)(w, r)
+			return
+		}
+		testkit.OK(w, r)
+	}
+	a, b := testkit.NewBackend(t, handle), testkit.NewBackend(t, handle)
+	n, _ := startReady(t, a, b)
+	for range 50 { // the module learns what is usual
+		n.do(n.request("push"))
+	}
+	quiet.Store(true)
+	before := len(a.Requests) + len(b.Requests)
+	if r := n.do(n.request("push")); r.status != http.StatusOK {
+		t.Fatalf("status %d", r.status)
+	}
+	testkit.Wait(t, left, "the silent attempt to be given up")
+	if sends := len(a.Requests) + len(b.Requests) - before; sends != 2 {
+		t.Errorf("%d sends, want 2", sends)
 	}
-	n.t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(testkit.Patience))
-	return nc
 }
 
-// The node gives up a connection behind an answer that its client has not read yet, and bytes
-// lie or arrive there: the answer comes whole, and what came behind it stays sockstate.Readable. With the
-// client's close the connection is over.
-func TestAnswerOutlivesItsConnection(t *testing.T) {
-	text := strings.Repeat("x", maxBody)
-	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
-	for name, c := range map[string]struct{ ahead, behind string }{
-		"nothing":     {"", ""},
-		"ahead of it": {"GET /", ""},
-		"behind it":   {"", "GET /"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := serveLingering(t, time.Hour, b.Endpoint("s-0"))
-			n, f := s.running, s.front
-			f.draining.Store(true)
-			nc := n.slowDial()
-			var asked strings.Builder
-			n.request("read").Write(&asked)
-			io.WriteString(nc, asked.String()+c.ahead)
-			in := bufio.NewReader(nc)
-			if _, err := in.Peek(1); err != nil {
-				t.Fatal(err)
-			}
-			node := s.conn(nc)
-			testkit.Until(t, "the answer's end", func() bool {
-				return node.Lingering() || node.Closed()
-			})
-			io.WriteString(nc, c.behind)
-			resp, err := http.ReadResponse(in, nil)
-			if err != nil || !resp.Close {
-				t.Fatalf("%+v, %v", resp, err)
-			}
-			if body, err := io.ReadAll(resp.Body); string(body) != text {
-				t.Errorf("%d bytes, %v", len(body), err)
-			}
-			if nc.Close(); c.behind == "" {
-				f.empty(t)
-			}
-		})
+// With every breaker open the refusal comes at once and says when to come back.
+func TestEveryServerDown(t *testing.T) {
+	d := testkit.NewRegistry(t, endpoint.Endpoint{InstanceID: "s-0", Address: testkit.FreeAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
+	n := start(t, testConfig(t, d, nil))
+	n.waitReady(http.StatusOK)
+	for try := range 60 {
+		r := n.request("push")
+		if try%6 != 5 {
+			r.Header.Set("X-Timeout-Ms", "300") // no time for a retry: it opens the breaker
+		}
+		a := n.do(r)
+		if a.status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d", a.status)
+		}
+		if s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err != nil || s <= 0 || s > 0.6 {
+			t.Errorf("Retry-After %q", a.header.Get("Retry-After"))
+		}
+		if try%6 == 5 && a.took < time.Second {
+			return
+		}
 	}
+	t.Error("never refused at once")
 }
 
 // breakOff says something and ends the connection, by a reset or in order.
@@ -209,77 +185,86 @@
 	}
 }
 
-// dribble writes a byte at a time.
-func dribble(nc net.Conn, text string, halfway func()) {
-	for i, c := range []byte(text) {
-		if i == len(text)/2 {
-			halfway()
-		}
-		nc.Write([]byte{c})
+// Connections come up when a keyed request's window for repeats has passed, or before. Of its
+// attempts none is written then, the first one itself included, if another may have run.
+func TestRepeatsStayInsideTheirWindow(t *testing.T) {
+	t.Parallel()
+	const safe, keyed = 0, 1
+	for name, c := range map[string]struct {
+		class int
+		first policy.Status // of the attempt before, Cancelled for one that is still out
+		over  bool
+		late  int // the attempt whose connection comes up late
+		sent  bool
+	}{
+		"a repeat in time":                    {keyed, policy.ServerError, false, 1, true},
+		"a repeat too late":                   {keyed, policy.ServerError, true, 1, false},
+		"a hedged request too late":           {keyed, policy.Cancelled, true, 1, false},
+		"the first one, too late for a hedge": {keyed, policy.Cancelled, true, 0, false},
+		"behind one that never ran":           {keyed, policy.Rejected, true, 1, true},
+		"of a safe class":                     {safe, policy.ServerError, true, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			far, quiet := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
+			l := loopWith(t, func(pool *upstream.Config) { pool.ConnectTimeout = testkit.Patience },
+				far.Endpoint("late"), quiet.Endpoint("quiet"))
+			r := l.newRequest(c.class, staysConnected)
+			servers := []policy.ServerID{(&endpoint.Endpoint{InstanceID: "quiet"}).ServerID(), (&endpoint.Endpoint{InstanceID: "quiet"}).ServerID()}
+			servers[c.late] = (&endpoint.Endpoint{InstanceID: "late"}).ServerID()
+			l.then(t, func() {
+				r.id, r.completion = 1000, make(chan completion, 1)
+				r.deadlineTimer = time.NewTimer(time.Hour)
+				l.requests[r.id] = r
+				l.Send(r.id, servers[0], 0)
+				if c.first != policy.Cancelled {
+					l.reportOutcome(l.clock(), r, 0, upstream.Result{Status: c.first})
+				}
+				if c.over { // by the time that the connection comes up
+					r.attempts[0].sentAt += 20*time.Millisecond - l.classes[keyed].KeyRetention
+				}
+				l.Send(r.id, servers[1], 0)
+			})
+			testkit.Until(t, "the window's end", func() bool { // which is under test
+				return !c.over || l.clock() >= r.attempts[0].sentAt+l.classes[keyed].KeyRetention
+			})
+			said := far.Admit()
+			testkit.Until(t, "the outcome", func() (told bool) {
+				l.then(t, func() { told = r.attempts[c.late].reported })
+				return told
+			})
+			if len(said) != map[bool]int{true: 1}[c.sent] {
+				t.Errorf("%d sends", len(said))
+			}
+		})
 	}
 }
 
-// A client sends its request and takes its answer a byte at a time: it is served, others are
-// meanwhile, and nothing stays behind.
-func TestClientByteByByte(t *testing.T) {
-	text := strings.Repeat("x", maxBody)
-	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
-	s := serve(t, b.Endpoint("s-0"))
-	n, f := s.running, s.front
-	slow, other := n.slowDial(), n.dial()
-	var asked strings.Builder
-	n.request("pay").Write(&asked)
-	dribble(slow, asked.String(), func() { n.ask(other) })
-	in := iotest.OneByteReader(slow)
-	io.ReadFull(in, make([]byte, 5))
-	if resp := n.ask(other); resp.StatusCode != http.StatusOK {
-		t.Errorf("another one got status %d", resp.StatusCode)
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader("HTTP/"), in)), nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("%+v, %v", resp, err)
+// A pooled connection breaks as a request is written to it, its last byte included: one that
+// must not run twice is not sent again, by nobody.
+func TestResetUnderARequestOnAPooledConnection(t *testing.T) {
+	var first atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			testkit.OK(w, r)
+			return
+		}
+		testkit.Reset(w, r)
 	}
-	if body, err := io.ReadAll(resp.Body); string(body) != text {
-		t.Errorf("%d bytes, %v", len(body), err)
+	a, b := testkit.NewBackend(t, handle), testkit.NewBackend(t, testkit.OK)
+	l := loopWith(t, func(pool *upstream.Config) { pool.SettleDelay = 0 }, a.Endpoint("s-0"))
+	if x, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); x.status != http.StatusOK {
+		t.Fatalf("status %d", x.status)
 	}
-	slow.Close()
-	other.Close()
-	f.empty(t)
-}
-
-// Clients in a crowd send noise, half a request or hundreds at once, and go or stay: others are
-// served between them, and nothing stays behind.
-func TestFloodLeavesNothingBehind(t *testing.T) {
-	s := serve(t, testkit.NewBackend(t, testkit.OK).Endpoint("s-0"))
-	n, f := s.running, s.front
-	var one strings.Builder
-	n.request("read").Write(&one)
-	var open []net.Conn
-	for i := range 60 {
-		nc := n.dial()
-		switch open = append(open, nc); i % 6 {
-		case 0:
-			io.WriteString(nc, "\x00\xff noise\r\n\r\n")
-		case 1:
-			io.WriteString(nc, one.String()[:40])
-		case 2, 3:
-			for range 300 {
-				n.request("read").Write(nc)
-			}
-			if i%6 == 3 {
-				nc.Close()
-			}
-		case 4:
-			io.WriteString(nc, strings.Repeat("x", 2*(maxHeader+maxBody)))
-			nc.Close()
-		default:
-			if resp := n.ask(nc); resp.StatusCode != http.StatusOK {
-				t.Errorf("a good one got status %d", resp.StatusCode)
-			}
-		}
+	testkit.Until(t, "the connection to be pooled", func() bool { return l.pool.Stats().Idle() == 1 })
+	answered := make(chan response, 1)
+	go func() { x, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); answered <- x }()
+	l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{b.Endpoint("s-1")}) // another one could take it
+	if x := testkit.Wait(t, answered, "an answer"); x.status != http.StatusBadGateway {
+		t.Errorf("status %d", x.status)
 	}
-	for _, nc := range open {
-		nc.Close()
+	l.open(t, 0, 0)
+	if len(a.Requests) != 2 || len(b.Requests) != 0 {
+		t.Errorf("%d and %d sends, want 2 and none", len(a.Requests), len(b.Requests))
 	}
-	f.empty(t)
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/shutdown_test.go
@@ -2,14 +2,16 @@
 
 import (
 	"bufio"
-	"calicohinge/internal/endpoint"
-	"calicohinge/internal/testkit"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
 )
 
 // SIGKILL comes 0.7 s after the longest deadline, counted as 3 s at most.
@@ -24,6 +26,89 @@
 	}
 }
 
+// What was taken before a stop is answered, and new connections are still taken
+// while the front deals them.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		testkit.OK(w, r)
+	})
+	n, _ := startReady(t, b)
+	held := make(chan reply, 1)
+	go func() { held <- n.do(n.request("pay")) }()
+	testkit.Wait(t, b.Requests, "the request")
+	n.stop()
+	n.waitReady(http.StatusServiceUnavailable)
+	late := make(chan reply, 1)
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	go func() {
+		r := n.request("pay")
+		r.Write(nc)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), r)
+		if err != nil {
+			t.Error(err)
+			late <- reply{}
+			return
+		}
+		late <- reply{status: resp.StatusCode, header: resp.Header}
+	}()
+	close(release)
+	for _, c := range []chan reply{held, late} {
+		if a := testkit.Wait(t, c, "an answer"); a.status != http.StatusOK {
+			t.Errorf("status %d", a.status)
+		}
+	}
+	if err := testkit.Wait(t, n.done, "the end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// The clients of a node that stops may have no other one: they are served on
+// their connections until shortly before the node has to end, and what is open
+// then is answered rather than cut off.
+func TestServesWhileItStops(t *testing.T) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/pay" {
+			<-r.Context().Done()
+			return
+		}
+		testkit.OK(w, r)
+	})
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["settings"] = json.RawMessage(strings.ReplaceAll(settingsText, `"DeadlineMs": 8000, "PromiseMs": 6000`, `"DeadlineMs": 1000, "PromiseMs": 900`))
+	}))
+	n.waitReady(http.StatusOK)
+	steady, late := n.dial(), n.dial()
+	n.ask(steady)
+	n.ask(late)
+	began := time.Now()
+	n.stop()
+	n.waitReady(http.StatusServiceUnavailable)
+	for time.Since(began) < time.Second {
+		testkit.Wait(t, b.Requests, "the request before")
+		if resp := n.ask(steady); resp.StatusCode != http.StatusOK || resp.Close {
+			t.Fatalf("status %d, close %v after %v", resp.StatusCode, resp.Close, time.Since(began))
+		}
+	}
+	r := n.request("pay")
+	if err := r.Write(late); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(late), r)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("the last one is answered with %v, %v", resp, err)
+	}
+	if err := testkit.Wait(t, n.done, "the end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // A request whose deadline lies far behind the kill is answered before it all the same.
 func TestStopAnswersLongRequestsBeforeTheKill(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/node/validation_test.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"calicohinge/internal/testkit"
+)
+
+func TestMalformedRequests(t *testing.T) {
+	b := testkit.NewBackend(t, testkit.OK)
+	n, _ := startReady(t, b)
+	for name, c := range map[string]struct {
+		class  string
+		change func(r *http.Request)
+		status int
+	}{
+		"no id":          {"read", func(r *http.Request) { r.Header.Del("X-Request-ID") }, 400},
+		"two ids":        {"read", func(r *http.Request) { r.Header.Add("X-Request-ID", "b") }, 400},
+		"bad id":         {"read", func(r *http.Request) { r.Header.Set("X-Request-ID", "a b") }, 400},
+		"unknown class":  {"read", func(r *http.Request) { r.URL.Path = "/nosuch" }, 404},
+		"no tenant":      {"read", func(r *http.Request) { r.Header.Del("X-Tenant-Id") }, 400},
+		"unknown tenant": {"read", func(r *http.Request) { r.Header.Set("X-Tenant-Id", "nobody") }, 400},
+		"no time-out":    {"read", func(r *http.Request) { r.Header.Del("X-Timeout-Ms") }, 400},
+		"bad time-out":   {"read", func(r *http.Request) { r.Header.Set("X-Timeout-Ms", "soon") }, 400},
+		"negative time":  {"read", func(r *http.Request) { r.Header.Set("X-Timeout-Ms", "-5") }, 400},
+		"endless time":   {"read", func(r *http.Request) { r.Header.Set("X-Timeout-Ms", strings.Repeat("9", 30)) }, 400},
+		"wrong method":   {"read", func(r *http.Request) { r.Method = http.MethodPost }, 405},
+		"keyed by GET":   {"push", func(r *http.Request) { r.Method = http.MethodGet }, 405},
+		"no key":         {"push", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"unsafe, keyed":  {"pay", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k") }, 400},
+		"large body": {"pay", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1))), maxBody+1
+		}, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := n.request(c.class)
+			c.change(r)
+			a := n.do(r)
+			if a.status != c.status || a.body == "" || len(a.body) > 100 {
+				t.Errorf("status %d, want %d; text %q", a.status, c.status, a.body)
+			}
+		})
+	}
+	if len(b.Requests) != 0 {
+		t.Errorf("%d of them reached a server", len(b.Requests))
+	}
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("a good one gets status %d afterwards", a.status)
+	}
+}
+
+// The id of a request that is open names that one alone: a second one with it
+// is turned away and the first goes on.
+func TestOpenID(t *testing.T) {
+	release := make(chan struct{})
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		testkit.OK(w, r)
+	})
+	n, _ := startReady(t, b)
+	first := n.request("push")
+	answered := make(chan reply, 1)
+	go func() { answered <- n.do(first) }()
+	testkit.Wait(t, b.Requests, "the first one")
+	second := n.request("read")
+	second.Header.Set("X-Request-ID", first.Header.Get("X-Request-ID"))
+	if a := n.do(second); a.status != http.StatusConflict {
+		t.Errorf("status %d", a.status)
+	}
+	close(release)
+	if a := testkit.Wait(t, answered, "the first answer"); a.status != http.StatusOK {
+		t.Errorf("the first one got status %d", a.status)
+	}
+	if len(b.Requests) != 0 {
+		t.Error("the second one reached a server")
+	}
+	if a := n.do(second); a.status != http.StatusOK {
+		t.Errorf("status %d once the id is free", a.status)
+	}
+}
+
+// What can be read in two ways hides requests from whoever stands before or
+// behind; what can't be read must not hold its connection. Neither may reach a
+// server, nor keep the node from serving others.
+func TestBadBytes(t *testing.T) {
+	b := testkit.NewBackend(t, testkit.OK)
+	n, _ := startReady(t, b)
+	head := func(class, more string) string {
+		return "POST /" + class + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Tenant-Id: acme\r\n" +
+			"X-Timeout-Ms: 5000\r\n" + more + "\r\n"
+	}
+	hidden := "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-ID: hidden\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\n\r\n"
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
+	for name, c := range map[string]struct {
+		text   string
+		status int // 0: just closed
+	}{
+		"both framing headers": {head("pay", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + chunks + hidden, 411},
+		"hidden by length 0":   {head("pay", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n") + chunks + hidden, 411},
+		"both, before others":  {head("pay", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n" + hidden, 411},
+		"chunked":              {head("pay", "Transfer-Encoding: chunked\r\n") + chunks, 411},
+		"coding in HTTP/1.0":   {strings.Replace(head("pay", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\nConnection: keep-alive\r\n"), "1.1", "1.0", 1) + hidden, 505},
+		"unknown coding":       {head("pay", "Transfer-Encoding: gzip, chunked\r\n") + chunks, 501},
+		"two codings":          {head("pay", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n") + hidden, 501},
+		"health, both":         {"GET /health/ready HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" + chunks, 411},
+		"two lengths":          {head("pay", "Content-Length: 1\r\nContent-Length: 2\r\n") + "ab", 400},
+		"length no number":     {head("pay", "Content-Length: two\r\n") + "ab", 400},
+		"negative length":      {head("pay", "Content-Length: -2\r\n") + "ab", 400},
+		"endless length":       {head("pay", "Content-Length: 99999999999999999999\r\n") + "ab", 400},
+		"huge length":          {head("pay", "Content-Length: 3000000000\r\n") + "ab", 413},
+		"length over the body": {head("pay", "Content-Length: 20\r\n") + "ab", 400},
+		"body not wanted":      {strings.Replace(head("read", "Content-Length: 20\r\n"), "POST", "GET", 1) + "ab", 400},
+		"noise":                {"\x00\x01\x02\xff\r\n\r\n", 400},
+		"head without end":     {"GET /read HTTP/1.1\r\nHost: x\r\nX-Filler: 1\r\n", 0},
+		"endless line":         {"GET /read HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20), 431},
+		"large body":           {head("pay", "Content-Length: 8000000\r\n") + strings.Repeat("x", 8000000), 413},
+		"nothing":              {"", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := &running{t: t, addr: n.addr}
+			began := time.Now()
+			got := n.raw(c.text)
+			switch {
+			case c.status == 0 && len(got) == 0:
+			case len(got) == 1 && got[0] == c.status:
+			default:
+				t.Errorf("answers %v, want %d", got, c.status)
+			}
+			t.Logf("took %v", time.Since(began))
+		})
+	}
+	t.Cleanup(func() {
+		if len(b.Requests) != 0 {
+			t.Errorf("%d of them reached a server", len(b.Requests))
+		}
+		if a := n.do(n.request("read")); a.status != http.StatusOK {
+			t.Errorf("a good one gets status %d afterwards", a.status)
+		}
+	})
+}
+
+// An answer has half of its class's objective from its first byte to its last: a spoilt one on a
+// deployment with short times would else take the time of the next attempt.
+func TestSpoiltAnswerLeavesTimeForAnother(t *testing.T) {
+	for objective, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: maxResponseRead} {
+		cfg := testConfig(t, testkit.NewRegistry(t), deadlines(objective*4/3))
+		f := newHandler(cfg, loopOf(t), nil)
+		n := &running{t: t, addr: "x"}
+		q, err := f.parse(n.request("read"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if q.ResponseReadTimeout != want {
+			t.Errorf("objective %d ms: %v, want %v", objective, q.ResponseReadTimeout, want)
+		}
+	}
+}
