--- a/internal/node/disconnect_crowd_test.go
+++ b/internal/node/disconnect_crowd_test.go
@@ -10,120 +10,149 @@
 	"calicohinge/internal/testkit"
 )
 
-// crowd is how many clients leave together: more than a loop's event queue has room left.
-const crowd = 300
+// crowdSize is how many clients disconnect together: more than the free capacity of the loop's
+// event queue in these tests.
+const crowdSize = 300
 
-// Hundreds ask a node whose loop is held up and leave again, until its queue is full and the
-// rest of the news waits outside: none of them is sent on, all are forgotten.
-func TestCrowdLeavesBehindAFullQueue(t *testing.T) {
+// Hundreds send requests to a node whose loop is paused and disconnect, until its queue is full
+// and further events wait outside: no request is forwarded, all are released.
+func TestManyDisconnectsBehindAFullEventQueue(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
-	s := serve(t, b.Endpoint("s-0"), b.Endpoint("s-1"), b.Endpoint("s-2"), b.Endpoint("s-3"))
+	s := startHandler(t, b.Endpoint("s-0"), b.Endpoint("s-1"), b.Endpoint("s-2"), b.Endpoint("s-3"))
 	l := s.loop
-	l.open(t, 0, 0) // the list is known
-	reached, release := l.hold(t)
+	l.awaitRequests(t, 0, 0) // the list is known
+	reached, release := l.pause(t)
 	testkit.Wait(t, reached, "the loop")
 	var clients []*net.TCPConn
-	for range crowd {
-		clients = append(clients, s.asks([]string{"read", "push", "pay"}[len(clients)%3], ""))
+	for range crowdSize {
+		clients = append(clients, s.sendOnNewConn([]string{"read", "push", "pay"}[len(clients)%3], ""))
 	}
-	testkit.Until(t, "the requests", func() bool { return len(l.events) == crowd })
+	testkit.Until(t, "the requests", func() bool { return len(l.events) == crowdSize })
 	var all []*request
 	l.post(eventFunc(func(time.Duration) {
 		for _, r := range l.requests {
 			all = append(all, r)
 		}
 	}))
-	for len(l.events) < cap(l.events)-crowd/3 {
+	for len(l.events) < cap(l.events)-crowdSize/3 {
 		l.post(eventFunc(func(time.Duration) {}))
 	}
 	for i, leave := 0, []func(*net.TCPConn){
-		func(nc *net.TCPConn) { nc.Close() }, func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
-	}; i < crowd; i++ {
+		func(nc *net.TCPConn) { closeConn(nc) }, func(nc *net.TCPConn) { resetConn(nc) },
+	}; i < crowdSize; i++ {
 		leave[i%2](clients[i])
 	}
 	for _, client := range clients {
-		s.shows(client)
+		s.awaitDisconnect(client)
 	}
 	testkit.Until(t, "a full queue", func() bool { return len(l.events) == cap(l.events) })
 	release()
-	s.forgotten()
-	if n := begun(all...); len(all) != crowd || n > 0 || len(b.Requests) > 0 {
+	s.awaitNoRequests()
+	if n := startedAttempts(all...); len(all) != crowdSize || n > 0 || len(b.Requests) > 0 {
 		t.Errorf("%d of %d attempts began, %d arrived", n, len(all), len(b.Requests))
 	}
 }
 
-// Hundreds leave at once from mixed points: held, out, waiting for a retry or with a
-// connection being opened, which then comes up, while the module has all retries fall due
-// and room falls free, before the loop hears of the first: none of their attempts begins.
-func TestCrowdLeavesAtMixedPoints(t *testing.T) {
+// Hundreds disconnect at once, from requests that are queued, in flight, waiting for a retry or
+// for a connection, which then comes up, while all retries fall due and capacity becomes free,
+// before the loop learns of the first disconnect: none of their attempts starts.
+func TestManyDisconnectsInMixedRequestStates(t *testing.T) {
 	t.Parallel()
-	far, bad, mute := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.ServerError), testkit.NewBackend(t, testkit.Silent(nil))
-	var list []endpoint.Endpoint
-	for i := range 90 {
-		list = append(list, []func(string) endpoint.Endpoint{far.Endpoint, bad.Endpoint, mute.Endpoint}[i%3](fmt.Sprintf("s-%d", i)))
-	}
-	s := serve(t, list...)
+	servers := mixedServers{testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.ServerError), testkit.NewBackend(t, testkit.Silent(nil))}
+	s := startHandler(t, servers.endpoints(90)...)
 	l := s.loop
 	var clients []*net.TCPConn
-	for range crowd {
-		clients = append(clients, s.asks([]string{"read", "push"}[len(clients)%2], ""))
+	for range crowdSize {
+		clients = append(clients, s.sendOnNewConn([]string{"read", "push"}[len(clients)%2], ""))
 	}
-	// Held up once nothing is on its way: each attempt is out, or waits for its connection.
-	points := map[string]int{}
-	var all []*request
-	var release func()
-	testkit.Until(t, "all requests at rest", func() bool {
-		reached, on := l.hold(t)
-		testkit.Wait(t, reached, "the loop")
-		clear(points)
-		all = all[:0]
-		for _, r := range l.requests {
-			all = append(all, r)
-			point := "held"
-			for _, a := range r.attempts {
-				switch addr := l.pool.Stats().Servers[a.server].Address; {
-				case a.reported:
-					point = "between"
-				case addr == far.Addr().String():
-					point = "dialling"
-				case addr == mute.Listener.Addr().String() && a.call.Started():
-					point = "out"
-				default:
-					point = "moving"
-				}
-			}
-			points[point]++
-		}
-		release = on
-		if len(all) == crowd && points["moving"] == 0 {
-			return true
-		}
-		on()
-		return false
-	})
-	l.post(eventFunc(l.due))
+	states, all, resume := s.pauseAtRest(servers)
+	l.post(eventFunc(l.advanceClock))
 	for _, client := range clients {
-		client.Close()
+		closeConn(client)
 	}
 	for _, client := range clients {
-		s.shows(client)
+		s.awaitDisconnect(client)
+	}
+	startedBefore, attemptsBefore := startedAttempts(all...), countAttempts(all)
+	servers.stuck.Admit()
+	s.awaitIdleConns(states[stateDialing], servers.stuck.Addr())
+	resume()
+	s.awaitNoRequests()
+	l.inLoop(t, func() {
+		late := startedAttempts(all...) - startedBefore
+		t.Logf("%v; %d attempts started before the disconnects; then %d were decided, %d started",
+			states, startedBefore, countAttempts(all)-attemptsBefore, late)
+		if late > 0 || len(states) != 4 {
+			t.Error("late attempts, or not all states were met")
+		}
+	})
+}
+
+// mixedServers respond in three ways: not at all before a connection, with errors, and never.
+type mixedServers struct {
+	stuck         *testkit.StuckServer
+	failing, mute *testkit.Backend
+}
+
+func (m mixedServers) endpoints(count int) (list []endpoint.Endpoint) {
+	kinds := []func(string) endpoint.Endpoint{m.stuck.Endpoint, m.failing.Endpoint, m.mute.Endpoint}
+	for i := range count {
+		list = append(list, kinds[i%len(kinds)](fmt.Sprintf("s-%d", i)))
 	}
-	decided, before := 0, begun(all...)
-	for _, r := range all {
-		decided -= len(r.attempts)
+	return list
+}
+
+// The states of a request, by its last attempt.
+const (
+	stateQueued   = "queued"   // none yet
+	stateBackoff  = "backoff"  // it has ended
+	stateDialing  = "dialing"  // its connection is being opened
+	stateInFlight = "inflight" // it is at a server that does not respond
+	stateMoving   = "moving"   // none of these for long
+)
+
+func (m mixedServers) state(l *loop, r *request) string {
+	state := stateQueued
+	for _, a := range r.attempts {
+		switch addr := l.pool.Stats().Servers[a.server].Address; {
+		case a.reported:
+			state = stateBackoff
+		case addr == m.stuck.Addr().String():
+			state = stateDialing
+		case addr == m.mute.Address() && a.call.Started():
+			state = stateInFlight
+		default:
+			state = stateMoving
+		}
 	}
-	far.Admit()
-	s.up(points["dialling"], far.Addr())
-	release()
-	s.forgotten()
-	l.then(t, func() {
-		for _, r := range all {
-			decided += len(r.attempts)
+	return state
+}
+
+// pauseAtRest pauses the loop once all requests have arrived and none is moving. It counts
+// them by state.
+func (s *handlerServer) pauseAtRest(servers mixedServers) (states map[string]int, all []*request, resume func()) {
+	s.t.Helper()
+	testkit.Until(s.t, "all requests at rest", func() bool {
+		var reached <-chan struct{}
+		reached, resume = s.loop.pause(s.t)
+		testkit.Wait(s.t, reached, "the loop")
+		states, all = map[string]int{}, nil
+		for _, r := range s.loop.requests {
+			all = append(all, r)
+			states[servers.state(s.loop, r)]++
 		}
-		late := begun(all...) - before
-		t.Logf("%v; %d attempts began before their clients were gone; then %d were decided, %d began", points, before, decided, late)
-		if late > 0 || len(points) != 4 {
-			t.Error("late attempts, or not all points were met")
+		if len(all) == crowdSize && states[stateMoving] == 0 {
+			return true
 		}
+		resume()
+		return false
 	})
+	return states, all, resume
+}
+
+func countAttempts(requests []*request) (count int) {
+	for _, r := range requests {
+		count += len(r.attempts)
+	}
+	return count
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -9,7 +9,7 @@
 	"calicohinge/internal/testkit"
 )
 
-func TestDiscoveryFailsAndReturns(t *testing.T) {
+func TestDiscoveryOutageIsSurvived(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	d := testkit.NewRegistry(t)
 	d.SetDown(true)
@@ -29,10 +29,10 @@
 	}
 }
 
-// Discovery moves, as after SIGHUP, more than once: the old watch ends, the new
-// place is asked for the whole list, whatever its versions, and the node serves
-// and stays ready throughout, also while the new place doesn't answer.
-func TestDiscoveryMoves(t *testing.T) {
+// Discovery moves, as after SIGHUP, more than once: the old watch ends, the new address is
+// asked for the full list, whatever its generation, and the node serves and stays ready
+// throughout, also while the new address doesn't answer.
+func TestDiscoveryAtANewAddressIsFollowed(t *testing.T) {
 	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	old := testkit.NewRegistry(t, a.Endpoint("s-a"))
 	n := start(t, testConfig(t, old, nil))
@@ -47,7 +47,7 @@
 	}
 	n.node.MoveDiscovery(next.Listener.Addr().String())
 	if q := testkit.Wait(t, next.Queries, "the first call"); q != "" {
-		t.Errorf("the new place is asked for %q", q)
+		t.Errorf("the new address is asked for %q", q)
 	}
 	testkit.Wait(t, next.Queries, "the watch")
 	n.waitReady(http.StatusOK)
@@ -59,7 +59,7 @@
 	}
 	next.SetEndpointsAndWait(t)
 	if r := n.do(n.request("read")); r.status != http.StatusServiceUnavailable {
-		t.Errorf("status %d: the new place is not watched", r.status)
+		t.Errorf("status %d: the new address is not watched", r.status)
 	}
 	n.node.MoveDiscovery(old.Listener.Addr().String())
 	for q := range old.Queries {
@@ -73,8 +73,8 @@
 	}
 }
 
-// The list as known from before serves while discovery is away.
-func TestKnownListServes(t *testing.T) {
+// The cached endpoint list serves while discovery is down.
+func TestCachedEndpointListServesDuringAnOutage(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	d := testkit.NewRegistry(t)
 	d.SetDown(true)
@@ -90,9 +90,9 @@
 	}
 }
 
-// Version 0 is a version: a list that has it must be watched after, not asked
-// for again and again.
-func TestWatchAfterVersionZero(t *testing.T) {
+// Generation 0 is one like others: a list that has it must be watched from there, not
+// fetched again and again.
+func TestGenerationZeroIsWatched(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	_, d := startReady(t, b)
 	testkit.Wait(t, d.Queries, "the first call")
@@ -101,8 +101,8 @@
 	}
 }
 
-// Where lists are asked for, the module says when.
-func TestAskedList(t *testing.T) {
+// Where the list is polled, the balancer decides when.
+func TestPolledEndpointListIsRequested(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
 	n := start(t, testConfig(t, d, func(file map[string]any) {
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -1,9 +1,7 @@
 package node
 
 import (
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,7 +10,7 @@
 	"calicohinge/policy"
 )
 
-func TestDrain(t *testing.T) {
+func TestDrainingServerGetsNoRequests(t *testing.T) {
 	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	n, d := startReady(t, a, b)
 	drains := a.Endpoint("s-0")
@@ -32,8 +30,8 @@
 	}
 }
 
-// A server that moved is another process: what stands open to the old one is dropped.
-func TestServerMoves(t *testing.T) {
+// A server at a new address is another process: connections to the old one are closed.
+func TestServerAtANewAddressGetsNewConnections(t *testing.T) {
 	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	n, d := startReady(t, a)
 	n.do(n.request("read"))
@@ -44,54 +42,64 @@
 	}
 }
 
-// A drain, a loss or a restart is told while a connection to the server is being opened,
-// which then comes up: nothing goes out on it, and the request goes elsewhere.
-func TestServerDrainsWhileAConnectionIsOpened(t *testing.T) {
+// A draining, a removal or a restart is notified while a connection to the server is being
+// opened, which then comes up: nothing is sent on it, and the request goes elsewhere.
+func TestEndpointChangeRevokesAttemptsThatAwaitAConnection(t *testing.T) {
 	t.Parallel()
-	for name, change := range map[string]func(list []endpoint.Endpoint) []endpoint.Endpoint{
-		"drains": func(list []endpoint.Endpoint) []endpoint.Endpoint { list[0].Lifecycle = "Terminating"; return list },
-		"gone":   func(list []endpoint.Endpoint) []endpoint.Endpoint { return list[1:] },
-		"restarts": func(list []endpoint.Endpoint) []endpoint.Endpoint {
+	for name, c := range map[string]struct {
+		change func(list []endpoint.Endpoint) []endpoint.Endpoint
+		stays  bool // the server may be selected again
+	}{
+		"draining": {func(list []endpoint.Endpoint) []endpoint.Endpoint { list[0].Lifecycle = "Terminating"; return list }, false},
+		"removed":  {func(list []endpoint.Endpoint) []endpoint.Endpoint { return list[1:] }, false},
+		"restarted": {func(list []endpoint.Endpoint) []endpoint.Endpoint {
 			list[0].StartedUnixMilli = float64(time.Now().UnixMilli())
 			return list
-		},
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			far := testkit.NewStuckServer(t)
-			l := loopOf(t, far.Endpoint("s-0"))
-			answered := make(chan response, 1)
-			go func() { a, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); answered <- a }()
-			l.open(t, 1, 1)
+			stuck := testkit.NewStuckServer(t)
+			l := startLoop(t, stuck.Endpoint("s-0"))
+			done := l.submitAsync(t.Context(), l.newRequest(2, staysConnected))
+			l.awaitRequests(t, 1, 1)
 			b := testkit.NewBackend(t, testkit.OK)
-			list := change([]endpoint.Endpoint{far.Endpoint("s-0"), b.Endpoint("s-1")})
-			l.UpdateEndpoints(policy.UpdateSnapshot, list)
-			l.then(t, func() {
-				for _, r := range l.requests {
-					if a := r.attempts[0]; !a.reported || !a.call.Revoked() {
-						t.Error("the attempt may still be sent")
-					}
-				}
-			})
-			said := far.Admit()
-			if a := testkit.Wait(t, answered, "an answer"); a.status != http.StatusOK && name != "restarts" {
-				t.Errorf("status %d", a.status)
+			l.UpdateEndpoints(policy.UpdateSnapshot, c.change([]endpoint.Endpoint{stuck.Endpoint("s-0"), b.Endpoint("s-1")}))
+			l.firstAttemptsRevoked(t)
+			received := stuck.Admit()
+			final := testkit.Wait(t, done, "a response")
+			if c.stays {
+				return
 			}
-			if name != "restarts" && len(said) > 0 { // a restarted one may be picked anew
-				t.Errorf("%q was sent", <-said)
+			if final.status != http.StatusOK {
+				t.Errorf("status %d", final.status)
+			}
+			if len(received) > 0 {
+				t.Errorf("%q was sent", <-received)
 			}
 		})
 	}
 }
 
-// A drain is told while a request waits for its next attempt: that goes elsewhere.
-func TestServerDrainsBeforeARetry(t *testing.T) {
+// firstAttemptsRevoked fails the test if the first attempt of an active request may be sent.
+func (l *loop) firstAttemptsRevoked(t *testing.T) {
+	t.Helper()
+	l.inLoop(t, func() {
+		for _, r := range l.requests {
+			if a := r.attempts[0]; !a.reported || !a.call.Revoked() {
+				t.Error("the attempt may still be sent")
+			}
+		}
+	})
+}
+
+// A draining is notified while a request waits for its next attempt: that goes elsewhere.
+func TestRetryAvoidsADrainingServer(t *testing.T) {
 	a, b, c := testkit.NewBackend(t, testkit.ServerError), testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
-	l := loopOf(t, a.Endpoint("s-0"))
-	answered := make(chan response, 1)
-	go func() { x, _ := l.submit(t.Context(), l.newRequest(0, staysConnected)); answered <- x }()
+	l := startLoop(t, a.Endpoint("s-0"))
+	answered := l.submitAsync(t.Context(), l.newRequest(0, staysConnected))
 	testkit.Wait(t, a.Requests, "the first attempt")
-	l.open(t, 1, 0)
+	l.awaitRequests(t, 1, 0)
 	drains := b.Endpoint("s-1")
 	l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{drains})
 	drains.Lifecycle = "Terminating"
@@ -101,38 +109,29 @@
 	}
 }
 
-// What discovery says may make no sense; the node asks again and takes what it can use.
-func TestBadListsAreSurvived(t *testing.T) {
+// Lists of discovery may be malformed; the node calls again and uses the valid endpoints.
+func TestMalformedEndpointListsAreSkipped(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	good := b.Endpoint("s-0")
-	lists := make(chan string, 10)
-	lists <- "what?"
-	lists <- `{"generation":"x"}`
-	lists <- `{"generation":3,"instances":[{"instanceId":5}]}`
-	lists <- `{"generation":4,"reset":true,"instances":[{},{"instanceId":"s-1","lifecycle":"Ready"},` +
+	n, scripted := startScripted(t, "pushed", nil)
+	scripted.Answers <- "what?"
+	scripted.Answers <- `{"generation":"x"}`
+	scripted.Answers <- `{"generation":3,"instances":[{"instanceId":5}]}`
+	scripted.Answers <- `{"generation":4,"reset":true,"instances":[{},{"instanceId":"s-1","lifecycle":"Ready"},` +
 		`{"instanceId":"s-2","hostPort":"nowhere","lifecycle":"Novel"},` +
 		`{"instanceId":"s-0","hostPort":"` + good.Address + `","zone":"far","cell":-1,"lifecycle":"Ready",` +
 		`"weight":-3,"startedAtMs":1.5e12,"novel":[]}]}`
-	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case text := <-lists:
-			io.WriteString(w, text)
-		case <-r.Context().Done():
-		}
-	}))
-	t.Cleanup(d.Close)
-	n := start(t, testConfig(t, &testkit.Registry{Server: d}, nil))
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("status %d", a.status)
 	}
 }
 
-// A server that started before this node did may still be cold: its start must
-// lie after the zero of the clock, which means long ago, and must not move from
-// list to list, which would mean a restart.
-func TestStartsOnTheClock(t *testing.T) {
-	l, err := newLoop(t.Context(), testConfig(t, testkit.NewRegistry(t), nil), nil, unwatched{})
+// A server that started before this node may still be warming up: its start must be after 0
+// on the clock, which means long ago, and must not change from list to list, which would mean
+// a restart.
+func TestServerStartTimesAreStableOnTheClock(t *testing.T) {
+	l, err := newLoop(t.Context(), testConfig(t, testkit.NewRegistry(t), nil), nil, noWatcher{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/forwarding_test.go
+++ b/internal/node/forwarding_test.go
@@ -13,11 +13,11 @@
 	"calicohinge/internal/testkit"
 )
 
-func TestServesUnchanged(t *testing.T) {
+func TestRequestAndResponseAreForwardedUnchanged(t *testing.T) {
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Kept", "yes")
 		w.Header().Set("Keep-Alive", "timeout=5")
-		io.WriteString(w, "rooms")
+		send(w, "rooms")
 	})
 	n, _ := startReady(t, b)
 	r := n.request("push")
@@ -33,11 +33,7 @@
 	if got.Method != "POST" || got.RequestURI != "/push?obj=7f3a%2F9c&z" || string(body) != `{"x":1}` {
 		t.Errorf("the server got %s %s %q", got.Method, got.RequestURI, body)
 	}
-	for _, name := range []string{"X-Request-ID", "Idempotency-Key", "X-Tenant-Id"} {
-		if got.Header.Get(name) != r.Header.Get(name) {
-			t.Errorf("%s: %q became %q", name, r.Header.Get(name), got.Header.Get(name))
-		}
-	}
+	sameHeader(t, r, got, "X-Request-ID", "Idempotency-Key", "X-Tenant-Id")
 	if got.Header.Get("X-Hop") != "" {
 		t.Error("a hop-by-hop header went on")
 	}
@@ -49,17 +45,17 @@
 	}
 }
 
-// The server closes a connection after its answer without saying so. A request
-// written to it would be lost for a class that must not be repeated.
-func TestStaleIdleConnection(t *testing.T) {
+// The server closes a connection after its response without announcing it. A request written
+// to it would be lost for a class that is not idempotent.
+func TestClosedIdleConnectionIsNotReused(t *testing.T) {
 	closed := make(chan struct{}, 10)
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		nc, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			return
 		}
-		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
-		nc.Close()
+		send(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+		closeConn(nc)
 		closed <- struct{}{}
 	})
 	n, _ := startReady(t, b)
@@ -71,34 +67,34 @@
 	}
 }
 
-// The node gives up a connection behind an answer that its client has not read yet, and bytes
-// lie or arrive there: the answer comes whole, and what came behind it stays sockstate.Readable. With the
-// client's close the connection is over.
-func TestAnswerOutlivesItsConnection(t *testing.T) {
+// The node closes a connection after a response that its client has not read yet, and bytes of
+// the client are there or arrive: the response is delivered in full, and the connection ends
+// with the client's close.
+func TestResponseIsDeliveredBeforeTheConnectionCloses(t *testing.T) {
 	text := strings.Repeat("x", maxBody)
-	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { send(w, text) })
 	for name, c := range map[string]struct{ ahead, behind string }{
 		"nothing":     {"", ""},
 		"ahead of it": {"GET /", ""},
 		"behind it":   {"", "GET /"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := serveLingering(t, time.Hour, b.Endpoint("s-0"))
-			n, f := s.running, s.front
+			s := startHandlerLingering(t, time.Hour, b.Endpoint("s-0"))
+			n, f := s.testNode, s.handler
 			f.draining.Store(true)
 			nc := n.slowDial()
 			var asked strings.Builder
-			n.request("read").Write(&asked)
-			io.WriteString(nc, asked.String()+c.ahead)
+			sendRequest(&asked, n.request("read"))
+			send(nc, asked.String()+c.ahead)
 			in := bufio.NewReader(nc)
 			if _, err := in.Peek(1); err != nil {
 				t.Fatal(err)
 			}
-			node := s.conn(nc)
+			node := s.nodeConn(nc)
 			testkit.Until(t, "the answer's end", func() bool {
 				return node.Lingering() || node.Closed()
 			})
-			io.WriteString(nc, c.behind)
+			send(nc, c.behind)
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil || !resp.Close {
 				t.Fatalf("%+v, %v", resp, err)
@@ -106,27 +102,29 @@
 			if body, err := io.ReadAll(resp.Body); string(body) != text {
 				t.Errorf("%d bytes, %v", len(body), err)
 			}
-			if nc.Close(); c.behind == "" {
-				f.empty(t)
+			if closeConn(nc); c.behind == "" {
+				f.awaitNoConns(t)
 			}
 		})
 	}
 }
 
-// A client sends its request and takes its answer a byte at a time: it is served, others are
-// meanwhile, and nothing stays behind.
-func TestClientByteByByte(t *testing.T) {
+// A client sends its request and reads its response a byte at a time: it is served, others are
+// meanwhile, and no connection stays behind.
+func TestByteByByteClientIsServed(t *testing.T) {
 	text := strings.Repeat("x", maxBody)
-	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
-	s := serve(t, b.Endpoint("s-0"))
-	n, f := s.running, s.front
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { send(w, text) })
+	s := startHandler(t, b.Endpoint("s-0"))
+	n, f := s.testNode, s.handler
 	slow, other := n.slowDial(), n.dial()
 	var asked strings.Builder
-	n.request("pay").Write(&asked)
-	dribble(slow, asked.String(), func() { n.ask(other) })
+	sendRequest(&asked, n.request("pay"))
+	sendByteByByte(slow, asked.String(), func() { n.roundTrip(other) })
 	in := iotest.OneByteReader(slow)
-	io.ReadFull(in, make([]byte, 5))
-	if resp := n.ask(other); resp.StatusCode != http.StatusOK {
+	if _, err := io.ReadFull(in, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	if resp := n.roundTrip(other); resp.StatusCode != http.StatusOK {
 		t.Errorf("another one got status %d", resp.StatusCode)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader("HTTP/"), in)), nil)
@@ -136,33 +134,32 @@
 	if body, err := io.ReadAll(resp.Body); string(body) != text {
 		t.Errorf("%d bytes, %v", len(body), err)
 	}
-	slow.Close()
-	other.Close()
-	f.empty(t)
+	closeConn(slow)
+	closeConn(other)
+	f.awaitNoConns(t)
 }
 
-// A request that comes right behind another is answered too, and its connection
-// is not taken for an idle one meanwhile.
-func TestPipelinedRequests(t *testing.T) {
+// A pipelined request is answered too, and its connection does not count as idle meanwhile.
+func TestPipelinedRequestsAreAnswered(t *testing.T) {
 	n, _ := startReady(t, testkit.NewBackend(t, testkit.OK))
 	nc := n.dial()
 	var both strings.Builder
 	for range 3 {
-		n.request("read").Write(&both)
+		sendRequest(&both, n.request("read"))
 	}
-	io.WriteString(nc, both.String())
+	send(nc, both.String())
 	in := bufio.NewReader(nc)
 	for range 3 {
 		resp, err := http.ReadResponse(in, nil)
 		if err != nil || resp.StatusCode != http.StatusOK {
 			t.Fatalf("%v, %v", resp, err)
 		}
-		io.Copy(io.Discard, resp.Body)
+		discard(resp.Body)
 	}
 }
 
-// The deadline for a request's bytes must not end its waiting for the answer.
-func TestReadDeadlineEndsWithTheRequest(t *testing.T) {
+// The read timeout of a request must not end the wait for its response.
+func TestReadTimeoutEndsWithTheRequest(t *testing.T) {
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(readTimeout + 200*time.Millisecond) // the thing under test is a time-out
 		testkit.OK(w, r)
--- a/internal/node/harness_client_test.go
+++ b/internal/node/harness_client_test.go
@@ -14,19 +14,19 @@
 	"calicohinge/internal/testkit"
 )
 
-func (n *running) dial() net.Conn {
+func (n *testNode) dial() net.Conn {
 	n.t.Helper()
 	nc, err := net.Dial("tcp", n.addr)
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	n.t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(testkit.Patience))
+	closeAtEnd(n.t, nc)
+	limitToPatience(nc)
 	return nc
 }
 
-// slowDial gives a connection that takes little in until it is read.
-func (n *running) slowDial() net.Conn {
+// slowDial returns a connection with a small receive buffer.
+func (n *testNode) slowDial() net.Conn {
 	n.t.Helper()
 	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
 		return errors.Join(c.Control(func(fd uintptr) {
@@ -37,13 +37,13 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	n.t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(testkit.Patience))
+	closeAtEnd(n.t, nc)
+	limitToPatience(nc)
 	return nc
 }
 
-// ask makes a request on a connection of its own and reads the answer.
-func (n *running) ask(nc net.Conn) *http.Response {
+// roundTrip makes a request on a connection and reads the response.
+func (n *testNode) roundTrip(nc net.Conn) *http.Response {
 	n.t.Helper()
 	r := n.request("read")
 	if err := r.Write(nc); err != nil {
@@ -53,16 +53,16 @@
 	if err != nil {
 		n.t.Fatalf("no answer: %v", err)
 	}
-	io.Copy(io.Discard, resp.Body)
+	discard(resp.Body)
 	return resp
 }
 
-// raw sends a text and gives the statuses of what comes back until the node
+// rawStatuses sends a text and returns the statuses of the responses until the node
 // closes the connection; a node that doesn't close it fails the test.
-func (n *running) raw(text string) (statuses []int) {
+func (n *testNode) rawStatuses(text string) (statuses []int) {
 	n.t.Helper()
 	nc := n.dial()
-	go io.WriteString(nc, text)
+	go send(nc, text)
 	in := bufio.NewReader(nc)
 	for {
 		resp, err := http.ReadResponse(in, nil)
@@ -79,14 +79,14 @@
 	}
 }
 
-// try asks as a client does: once more on a new connection where the first is closed sockstate.Readable.
-func (n *running) try() (status int, err error) {
+// requestStatus makes a request as clients do: again on a new connection if the first is closed.
+func (n *testNode) requestStatus() (status int, err error) {
 	for range 2 {
 		var nc net.Conn
 		if nc, err = net.Dial("tcp", n.addr); err != nil {
 			continue
 		}
-		nc.SetDeadline(time.Now().Add(testkit.Patience))
+		limitToPatience(nc)
 		r := n.request("read")
 		var resp *http.Response
 		if err = r.Write(nc); err == nil {
@@ -94,7 +94,7 @@
 				_, err = io.Copy(io.Discard, resp.Body)
 			}
 		}
-		nc.Close()
+		closeConn(nc)
 		if err == nil {
 			return resp.StatusCode, nil
 		}
@@ -102,43 +102,43 @@
 	return 0, err
 }
 
-// flood opens so many connections that stay: one in three says nothing, one says half a
-// request, and one is idle after an answer where there is one.
-func (n *running) flood(count int) (conns []net.Conn) {
+// openFlood opens connections that stay: on one in three nothing is sent, on one half a request,
+// and one is idle after its response, if there is one.
+func (n *testNode) openFlood(count int) (conns []net.Conn) {
 	for i := range count {
 		nc, err := net.Dial("tcp", n.addr)
 		if err != nil {
 			n.t.Error(err)
 			return conns
 		}
-		n.t.Cleanup(func() { nc.Close() })
+		closeAtEnd(n.t, nc)
 		conns = append(conns, nc)
 		switch i % 3 {
 		case 1:
-			io.WriteString(nc, "GET /read HTTP/1.1\r\nHost: x\r\nX-Req")
+			send(nc, "GET /read HTTP/1.1\r\nHost: x\r\nX-Req")
 		case 2:
 			r := n.request("read")
-			r.Write(nc)
-			if resp, err := http.ReadResponse(bufio.NewReader(nc), r); err == nil { // else it made room
-				io.Copy(io.Discard, resp.Body)
+			sendRequest(nc, r)
+			if resp, err := http.ReadResponse(bufio.NewReader(nc), r); err == nil { // else it was evicted
+				discard(resp.Body)
 			}
 		}
 	}
 	return conns
 }
 
-// dribble writes a byte at a time.
-func dribble(nc net.Conn, text string, halfway func()) {
+// sendByteByByte writes a byte at a time.
+func sendByteByByte(nc net.Conn, text string, halfway func()) {
 	for i, c := range []byte(text) {
 		if i == len(text)/2 {
 			halfway()
 		}
-		nc.Write([]byte{c})
+		send(nc, string([]byte{c}))
 	}
 }
 
-// sees waits until a connection shows something.
-func sees(t *testing.T, nc net.Conn, want sockstate.State) {
+// awaitSocketState waits until a connection's socket has a state.
+func awaitSocketState(t *testing.T, nc net.Conn, want sockstate.State) {
 	t.Helper()
 	for end := time.Now().Add(testkit.Patience); sockstate.Peek(nc) != want; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -146,3 +146,28 @@
 		}
 	}
 }
+
+// What a client sends, and its close, may meet a connection that the node has closed. The
+// tests see that in what they read, so the functions below ignore it.
+
+func send(w io.Writer, text string) { _, _ = io.WriteString(w, text) }
+
+func sendRequest(w io.Writer, r *http.Request) { _ = r.Write(w) }
+
+func discard(r io.Reader) { _, _ = io.Copy(io.Discard, r) }
+
+func closeConn(c io.Closer) { _ = c.Close() }
+
+func closeAtEnd(t *testing.T, c io.Closer) { t.Cleanup(func() { closeConn(c) }) }
+
+// resetConn closes a connection with a TCP reset.
+func resetConn(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// closeWrite ends the sending of a client that goes on reading.
+func closeWrite(conn *net.TCPConn) { _ = conn.CloseWrite() }
+
+// limitToPatience bounds what a test does on a connection.
+func limitToPatience(conn net.Conn) { _ = conn.SetDeadline(time.Now().Add(testkit.Patience)) }
--- a/internal/node/harness_loop_test.go
+++ b/internal/node/harness_loop_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"net/url"
 	"sync"
@@ -13,19 +14,19 @@
 	"calicohinge/policy"
 )
 
-// loopOf starts a node's loop and upstreams on their own, before servers known by a list.
-func loopOf(t *testing.T, list ...endpoint.Endpoint) *loop {
+// startLoop starts a node's loop and pool without handler and discovery, with an endpoint list.
+func startLoop(t *testing.T, list ...endpoint.Endpoint) *loop {
 	t.Helper()
-	return loopWith(t, func(*upstream.Config) {}, list...)
+	return startLoopWith(t, func(*upstream.Config) {}, list...)
 }
 
-// loopWith does the same with another configuration of the pool.
-func loopWith(t *testing.T, change func(*upstream.Config), list ...endpoint.Endpoint) *loop {
+// startLoopWith does the same with another configuration of the pool.
+func startLoopWith(t *testing.T, change func(*upstream.Config), list ...endpoint.Endpoint) *loop {
 	t.Helper()
 	cfg := testConfig(t, testkit.NewRegistry(t), nil)
 	pool := upstreamConfig(cfg, 20)
 	change(&pool)
-	l, err := newLoop(t.Context(), cfg, upstream.NewPool(pool), unwatched{})
+	l, err := newLoop(t.Context(), cfg, upstream.NewPool(pool), noWatcher{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,10 +35,10 @@
 	return l
 }
 
-// unwatched stands for discovery in a test that has none.
-type unwatched struct{}
+// noWatcher stands for discovery in a test that has none.
+type noWatcher struct{}
 
-func (unwatched) RequestWatch() {}
+func (noWatcher) RequestWatch() {}
 
 // eventFunc is an event of a test.
 type eventFunc func(now time.Duration)
@@ -53,61 +54,62 @@
 // staysConnected is a client that does not disconnect.
 func staysConnected() bool { return false }
 
-func anyRequest() *upstream.Request {
+func forwardedTestRequest() *upstream.Request {
 	return &upstream.Request{
 		Method: "POST", URL: &url.URL{Path: "/pay"}, Host: "x", Header: http.Header{}, Body: []byte("b"),
 		ResponseReadTimeout: maxResponseRead,
 	}
 }
 
-// ofClass makes a request as the frontend would.
+// newRequest makes a request as the handler would.
 func (l *loop) newRequest(class int, disconnected func() bool) *request {
-	return &request{Request: *anyRequest(), class: class, deadline: l.clock() + time.Minute, client: clientFunc(disconnected)}
+	return &request{Request: *forwardedTestRequest(), class: class, deadline: l.clock() + time.Minute, client: clientFunc(disconnected)}
 }
 
-// then runs in the loop, after all that was posted before.
-func (l *loop) then(t *testing.T, what func()) {
+// inLoop runs a function in the loop, after all events that were posted before.
+func (l *loop) inLoop(t *testing.T, what func()) {
 	t.Helper()
 	done := make(chan struct{})
 	l.post(eventFunc(func(time.Duration) { what(); close(done) }))
 	testkit.Wait(t, done, "the loop")
 }
 
-// open waits until the loop has so many requests with so many attempts out.
-func (l *loop) open(t *testing.T, requests, out int) {
+// awaitRequests waits until the loop has so many requests with so many attempts in flight.
+func (l *loop) awaitRequests(t *testing.T, requests, inFlight int) {
 	t.Helper()
 	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		n, m := 0, 0
-		l.then(t, func() {
+		l.inLoop(t, func() {
 			for _, r := range l.requests {
 				n++
 				m += r.inFlight
 			}
 		})
-		if n == requests && m == out {
+		if n == requests && m == inFlight {
 			return
 		}
 	}
-	t.Fatalf("never %d requests with %d attempts", requests, out)
+	t.Fatalf("never %d requests with %d attempts in flight", requests, inFlight)
 }
 
-// hold queues an event that holds the loop up once it is reached, until it is released.
-func (l *loop) hold(t *testing.T) (reached <-chan struct{}, release func()) {
-	r, on := make(chan struct{}), make(chan struct{})
-	release = sync.OnceFunc(func() { close(on) })
-	t.Cleanup(release)
-	l.post(eventFunc(func(time.Duration) { close(r); <-on }))
-	return r, release
+// pause queues an event that blocks the loop once it is reached, until it is resumed.
+func (l *loop) pause(t *testing.T) (reached <-chan struct{}, resume func()) {
+	blocked, unblock := make(chan struct{}), make(chan struct{})
+	resume = sync.OnceFunc(func() { close(unblock) })
+	t.Cleanup(resume)
+	l.post(eventFunc(func(time.Duration) { close(blocked); <-unblock }))
+	return blocked, resume
 }
 
-// due moves the clock on past every retry and to where a hedged request is due, and looks.
-func (l *loop) due(time.Duration) {
+// advanceClock moves the clock past every backoff and the delay of a hedged request, and has the
+// balancer act on it.
+func (l *loop) advanceClock(time.Duration) {
 	l.clockOrigin = l.clockOrigin.Add(-200 * time.Second)
 	l.balancer.Timer(l.clock(), 0)
 }
 
-// begun counts the attempts of which a first byte went out.
-func begun(requests ...*request) (n int) {
+// startedAttempts counts the attempts whose first byte was released for writing.
+func startedAttempts(requests ...*request) (n int) {
 	for _, r := range requests {
 		for _, a := range r.attempts {
 			if a.call.Started() {
@@ -117,3 +119,13 @@
 	}
 	return n
 }
+
+// submitAsync submits a request; the channel gets its response, an empty one if there is none.
+func (l *loop) submitAsync(ctx context.Context, r *request) <-chan response {
+	done := make(chan response, 1)
+	go func() {
+		final, _ := l.submit(ctx, r) // the status shows it
+		done <- final
+	}()
+	return done
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,7 +29,7 @@
 		"MaxRetryAfterMs": 600, "RetryAfter": true, "SecondCopies": true},
 	"RegistryMode": "pushed", "TickMs": 5, "Zones": ["a"], "Novel": {"x": 1}}`
 
-// testConfig gives a configuration as read from a file.
+// testConfig returns a configuration as read from a file, which change may alter.
 func testConfig(t *testing.T, d *testkit.Registry, change func(file map[string]any)) *config.Config {
 	t.Helper()
 	file := map[string]any{
@@ -58,8 +57,8 @@
 	return cfg
 }
 
-// deadlines replaces the deadlines of all classes.
-func deadlines(ms int) func(file map[string]any) {
+// withDeadlines replaces the deadlines of all classes.
+func withDeadlines(ms int) func(file map[string]any) {
 	return func(file map[string]any) {
 		text := strings.ReplaceAll(settingsText, `"DeadlineMs": 8000, "PromiseMs": 6000`,
 			fmt.Sprintf(`"DeadlineMs": %d, "PromiseMs": %d`, ms, ms*3/4))
@@ -67,8 +66,8 @@
 	}
 }
 
-// largeFleet is the configuration of a node among many before a discovery that is asked seldom.
-func largeFleet(discovery string) func(file map[string]any) {
+// largeFleetConfig is the configuration of a node among many with a discovery that is polled seldom.
+func largeFleetConfig(discovery string) func(file map[string]any) {
 	return func(file map[string]any) {
 		file["discovery"] = discovery
 		text := strings.Replace(settingsText, "pushed", "on_request", 1)
@@ -77,23 +76,25 @@
 	}
 }
 
-// running is a node that serves.
-type running struct {
+// testNode is a node that serves.
+type testNode struct {
 	t    *testing.T
 	node *Node
 	addr string
 	stop context.CancelFunc
 	done chan error // gets what Run returned
+
+	lastID atomic.Int64 // of the requests made
 }
 
-func start(t *testing.T, cfg *config.Config) *running {
+func start(t *testing.T, cfg *config.Config) *testNode {
 	t.Helper()
 	n, err := Listen(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{t: t, node: n, addr: n.Addr().String(), stop: cancel, done: make(chan error, 1)}
+	r := &testNode{t: t, node: n, addr: n.Addr().String(), stop: cancel, done: make(chan error, 1)}
 	ended := make(chan struct{})
 	go func() { r.done <- n.Run(ctx); close(ended) }()
 	t.Cleanup(func() {
@@ -108,7 +109,7 @@
 }
 
 // startReady starts a node before the given servers and waits until it is ready.
-func startReady(t *testing.T, backends ...*testkit.Backend) (*running, *testkit.Registry) {
+func startReady(t *testing.T, backends ...*testkit.Backend) (*testNode, *testkit.Registry) {
 	t.Helper()
 	var list []endpoint.Endpoint
 	for i, b := range backends {
@@ -120,8 +121,8 @@
 	return n, d
 }
 
-// startSmall starts a node with places for 20 client connections and 2 to spare.
-func startSmall(t *testing.T, b *testkit.Backend) *running {
+// startWithFewSockets starts a node with 20 client connections and a reserve of 2.
+func startWithFewSockets(t *testing.T, b *testkit.Backend) *testNode {
 	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
 	n := start(t, testConfig(t, d, func(file map[string]any) {
 		file["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
@@ -131,14 +132,14 @@
 	return n
 }
 
-func (n *running) waitReady(status int) {
+func (n *testNode) waitReady(status int) {
 	n.t.Helper()
 	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		resp, err := http.Get("http://" + n.addr + "/health/ready")
 		if err != nil {
 			continue
 		}
-		resp.Body.Close()
+		closeConn(resp.Body)
 		if resp.StatusCode == status {
 			return
 		}
@@ -146,17 +147,9 @@
 	n.t.Fatalf("readiness never became %d", status)
 }
 
-var lastID struct {
-	sync.Mutex
-	n int
-}
-
 // request makes a valid request of a class.
-func (n *running) request(class string) *http.Request {
-	lastID.Lock()
-	lastID.n++
-	id := fmt.Sprintf("%016x", lastID.n)
-	lastID.Unlock()
+func (n *testNode) request(class string) *http.Request {
+	id := fmt.Sprintf("%016x", n.lastID.Add(1))
 	method, body := http.MethodPost, []byte(`{"x":1}`)
 	if class == "read" {
 		method, body = http.MethodGet, nil
@@ -174,38 +167,79 @@
 	return r
 }
 
-// reply is an answer read to its end.
-type reply struct {
+// clientResponse is a response that was read to its end.
+type clientResponse struct {
 	status int
 	header http.Header
 	body   string
 	took   time.Duration
 }
 
-func (n *running) do(r *http.Request) reply {
+func (n *testNode) do(r *http.Request) clientResponse {
 	n.t.Helper()
 	began := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		n.t.Fatalf("no answer: %v", err)
 	}
-	defer resp.Body.Close()
+	defer closeConn(resp.Body)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		n.t.Fatalf("no whole answer: %v", err)
 	}
-	return reply{resp.StatusCode, resp.Header, string(body), time.Since(began)}
+	return clientResponse{resp.StatusCode, resp.Header, string(body), time.Since(began)}
+}
+
+// discoveryModes are the ways to follow the endpoint list, as the settings name them.
+func discoveryModes() []string { return []string{"pushed", "on_request"} }
+
+// settingsWith returns the settings with a discovery mode.
+func settingsWith(mode string) testkit.JSON {
+	return testkit.JSON(strings.Replace(settingsText, "pushed", mode, 1))
+}
+
+// startScripted starts a node before a discovery service whose calls the test answers. change
+// may alter its configuration.
+func startScripted(t *testing.T, mode string, change func(file map[string]any)) (*testNode, *testkit.ScriptedDiscovery) {
+	t.Helper()
+	scripted := testkit.NewScriptedDiscovery(t)
+	n := start(t, testConfig(t, testkit.NewRegistry(t), func(file map[string]any) {
+		file["discovery"] = scripted.Address
+		file["settings"] = settingsWith(mode)
+		if change != nil {
+			change(file)
+		}
+	}))
+	return n, scripted
+}
+
+// listText returns an endpoint list as discovery sends it.
+func listText(t *testing.T, list endpoint.List) string {
+	t.Helper()
+	text, err := json.Marshal(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
 }
 
-// scripted is a discovery service whose calls the test answers itself.
-func scripted(t *testing.T) (addr string, calls chan *http.Request, answers chan string) {
+// draining returns an endpoint as one that drains.
+func draining(e endpoint.Endpoint) endpoint.Endpoint {
+	e.Lifecycle = "Terminating"
+	return e
+}
+
+// queryStarts fails the test if a call's query does not start as wanted; "" wants an empty one.
+func queryStarts(t *testing.T, call *http.Request, want string) {
 	t.Helper()
-	d := testkit.NewScriptedDiscovery(t)
-	return d.Address, d.Calls, d.Answers
+	query := call.URL.RawQuery
+	if !strings.HasPrefix(query, want) || want == "" && query != "" {
+		t.Errorf("query %q, want one that starts with %q", query, want)
+	}
 }
 
-// firstFails gives two servers of which whichever is met first runs fail.
-func firstFails(t *testing.T, fail http.HandlerFunc) []*testkit.Backend {
+// firstRequestFails returns two servers of which the first to get a request runs fail.
+func firstRequestFails(t *testing.T, fail http.HandlerFunc) []*testkit.Backend {
 	var met atomic.Bool
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		if met.CompareAndSwap(false, true) {
--- a/internal/node/retry_test.go
+++ b/internal/node/retry_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,46 +14,61 @@
 	"calicohinge/policy"
 )
 
-func TestRetries(t *testing.T) {
+func TestOnlyRequestsThatMayRunAgainAreRetried(t *testing.T) {
 	for _, c := range []struct {
 		name, class string
 		fail        http.HandlerFunc
 		sends       int
 		status      int
 	}{
-		{"safe after an error", "read", testkit.ServerError, 2, 200},
-		{"safe after a reset", "read", testkit.Reset, 2, 200},
-		{"keyed after an error", "push", testkit.ServerError, 2, 200},
-		{"keyed after a reset", "push", testkit.Reset, 2, 200},
-		{"unsafe after an error", "pay", testkit.ServerError, 1, 502},
-		{"unsafe after a reset", "pay", testkit.Reset, 1, 502},
-		{"unsafe that was turned away", "pay", testkit.NotProcessed, 2, 200},
+		{"idempotent after an error", "read", testkit.ServerError, 2, 200},
+		{"idempotent after a reset", "read", testkit.Reset, 2, 200},
+		{"with a key after an error", "push", testkit.ServerError, 2, 200},
+		{"with a key after a reset", "push", testkit.Reset, 2, 200},
+		{"not idempotent after an error", "pay", testkit.ServerError, 1, 502},
+		{"not idempotent after a reset", "pay", testkit.Reset, 1, 502},
+		{"not idempotent after a rejection", "pay", testkit.NotProcessed, 2, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			bs := firstFails(t, c.fail)
-			n, _ := startReady(t, bs...)
+			servers := firstRequestFails(t, c.fail)
+			n, _ := startReady(t, servers...)
 			r := n.request(c.class)
 			a := n.do(r)
-			if sends := len(bs[0].Requests) + len(bs[1].Requests); a.status != c.status || sends != c.sends {
-				t.Fatalf("status %d after %d sends, want %d after %d", a.status, sends, c.status, c.sends)
+			sends := 0
+			for _, got := range received(servers) {
+				sends++
+				sameHeader(t, r, got, "X-Request-ID", "Idempotency-Key")
 			}
-			for _, b := range bs {
-				for len(b.Requests) > 0 {
-					got := <-b.Requests
-					for _, name := range []string{"X-Request-ID", "Idempotency-Key"} {
-						if got.Header.Get(name) != r.Header.Get(name) {
-							t.Errorf("%s changed to %q", name, got.Header.Get(name))
-						}
-					}
-				}
+			if a.status != c.status || sends != c.sends {
+				t.Fatalf("status %d after %d sends, want %d after %d", a.status, sends, c.status, c.sends)
 			}
 		})
 	}
 }
 
-// A server that says nothing must not keep the client past its time, and once
-// the client has its answer nothing more is sent and the attempt is given up.
-func TestSilentServer(t *testing.T) {
+// received returns the requests that the servers got, and forgets them.
+func received(servers []*testkit.Backend) (requests []*http.Request) {
+	for _, server := range servers {
+		for len(server.Requests) > 0 {
+			requests = append(requests, <-server.Requests)
+		}
+	}
+	return requests
+}
+
+// sameHeader fails the test if a field differs between a request sent and the one received.
+func sameHeader(t *testing.T, sent, got *http.Request, names ...string) {
+	t.Helper()
+	for _, name := range names {
+		if got.Header.Get(name) != sent.Header.Get(name) {
+			t.Errorf("%s: %q became %q", name, sent.Header.Get(name), got.Header.Get(name))
+		}
+	}
+}
+
+// An unresponsive server must not keep the client past its deadline, and once the client has
+// its response nothing more is sent and the attempt is cancelled.
+func TestUnresponsiveServerFailsTheRequestAtItsDeadline(t *testing.T) {
 	left := make(chan struct{}, 1)
 	b := testkit.NewBackend(t, testkit.Silent(left))
 	n, _ := startReady(t, b)
@@ -64,15 +78,15 @@
 	if a.status != http.StatusBadGateway || a.took < 200*time.Millisecond {
 		t.Errorf("status %d after %v", a.status, a.took)
 	}
-	testkit.Wait(t, left, "the attempt to be given up")
+	testkit.Wait(t, left, "the cancelled attempt")
 	if len(b.Requests) != 1 {
 		t.Errorf("%d sends", len(b.Requests))
 	}
 }
 
-// When a server falls silent a hedged request goes elsewhere; once that is served
+// When a server becomes unresponsive a hedged request goes elsewhere; once that is served
 // the first attempt is cancelled, which closes its connection.
-func TestHedgedRequestPastASilentServer(t *testing.T) {
+func TestHedgedRequestSucceedsPastAnUnresponsiveServer(t *testing.T) {
 	left := make(chan struct{}, 1)
 	var quiet atomic.Bool // the next request met stays without an answer
 	handle := func(w http.ResponseWriter, r *http.Request) {
@@ -98,8 +112,8 @@
 	}
 }
 
-// With every breaker open the refusal comes at once and says when to come back.
-func TestEveryServerDown(t *testing.T) {
+// With every circuit breaker open the rejection comes at once, with Retry-After.
+func TestAllServersDownRejectsWithRetryAfter(t *testing.T) {
 	d := testkit.NewRegistry(t, endpoint.Endpoint{InstanceID: "s-0", Address: testkit.FreeAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
 	n := start(t, testConfig(t, d, nil))
 	n.waitReady(http.StatusOK)
@@ -119,27 +133,27 @@
 			return
 		}
 	}
-	t.Error("never refused at once")
+	t.Error("never rejected at once")
 }
 
-// breakOff says something and ends the connection, by a reset or in order.
-func breakOff(text string, reset bool) http.HandlerFunc {
+// truncatedResponse writes a text and ends the connection, by a reset or in order.
+func truncatedResponse(text string, reset bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		nc, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			return
 		}
-		defer nc.Close()
-		io.WriteString(nc, text)
+		defer closeConn(nc)
+		send(nc, text)
 		if reset {
-			nc.(*net.TCPConn).SetLinger(0)
+			resetConn(nc.(*net.TCPConn))
 		}
 	}
 }
 
-// Answers break off, at the first attempt or at the second too: what may run again goes
-// elsewhere, what must not has failed, and nobody gets the part that came.
-func TestAnswersThatBreakOff(t *testing.T) {
+// Responses are truncated, at the first attempt or at the second too: what may run again is
+// retried elsewhere, what must not fails, and no client gets the part that came.
+func TestTruncatedResponsesAreRetriedIfPermitted(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 	for name, text := range map[string]string{
 		"half a line":                   "HTTP/1.",
@@ -154,40 +168,40 @@
 		for _, reset := range []bool{false, true} {
 			t.Run(name+map[bool]string{true: ", reset"}[reset], func(t *testing.T) {
 				t.Parallel()
-				var breaks atomic.Int32
-				handle := func(w http.ResponseWriter, r *http.Request) {
-					if breaks.Add(-1) >= 0 {
-						breakOff(text, reset)(w, r)
-						return
-					}
-					testkit.OK(w, r)
-				}
-				bs := []*testkit.Backend{testkit.NewBackend(t, handle), testkit.NewBackend(t, handle), testkit.NewBackend(t, handle)}
-				n, _ := startReady(t, bs...)
-				for _, c := range []struct {
-					class                 string
-					breaks, sends, status int
-				}{{"read", 1, 2, 200}, {"read", 2, 3, 200}, {"push", 1, 2, 200}, {"push", 2, 3, 200}, {"pay", 1, 1, 502}} {
-					breaks.Store(int32(c.breaks))
-					a := n.do(n.request(c.class))
-					sends := 0
-					for _, b := range bs {
-						for ; len(b.Requests) > 0; sends++ {
-							<-b.Requests
-						}
-					}
-					if a.status != c.status || sends != c.sends || (a.status == 200 && a.body != "done") {
-						t.Errorf("%s after %d breaks: status %d, body %q, %d sends", c.class, c.breaks, a.status, a.body, sends)
-					}
-				}
+				testTruncatedResponse(t, truncatedResponse(text, reset))
 			})
 		}
 	}
 }
 
-// Connections come up when a keyed request's window for repeats has passed, or before. Of its
-// attempts none is written then, the first one itself included, if another may have run.
-func TestRepeatsStayInsideTheirWindow(t *testing.T) {
+func testTruncatedResponse(t *testing.T, truncate http.HandlerFunc) {
+	t.Helper()
+	var truncations atomic.Int32 // still to come
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if truncations.Add(-1) >= 0 {
+			truncate(w, r)
+			return
+		}
+		testkit.OK(w, r)
+	}
+	servers := []*testkit.Backend{testkit.NewBackend(t, handle), testkit.NewBackend(t, handle), testkit.NewBackend(t, handle)}
+	n, _ := startReady(t, servers...)
+	for _, c := range []struct {
+		class                      string
+		truncations, sends, status int
+	}{{"read", 1, 2, 200}, {"read", 2, 3, 200}, {"push", 1, 2, 200}, {"push", 2, 3, 200}, {"pay", 1, 1, 502}} {
+		truncations.Store(int32(c.truncations))
+		a := n.do(n.request(c.class))
+		sends := len(received(servers))
+		if a.status != c.status || sends != c.sends || (a.status == 200 && a.body != "done") {
+			t.Errorf("%s after %d truncations: status %d, body %q, %d sends", c.class, c.truncations, a.status, a.body, sends)
+		}
+	}
+}
+
+// Connections come up after the retention of a request's idempotency key, or before. After it
+// none of its attempts is written, the first one included, if another may have run.
+func TestRepeatsStayWithinTheKeyRetention(t *testing.T) {
 	t.Parallel()
 	const safe, keyed = 0, 1
 	for name, c := range map[string]struct {
@@ -207,12 +221,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			far, quiet := testkit.NewStuckServer(t), testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
-			l := loopWith(t, func(pool *upstream.Config) { pool.ConnectTimeout = testkit.Patience },
+			l := startLoopWith(t, func(pool *upstream.Config) { pool.ConnectTimeout = testkit.Patience },
 				far.Endpoint("late"), quiet.Endpoint("quiet"))
 			r := l.newRequest(c.class, staysConnected)
 			servers := []policy.ServerID{(&endpoint.Endpoint{InstanceID: "quiet"}).ServerID(), (&endpoint.Endpoint{InstanceID: "quiet"}).ServerID()}
 			servers[c.late] = (&endpoint.Endpoint{InstanceID: "late"}).ServerID()
-			l.then(t, func() {
+			l.inLoop(t, func() {
 				r.id, r.completion = 1000, make(chan completion, 1)
 				r.deadlineTimer = time.NewTimer(time.Hour)
 				l.requests[r.id] = r
@@ -228,21 +242,21 @@
 			testkit.Until(t, "the window's end", func() bool { // which is under test
 				return !c.over || l.clock() >= r.attempts[0].sentAt+l.classes[keyed].KeyRetention
 			})
-			said := far.Admit()
+			received := far.Admit()
 			testkit.Until(t, "the outcome", func() (told bool) {
-				l.then(t, func() { told = r.attempts[c.late].reported })
+				l.inLoop(t, func() { told = r.attempts[c.late].reported })
 				return told
 			})
-			if len(said) != map[bool]int{true: 1}[c.sent] {
-				t.Errorf("%d sends", len(said))
+			if len(received) != map[bool]int{true: 1}[c.sent] {
+				t.Errorf("%d sends", len(received))
 			}
 		})
 	}
 }
 
 // A pooled connection breaks as a request is written to it, its last byte included: one that
-// must not run twice is not sent again, by nobody.
-func TestResetUnderARequestOnAPooledConnection(t *testing.T) {
+// is not idempotent is not sent again by any part of the node.
+func TestNonIdempotentRequestIsNotResentAfterAReset(t *testing.T) {
 	var first atomic.Bool
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		if first.CompareAndSwap(false, true) {
@@ -252,18 +266,17 @@
 		testkit.Reset(w, r)
 	}
 	a, b := testkit.NewBackend(t, handle), testkit.NewBackend(t, testkit.OK)
-	l := loopWith(t, func(pool *upstream.Config) { pool.SettleDelay = 0 }, a.Endpoint("s-0"))
+	l := startLoopWith(t, func(pool *upstream.Config) { pool.SettleDelay = 0 }, a.Endpoint("s-0"))
 	if x, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); x.status != http.StatusOK {
 		t.Fatalf("status %d", x.status)
 	}
 	testkit.Until(t, "the connection to be pooled", func() bool { return l.pool.Stats().Idle() == 1 })
-	answered := make(chan response, 1)
-	go func() { x, _ := l.submit(t.Context(), l.newRequest(2, staysConnected)); answered <- x }()
+	answered := l.submitAsync(t.Context(), l.newRequest(2, staysConnected))
 	l.UpdateEndpoints(policy.UpdateDelta, []endpoint.Endpoint{b.Endpoint("s-1")}) // another one could take it
 	if x := testkit.Wait(t, answered, "an answer"); x.status != http.StatusBadGateway {
 		t.Errorf("status %d", x.status)
 	}
-	l.open(t, 0, 0)
+	l.awaitRequests(t, 0, 0)
 	if len(a.Requests) != 2 || len(b.Requests) != 0 {
 		t.Errorf("%d and %d sends, want 2 and none", len(a.Requests), len(b.Requests))
 	}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -15,50 +14,50 @@
 )
 
 // SIGKILL comes 0.7 s after the longest deadline, counted as 3 s at most.
-func TestStopEndsBeforeTheKill(t *testing.T) {
+func TestShutdownGracePeriodEndsBeforeTheKill(t *testing.T) {
 	for deadline, kill := range map[int]time.Duration{
 		160: 860 * time.Millisecond, 3000: 3700 * time.Millisecond, 60000: 3700 * time.Millisecond,
 	} {
-		span := shutdownGracePeriod(testConfig(t, testkit.NewRegistry(t), deadlines(deadline)))
+		span := shutdownGracePeriod(testConfig(t, testkit.NewRegistry(t), withDeadlines(deadline)))
 		if span >= kill || span <= kill-300*time.Millisecond {
 			t.Errorf("deadline %d ms: stops in %v, killed after %v", deadline, span, kill)
 		}
 	}
 }
 
-// What was taken before a stop is answered, and new connections are still taken
-// while the front deals them.
-func TestStopAnswersWhatWasTaken(t *testing.T) {
+// Requests that were accepted before a shutdown are answered, and new connections are still
+// accepted while clients are assigned to the node.
+func TestShutdownCompletesAcceptedRequests(t *testing.T) {
 	release := make(chan struct{})
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
 		testkit.OK(w, r)
 	})
 	n, _ := startReady(t, b)
-	held := make(chan reply, 1)
-	go func() { held <- n.do(n.request("pay")) }()
+	accepted := make(chan clientResponse, 1)
+	go func() { accepted <- n.do(n.request("pay")) }()
 	testkit.Wait(t, b.Requests, "the request")
 	n.stop()
 	n.waitReady(http.StatusServiceUnavailable)
-	late := make(chan reply, 1)
+	late := make(chan clientResponse, 1)
 	nc, err := net.Dial("tcp", n.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer nc.Close()
+	defer closeConn(nc)
 	go func() {
 		r := n.request("pay")
-		r.Write(nc)
+		sendRequest(nc, r)
 		resp, err := http.ReadResponse(bufio.NewReader(nc), r)
 		if err != nil {
 			t.Error(err)
-			late <- reply{}
+			late <- clientResponse{}
 			return
 		}
-		late <- reply{status: resp.StatusCode, header: resp.Header}
+		late <- clientResponse{status: resp.StatusCode, header: resp.Header}
 	}()
 	close(release)
-	for _, c := range []chan reply{held, late} {
+	for _, c := range []chan clientResponse{accepted, late} {
 		if a := testkit.Wait(t, c, "an answer"); a.status != http.StatusOK {
 			t.Errorf("status %d", a.status)
 		}
@@ -68,10 +67,10 @@
 	}
 }
 
-// The clients of a node that stops may have no other one: they are served on
+// The clients of a node that shuts down may have no other one: they are served on
 // their connections until shortly before the node has to end, and what is open
 // then is answered rather than cut off.
-func TestServesWhileItStops(t *testing.T) {
+func TestShutdownServesItsClientsBeforeItTerminates(t *testing.T) {
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			<-r.Context().Done()
@@ -85,14 +84,14 @@
 	}))
 	n.waitReady(http.StatusOK)
 	steady, late := n.dial(), n.dial()
-	n.ask(steady)
-	n.ask(late)
+	n.roundTrip(steady)
+	n.roundTrip(late)
 	began := time.Now()
 	n.stop()
 	n.waitReady(http.StatusServiceUnavailable)
 	for time.Since(began) < time.Second {
 		testkit.Wait(t, b.Requests, "the request before")
-		if resp := n.ask(steady); resp.StatusCode != http.StatusOK || resp.Close {
+		if resp := n.roundTrip(steady); resp.StatusCode != http.StatusOK || resp.Close {
 			t.Fatalf("status %d, close %v after %v", resp.StatusCode, resp.Close, time.Since(began))
 		}
 	}
@@ -109,23 +108,18 @@
 	}
 }
 
-// A request whose deadline lies far behind the kill is answered before it all the same.
-func TestStopAnswersLongRequestsBeforeTheKill(t *testing.T) {
+// A request whose deadline is long after the kill is answered before it all the same.
+func TestShutdownFailsLongRequestsBeforeTheKill(t *testing.T) {
 	t.Parallel()
 	b := testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
 	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
-	n := start(t, testConfig(t, d, deadlines(60000)))
+	n := start(t, testConfig(t, d, withDeadlines(60000)))
 	n.waitReady(http.StatusOK)
-	nc := n.dial()
-	r := n.request("pay")
-	r.Header.Set("X-Timeout-Ms", "60000")
-	if err := r.Write(nc); err != nil {
-		t.Fatal(err)
-	}
+	nc := n.sendLongRequest()
 	testkit.Wait(t, b.Requests, "the request")
 	began := time.Now()
 	n.stop()
-	resp, err := http.ReadResponse(bufio.NewReader(nc), r)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
 	if err != nil || resp.StatusCode != http.StatusBadGateway {
 		t.Fatalf("answered with %v, %v", resp, err)
 	}
@@ -137,38 +131,32 @@
 	}
 }
 
-// A stop finds requests held, at a server whose connection does not come up, sent, and half
-// read: each gets its final answer before the kill, the half one once it is whole.
-func TestStopAtEachPointOfARequest(t *testing.T) {
+// A shutdown finds requests queued, waiting for a connection and in flight: each gets its final
+// response before the kill.
+func TestShutdownAnswersRequestsInEveryState(t *testing.T) {
 	t.Parallel()
-	far := testkit.NewStuckServer(t)
+	stuck := testkit.NewStuckServer(t)
 	b := testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 10)))
 	for name, c := range map[string]struct {
 		server endpoint.Endpoint
 		first  int // requests that go before
 	}{
-		"held":         {b.Endpoint("s-0"), 5},
-		"being opened": {far.Endpoint("s-0"), 0},
-		"sent":         {b.Endpoint("s-0"), 0},
+		"queued":                   {b.Endpoint("s-0"), 5},
+		"waiting for a connection": {stuck.Endpoint("s-0"), 0},
+		"in flight":                {b.Endpoint("s-0"), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			n := start(t, testConfig(t, testkit.NewRegistry(t, c.server), deadlines(60000)))
+			n := start(t, testConfig(t, testkit.NewRegistry(t, c.server), withDeadlines(60000)))
 			n.waitReady(http.StatusOK)
-			var asked []net.Conn
+			var clients []net.Conn
 			for range c.first + 1 {
-				nc := n.dial()
-				r := n.request("pay")
-				r.Header.Set("X-Timeout-Ms", "60000")
-				if err := r.Write(nc); err != nil {
-					t.Fatal(err)
-				}
-				asked = append(asked, nc)
+				clients = append(clients, n.sendLongRequest())
 			}
 			began := time.Now()
 			n.stop()
-			for _, nc := range asked {
-				resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			for _, client := range clients {
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
 				if err != nil || resp.StatusCode < 500 {
 					t.Fatalf("answered with %v, %v", resp, err)
 				}
@@ -178,30 +166,43 @@
 			}
 		})
 	}
-	t.Run("half read", func(t *testing.T) {
-		t.Parallel()
-		b := testkit.NewBackend(t, testkit.OK)
-		n, _ := startReady(t, b)
-		nc := n.dial()
-		var text strings.Builder
-		n.request("pay").Write(&text)
-		half := text.Len() - 3
-		io.WriteString(nc, text.String()[:half])
-		n.stop()
-		n.waitReady(http.StatusServiceUnavailable)
-		io.WriteString(nc, text.String()[half:])
-		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
-		if err != nil || resp.StatusCode != http.StatusOK {
-			t.Fatalf("answered with %v, %v", resp, err)
-		}
-	})
 }
 
-// What comes after the node has answered all that was open is turned away at once: nobody
-// would answer it any more.
-func TestRequestBehindTheLastAnswers(t *testing.T) {
+// sendLongRequest sends a request that must not be repeated, with a timeout of a minute.
+func (n *testNode) sendLongRequest() net.Conn {
+	n.t.Helper()
+	nc := n.dial()
+	r := n.request("pay")
+	r.Header.Set("X-Timeout-Ms", "60000")
+	if err := r.Write(nc); err != nil {
+		n.t.Fatal(err)
+	}
+	return nc
+}
+
+// A shutdown finds a request half read: it is answered once it is complete.
+func TestShutdownServesARequestThatIsBeingRead(t *testing.T) {
+	t.Parallel()
+	b := testkit.NewBackend(t, testkit.OK)
+	n, _ := startReady(t, b)
+	nc := n.dial()
+	var text strings.Builder
+	sendRequest(&text, n.request("pay"))
+	half := text.Len() - 3
+	send(nc, text.String()[:half])
+	n.stop()
+	n.waitReady(http.StatusServiceUnavailable)
+	send(nc, text.String()[half:])
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("answered with %v, %v", resp, err)
+	}
+}
+
+// A request that comes after termination is rejected at once: nobody would answer it later.
+func TestRequestAfterTerminationIsRejected(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
-	l := loopOf(t, b.Endpoint("s-0"))
+	l := startLoop(t, b.Endpoint("s-0"))
 	l.terminateAll()
 	a, err := l.submit(t.Context(), l.newRequest(2, staysConnected))
 	if err != nil || a.status != http.StatusServiceUnavailable || len(b.Requests) > 0 {
--- a/internal/node/validation_test.go
+++ b/internal/node/validation_test.go
@@ -11,7 +11,7 @@
 	"calicohinge/internal/testkit"
 )
 
-func TestMalformedRequests(t *testing.T) {
+func TestMalformedRequestsAreRejected(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	n, _ := startReady(t, b)
 	for name, c := range map[string]struct {
@@ -54,9 +54,9 @@
 	}
 }
 
-// The id of a request that is open names that one alone: a second one with it
-// is turned away and the first goes on.
-func TestOpenID(t *testing.T) {
+// The ID of an active request names that one alone: a second request with it is rejected and
+// the first goes on.
+func TestDuplicateRequestIDIsRejected(t *testing.T) {
 	release := make(chan struct{})
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
@@ -64,7 +64,7 @@
 	})
 	n, _ := startReady(t, b)
 	first := n.request("push")
-	answered := make(chan reply, 1)
+	answered := make(chan clientResponse, 1)
 	go func() { answered <- n.do(first) }()
 	testkit.Wait(t, b.Requests, "the first one")
 	second := n.request("read")
@@ -84,10 +84,10 @@
 	}
 }
 
-// What can be read in two ways hides requests from whoever stands before or
-// behind; what can't be read must not hold its connection. Neither may reach a
-// server, nor keep the node from serving others.
-func TestBadBytes(t *testing.T) {
+// A message that can be read in two ways hides requests from a proxy before or behind; one that
+// can't be read must not keep its connection. Neither may reach a server, nor keep the node from
+// serving others.
+func TestMalformedMessagesAreRejected(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	n, _ := startReady(t, b)
 	head := func(class, more string) string {
@@ -123,9 +123,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			n := &running{t: t, addr: n.addr}
+			n := &testNode{t: t, addr: n.addr}
 			began := time.Now()
-			got := n.raw(c.text)
+			got := n.rawStatuses(c.text)
 			switch {
 			case c.status == 0 && len(got) == 0:
 			case len(got) == 1 && got[0] == c.status:
@@ -145,13 +145,13 @@
 	})
 }
 
-// An answer has half of its class's objective from its first byte to its last: a spoilt one on a
-// deployment with short times would else take the time of the next attempt.
-func TestSpoiltAnswerLeavesTimeForAnother(t *testing.T) {
+// The read of a response takes half of its class's latency objective at most: one that breaks off
+// would otherwise take the time of the next attempt where the objective is short.
+func TestResponseReadTimeoutLeavesTimeForARetry(t *testing.T) {
 	for objective, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: maxResponseRead} {
-		cfg := testConfig(t, testkit.NewRegistry(t), deadlines(objective*4/3))
-		f := newHandler(cfg, loopOf(t), nil)
-		n := &running{t: t, addr: "x"}
+		cfg := testConfig(t, testkit.NewRegistry(t), withDeadlines(objective*4/3))
+		f := newHandler(cfg, startLoop(t), nil)
+		n := &testNode{t: t, addr: "x"}
 		q, err := f.parse(n.request("read"))
 		if err != nil {
 			t.Fatal(err)
