--- /dev/null
+++ b/internal/upstream/endpoints_test.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"testing"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/policy"
+)
+
+func TestUpdateEndpointsRevokesServersThatMayNotGetAttempts(t *testing.T) {
+	known := endpoint.Endpoint{InstanceID: "s", Address: "10.0.0.1:80", Lifecycle: "Ready", StartedUnixMilli: 1}
+	changed := func(change func(e *endpoint.Endpoint)) []endpoint.Endpoint {
+		next := known
+		change(&next)
+		return []endpoint.Endpoint{next}
+	}
+	for name, c := range map[string]struct {
+		complete  bool
+		endpoints []endpoint.Endpoint
+		revoked   bool
+		listed    bool // the pool still knows the server
+	}{
+		"unchanged":           {true, []endpoint.Endpoint{known}, false, true},
+		"not in a delta":      {false, nil, false, true},
+		"not in a full list":  {true, nil, true, false},
+		"draining":            {false, changed(func(e *endpoint.Endpoint) { e.Lifecycle = "Draining" }), true, true},
+		"gone":                {false, changed(func(e *endpoint.Endpoint) { e.Lifecycle = "Gone" }), true, false},
+		"at a new address":    {false, changed(func(e *endpoint.Endpoint) { e.Address = "10.0.0.2:80" }), true, true},
+		"with a new start":    {false, changed(func(e *endpoint.Endpoint) { e.StartedUnixMilli = 2 }), true, true},
+		"with another weight": {false, changed(func(e *endpoint.Endpoint) { e.Weight = 2 }), false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := NewPool(poolConfig())
+			if revoked := pool.UpdateEndpoints(true, []endpoint.Endpoint{known}); !revoked.Contains(known.ServerID()) {
+				t.Error("a new server is not in the set")
+			}
+			revoked := pool.UpdateEndpoints(c.complete, c.endpoints)
+			if got := revoked.Contains(known.ServerID()); got != c.revoked {
+				t.Errorf("revoked %v, want %v", got, c.revoked)
+			}
+			if _, listed := pool.Stats().Servers[known.ServerID()]; listed != c.listed {
+				t.Errorf("listed %v, want %v", listed, c.listed)
+			}
+		})
+	}
+}
+
+// A connection in use when its server is replaced is closed at its release.
+func TestReplacedServerKeepsNoConnections(t *testing.T) {
+	server := newScriptedServer(t, okResponse, false)
+	pool, id := poolTo(poolConfig(), server.address())
+	inUse, err := pool.acquire(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectStatus(t, pool, id, policy.OK) // leaves an idle connection
+
+	replaced := endpoint.Endpoint{InstanceID: "s", Address: server.address(), Lifecycle: "Ready", StartedUnixMilli: 1}
+	pool.UpdateEndpoints(false, []endpoint.Endpoint{replaced})
+	expectOpen(t, pool, 1)
+	pool.release(inUse, true)
+	expectOpen(t, pool, 0)
+}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -1,148 +1,177 @@
 package upstream
 
 import (
-	"bufio"
-	"calicohinge/internal/testkit"
-	"calicohinge/policy"
-	"errors"
+	"context"
+	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"syscall"
+	"strings"
 	"testing"
 	"time"
+
+	"calicohinge/internal/testkit"
+	"calicohinge/policy"
 )
 
-// A server takes a long repeat in so slowly that its last byte would come behind the window:
-// it never gets that, and so does not begin it.
-func TestRepeatIsNotWrittenPastItsWindow(t *testing.T) {
-	t.Parallel()
-	small := func(_, _ string, c syscall.RawConn) (err error) { // segments and buffers
-		return errors.Join(c.Control(func(fd uintptr) {
-			err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1024),
-				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 88))
-		}), err)
-	}
-	l, err := (&net.ListenConfig{Control: small}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	u, id := poolTo(poolConfig(), l.Addr().String())
-	o := anyRequest()
-	o.Body = make([]byte, maxBody)
-	c := NewCall(t.Context(), present)
-	defer c.Cancel()
-	end := time.Now().Add(200 * time.Millisecond)
-	c.SetWriteDeadline(end)
-	ended := make(chan Result, 1)
-	go func() { ended <- u.Send(c, id, o, time.Minute) }()
-	nc, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
-	if res := testkit.Wait(t, ended, "the end of the attempt"); res.Status != policy.ConnectFailed && res.Status != policy.NotSent {
-		t.Errorf("status %d", res.Status)
+// responseCase is a response and what two attempts make of it.
+type responseCase struct {
+	response    string
+	closeAfter  bool
+	status      policy.Status
+	connections int // that two attempts take
+}
+
+func TestCompleteResponseDeterminesStatusAndReuse(t *testing.T) {
+	testResponses(t, map[string]responseCase{
+		"served":                      {okResponse, false, policy.OK, 1},
+		"served, chunked":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", false, policy.OK, 1},
+		"served, then closed":         {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", true, policy.OK, 2},
+		"early hints":                 {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okResponse, false, policy.OK, 1},
+		"more than the response":      {okResponse + "rest", false, policy.OK, 2},
+		"error":                       {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false, policy.ServerError, 1},
+		"another status":              {"HTTP/1.1 404 Where\r\nContent-Length: 0\r\n\r\n", false, policy.ServerError, 1},
+		"rejected, 503":               {"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Rejected, 1},
+		"rejected, 504":               {"HTTP/1.1 504 Over\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Rejected, 1},
+		"503 that guarantees nothing": {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", false, policy.ServerError, 1},
+	})
+}
+
+func TestResponseCutByACloseIsReset(t *testing.T) {
+	testResponses(t, map[string]responseCase{
+		"no response":         {"", true, policy.Reset, 2},
+		"half a header":       {"HTTP/1.1 200 OK\r\nContent-Le", true, policy.Reset, 2},
+		"half a body":         {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi", true, policy.Reset, 2},
+		"body with no length": {"HTTP/1.1 200 OK\r\n\r\nhi", true, policy.Reset, 2},
+	})
+}
+
+func TestInvalidResponseIsServerErrorAndClosesItsConnection(t *testing.T) {
+	bodyTooLarge := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBody+1, strings.Repeat("x", maxBody+1))
+	headerTooLarge := "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponse+1)
+	cases := map[string]responseCase{}
+	for name, response := range map[string]string{
+		"not HTTP":                 "\x00\x01\x02 what\r\n\r\n",
+		"not HTTP, no line":        "\x00\x01\x02",
+		"body too large":           bodyTooLarge,
+		"header too large":         headerTooLarge,
+		"header that stops":        "HTTP/1.1 200 OK\r\nX-Filler: 1\r\n",
+		"body that stops":          "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi",
+		"chunks that stop":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+		"content length of 3 GB":   "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nhi",
+		"chunk too large":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFFFFFFFFFFF\r\nhi",
+		"two content lengths":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+		"negative content length":  "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi",
+		"content length no number": "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nhi",
+		"endless 1xx":              strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20),
+		"1xx, then nothing":        "HTTP/1.1 103 Early Hints\r\n\r\nHT",
+		"switching protocols":      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+	} {
+		cases[name] = responseCase{response, false, policy.ServerError, 2}
 	}
-	nc.SetDeadline(time.Now().Add(testkit.Patience))
-	r, err := http.ReadRequest(bufio.NewReader(nc))
-	if err == nil {
-		_, err = io.Copy(io.Discard, r.Body)
+	testResponses(t, cases)
+}
+
+// At most maxInterimResponses interim responses are skipped.
+func TestInterimResponsesUpToTheLimitAreSkipped(t *testing.T) {
+	interim := func(count int) string {
+		return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", count) + okResponse
 	}
-	if err == nil || testkit.IsTimeout(err) {
-		t.Errorf("the request came whole or goes on: %v", err)
+	testResponses(t, map[string]responseCase{
+		"at the limit":   {interim(maxInterimResponses), false, policy.OK, 1},
+		"over the limit": {interim(maxInterimResponses + 1), false, policy.ServerError, 2},
+	})
+}
+
+func testResponses(t *testing.T, cases map[string]responseCase) {
+	t.Helper()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := newScriptedServer(t, c.response, c.closeAfter)
+			pool, id := poolTo(poolConfig(), server.address())
+			for range 2 {
+				testResponse(t, pool, id, c.status)
+			}
+			if len(server.connections) != c.connections {
+				t.Errorf("%d connections, want %d", len(server.connections), c.connections)
+			}
+		})
 	}
 }
 
-// dribble writes a byte at a time.
-func dribble(nc net.Conn, text string, halfway func()) {
-	for i, c := range []byte(text) {
-		if i == len(text)/2 {
-			halfway()
-		}
-		nc.Write([]byte{c})
+// testResponse makes an attempt. Its context bounds the test only: an invalid
+// response has to be recognized without the deadline of the attempt.
+func testResponse(t *testing.T, pool *Pool, id policy.ServerID, want policy.Status) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
+	defer cancel()
+	result := send(ctx, pool, id, anyRequest())
+	if ctx.Err() != nil {
+		t.Error("the attempt lasted until its context ended")
+	}
+	if result.Status != want {
+		t.Errorf("status %v, want %v", result.Status, want)
+	}
+	if want == policy.OK && string(result.Body) != "hi" {
+		t.Errorf("body %q", result.Body)
 	}
 }
 
-// A server answers a byte at a time: the answer is whole if it ends in its span.
-func TestAnswerByteByByte(t *testing.T) {
-	const text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+// A server that writes a byte at a time is served if its response is complete
+// within the response read timeout.
+func TestSlowResponseHasToEndWithinTheReadTimeout(t *testing.T) {
 	for name, c := range map[string]struct {
-		span time.Duration
-		want policy.Status
-	}{"in its span": {testkit.Patience, policy.OK}, "past its span": {50 * time.Millisecond, policy.ServerError}} {
+		readTimeout time.Duration
+		want        policy.Status
+	}{
+		"within it": {testkit.Patience, policy.OK},
+		"after it":  {50 * time.Millisecond, policy.ServerError},
+	} {
 		t.Run(name, func(t *testing.T) {
-			over := make(chan struct{})
-			b := testkit.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) {
-				if nc, _, err := w.(http.Hijacker).Hijack(); err == nil {
-					dribble(nc, text, func() {
-						if c.want != policy.OK {
-							<-over
-						}
-					})
-					nc.Close()
+			attemptEnded := make(chan struct{})
+			backend := testkit.NewBackend(t, hijacking(func(conn net.Conn) {
+				writeByteByByte(conn, okResponse[:len(okResponse)/2])
+				if c.want != policy.OK {
+					<-attemptEnded
 				}
-			})
-			u, id := poolTo(poolConfig(), b.Listener.Addr().String())
-			o := anyRequest()
-			o.ResponseReadTimeout = c.span
-			if res := u.Send(NewCall(t.Context(), present), id, o, time.Minute); res.Status != c.want {
-				t.Errorf("status %d, want %d", res.Status, c.want)
+				writeByteByByte(conn, okResponse[len(okResponse)/2:])
+			}))
+			pool, id := poolTo(poolConfig(), backend.Address())
+			request := anyRequest()
+			request.ResponseReadTimeout = c.readTimeout
+			if result := send(t.Context(), pool, id, request); result.Status != c.want {
+				t.Errorf("status %v, want %v", result.Status, c.want)
 			}
-			close(over)
+			close(attemptEnded)
 		})
 	}
 }
 
-// An answer that never ends costs its attempt and its connection, not the time or memory.
-func TestEndlessAnswer(t *testing.T) {
-	for name, head := range map[string]string{
-		"head":   "HTTP/1.1 200 OK\r\nX: ",
+func writeByteByByte(conn net.Conn, text string) {
+	for i := range len(text) {
+		writeQuietly(conn, text[i:i+1])
+	}
+}
+
+// A response that never ends costs its attempt and its connection, neither the
+// time of the request nor memory.
+func TestEndlessResponseIsServerErrorAndClosesItsConnection(t *testing.T) {
+	for name, start := range map[string]string{
+		"header": "HTTP/1.1 200 OK\r\nX: ",
 		"body":   "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n",
 		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfff0\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
-				nc, _, err := w.(http.Hijacker).Hijack()
-				if err != nil {
-					return
-				}
-				defer nc.Close()
-				for _, err = io.WriteString(nc, head); err == nil; _, err = io.WriteString(nc, "x") {
-					time.Sleep(time.Millisecond) // the drip is what is under test
+			backend := testkit.NewBackend(t, hijacking(func(conn net.Conn) {
+				_, err := io.WriteString(conn, start)
+				for err == nil {
+					time.Sleep(time.Millisecond) // the slow writes are what is under test
+					_, err = io.WriteString(conn, "x")
 				}
-			})
-			u, id := poolTo(poolConfig(), b.Listener.Addr().String())
-			if res := u.Send(NewCall(t.Context(), present), id, anyRequest(), time.Minute); res.Status != policy.ServerError {
-				t.Errorf("status %d", res.Status)
-			}
-			if u.open != 0 {
-				t.Error("the connection is kept")
-			}
+			}))
+			pool, id := poolTo(poolConfig(), backend.Address())
+			expectStatus(t, pool, id, policy.ServerError)
+			expectOpen(t, pool, 0)
 		})
 	}
 }
-
-// A connection comes up after the time that it may take: nothing is written to it, and its
-// place is free.
-func TestConnectionComesUpTooLate(t *testing.T) {
-	t.Parallel()
-	far := testkit.NewStuckServer(t)
-	u, id := poolTo(poolConfig(), far.Addr().String())
-	u.config.ConnectTimeout = 50 * time.Millisecond
-	if res := u.Send(NewCall(t.Context(), present), id, anyRequest(), time.Minute); res.Status != policy.ConnectFailed {
-		t.Errorf("status %d", res.Status)
-	}
-	said := far.Admit()
-	nc, err := net.Dial("tcp", far.Addr().String()) // comes up behind it
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
-	io.WriteString(nc, "mine")
-	if text := testkit.Wait(t, said, "the later connection"); text != "mine" || u.open != 0 {
-		t.Errorf("%q was sent; %d places are taken", text, u.open)
-	}
-}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
+	"calicohinge/policy"
+)
+
+const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+func TestRefusedConnectionFailsAndFreesItsCapacity(t *testing.T) {
+	pool, id := poolTo(poolConfig(), testkit.FreeAddr(t))
+	expectStatus(t, pool, id, policy.ConnectFailed)
+	expectOpen(t, pool, 0)
+}
+
+// A connection that is established after the connect timeout carries nothing.
+func TestConnectTimeoutSendsNothingAndFreesItsCapacity(t *testing.T) {
+	t.Parallel()
+	server := testkit.NewStuckServer(t)
+	config := poolConfig()
+	config.ConnectTimeout = 50 * time.Millisecond
+	pool, id := poolTo(config, server.Addr().String())
+	expectStatus(t, pool, id, policy.ConnectFailed)
+
+	received := server.Admit()
+	later, err := net.Dial("tcp", server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeQuietly(later)
+	if _, err := io.WriteString(later, "mine"); err != nil {
+		t.Fatal(err)
+	}
+	if text := testkit.Wait(t, received, "bytes on the later connection"); text != "mine" {
+		t.Errorf("%q was sent", text)
+	}
+	expectOpen(t, pool, 0)
+}
+
+func TestIdleConnectionIsClosedAfterTheIdleTimeout(t *testing.T) {
+	server := newScriptedServer(t, okResponse, false)
+	pool, id := poolTo(poolConfig(), server.address())
+	pool.maxIdle = 20 * time.Millisecond
+	go pool.RetireIdle(t.Context())
+	send(t.Context(), pool, id, anyRequest())
+	testkit.Wait(t, server.connections, "a connection")
+	testkit.Until(t, "the idle connection to be closed", func() bool { return pool.Stats().Open == 0 })
+}
+
+// No server is at fault when the limit is reached.
+func TestAttemptIsNotSentAtTheConnectionLimit(t *testing.T) {
+	backend := testkit.NewBackend(t, testkit.OK)
+	config := poolConfig()
+	config.MaxOpen = 1
+	pool, id := poolTo(config, backend.Address())
+	pool.open = 1 // in use
+	expectStatus(t, pool, id, policy.NotSent)
+}
+
+func TestIdleConnectionIsEvictedAtTheConnectionLimit(t *testing.T) {
+	config := poolConfig()
+	config.MaxOpen = 1
+	pool, id := poolTo(config, testkit.NewBackend(t, testkit.OK).Address())
+	other := testkit.NewBackend(t, testkit.OK).Endpoint("o")
+	pool.UpdateEndpoints(false, []endpoint.Endpoint{other})
+	for _, target := range []policy.ServerID{id, other.ServerID(), id} {
+		expectStatus(t, pool, target, policy.OK)
+	}
+}
+
+// What a server does with a connection after its response shows only after a
+// moment: it closes, or sends the response again. A request written meanwhile
+// would be lost, or get a response to another one.
+func TestConnectionIsNotReusedWithinTheSettleDelay(t *testing.T) {
+	const again = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+	for name, afterResponse := range map[string]func(conn net.Conn){
+		"closed":          func(conn net.Conn) { closeQuietly(conn) },
+		"second response": func(conn net.Conn) { writeQuietly(conn, again) },
+		"invalid bytes":   func(conn net.Conn) { writeQuietly(conn, "\x00\x01") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			testSettleDelay(t, afterResponse)
+		})
+	}
+}
+
+func testSettleDelay(t *testing.T, afterResponse func(conn net.Conn)) {
+	served := make(chan struct{}, 10)
+	backend := testkit.NewBackend(t, hijacking(func(conn net.Conn) {
+		writeQuietly(conn, okResponse)
+		time.Sleep(time.Millisecond) // long for a server, short for a connection to settle
+		afterResponse(conn)
+		served <- struct{}{}
+		<-t.Context().Done() // the connection stays open until then
+	}))
+	config := poolConfig()
+	config.SettleDelay = time.Hour
+	pool, id := poolTo(config, backend.Address())
+	expectServed := func() {
+		t.Helper()
+		result := send(t.Context(), pool, id, anyRequest())
+		if result.Status != policy.OK || string(result.Body) != "hi" {
+			t.Errorf("status %v, body %q", result.Status, result.Body)
+		}
+	}
+	expectServed()
+	expectServed() // on a new connection: the first has not settled
+	testkit.Wait(t, served, "the end of the first handler")
+	testkit.Wait(t, served, "the end of the second handler")
+	pool.config.SettleDelay = 0
+	expectServed()         // on a new connection: both have settled and are not quiet
+	expectOpen(t, pool, 1) // the last one
+}
