simadapter: separate the adapter from the loop over batches, use whole names

Cause: type host with fields named, current and methods batch and handle did not say what they do; its tests wrote codes as bare numbers.

Change: adapter.go holds type adapter (handleBatch, handleEvent, open), main.go the loop. An event for an instance that is not open is a *simproto.FormatError.

--- /dev/null
+++ b/cmd/simadapter/adapter.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"calicohinge/internal/config"
+	"calicohinge/internal/simproto"
+	"calicohinge/policy"
+)
+
+var errNoInstance = errors.New("the selected instance is not open")
+
+// adapter passes the events of batches to the instances and collects their actions. The
+// instances share nothing but the buffers of the reply.
+type adapter struct {
+	instances map[uint16]*policy.Balancer // by number; only those that are open
+	selected  uint16                      // the instance that the events concern
+	reply     simproto.Reply              // the actions of the current batch
+	event     simproto.Event              // reused, so that decoding need not allocate
+}
+
+func newAdapter() *adapter {
+	return &adapter{instances: map[uint16]*policy.Balancer{}}
+}
+
+// handleBatch replaces the reply by the actions that answer the batch.
+func (a *adapter) handleBatch(batch *simproto.Batch) error {
+	a.reply.Reset()
+	instanceSelected := false // a selection does not last beyond its batch
+	for i := range batch.Count {
+		event := &a.event
+		if err := batch.Event(i, event); err != nil {
+			return err
+		}
+		if event.Code == simproto.EventInstance {
+			a.selectInstance(event.Instance)
+			instanceSelected = true
+			continue
+		}
+		if !instanceSelected || !a.accepts(event.Code) {
+			return &simproto.FormatError{
+				Batch: batch.Number, Record: i, Err: fmt.Errorf("event %q: %w", event.Code, errNoInstance),
+			}
+		}
+		a.handleEvent(batch, event)
+	}
+	return nil
+}
+
+func (a *adapter) selectInstance(instance uint16) {
+	a.selected = instance
+	a.reply.SelectInstance(instance)
+}
+
+// accepts reports whether the selected instance may get an event: one that is not open can
+// only be opened.
+func (a *adapter) accepts(code simproto.EventCode) bool {
+	return code == simproto.EventOpen || a.instances[a.selected] != nil
+}
+
+// handleEvent passes one event to the selected instance. A panic of the decision module is
+// reported as fatal, which ends the simulation.
+func (a *adapter) handleEvent(batch *simproto.Batch, event *simproto.Event) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			fmt.Fprintf(os.Stderr, "simadapter: batch %d: panic: %v\n%s", batch.Number, cause, debug.Stack())
+			a.reply.Fatal(fmt.Sprintf("panic: %v", cause))
+		}
+	}()
+	now, balancer := batch.Now, a.instances[a.selected]
+	switch event.Code {
+	case simproto.EventOpen:
+		a.open(event)
+	case simproto.EventStop:
+		delete(a.instances, a.selected)
+	case simproto.EventEndpoints:
+		if event.WatchFailed {
+			balancer.WatchFailed(now, now+policy.NotificationDeadline)
+		} else {
+			balancer.UpdateEndpoints(now, event.Kind, event.Endpoints)
+		}
+	case simproto.EventRequest:
+		balancer.Request(now, event.Request)
+	case simproto.EventStreamStarted:
+		balancer.StreamStarted(now, event.Outcome.ID, event.Outcome.Attempt)
+	case simproto.EventOutcome:
+		balancer.Outcome(now, event.Outcome)
+	case simproto.EventClientDisconnected:
+		balancer.ClientDisconnected(now, event.Outcome.ID)
+	case simproto.EventTimer:
+		balancer.Timer(now, event.Token)
+	}
+}
+
+// open starts the selected instance anew. Impossible settings are reported as fatal.
+func (a *adapter) open(event *simproto.Event) {
+	settings, err := config.ParseSettings(event.Settings)
+	if err != nil {
+		a.reply.Fatal(err.Error())
+		return
+	}
+	balancer, err := policy.New(settings, event.Seed, &a.reply)
+	if err != nil {
+		a.reply.Fatal(err.Error())
+		return
+	}
+	a.instances[a.selected] = balancer
+}
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -9,87 +9,115 @@
 	"testing"
 
 	"calicohinge/internal/simproto"
-	"calicohinge/policy"
 )
 
 const settings = `{"Classes": [{"DeadlineMs": 1000, "Effect": "pure"}], "Limits": {"MaxAttempts": 2}}`
 
-// rec is an event record; its parts are written one after the other.
-func rec(parts ...any) []byte {
-	var b bytes.Buffer
-	for _, p := range parts {
-		if err := binary.Write(&b, binary.BigEndian, p); err != nil {
-			panic(err)
+// The sizes and codes of the protocol, written here once more so that the tests do not depend
+// on the code that they test.
+const (
+	replyHeaderSize = 12
+	eventSize       = 48
+	actionSize      = 24
+
+	eventOpen      = uint8(1)
+	eventEndpoints = uint8(2)
+	eventRequest   = uint8(3)
+	eventTimer     = uint8(7)
+	eventStop      = uint8(10)
+	eventInstance  = uint8(11)
+
+	actionSend     = 66
+	actionContext  = 68
+	actionSetTimer = 72
+	actionFatal    = 77
+)
+
+// testInstance is the number of the instance in these tests.
+const testInstance = uint16(4)
+
+// concat encodes values one after the other.
+func concat(values ...any) []byte {
+	var raw []byte
+	for _, value := range values {
+		var err error
+		if raw, err = binary.Append(raw, binary.BigEndian, value); err != nil {
+			panic(err) // a type that has no fixed size
 		}
 	}
-	return append(b.Bytes(), make([]byte, 48-b.Len())...)
+	return raw
 }
 
-func batch(tail string, records ...[]byte) []byte {
-	var b bytes.Buffer
+// eventRecord encodes an event from its fields, one after the other.
+func eventRecord(fields ...any) []byte {
+	raw := concat(fields...)
+	return append(raw, make([]byte, eventSize-len(raw))...)
+}
+
+// encodeBatch encodes batch 7, whose clock is 5,000 ms.
+func encodeBatch(tail string, records ...[]byte) []byte {
 	body := bytes.Join(records, nil)
-	header := []any{uint32(len(body) + len(tail)), math.Float64bits(5000), uint32(len(records)), uint32(7)}
-	for _, p := range header {
-		if err := binary.Write(&b, binary.BigEndian, p); err != nil {
-			panic(err)
-		}
-	}
-	return append(append(b.Bytes(), body...), tail...)
+	header := concat(uint32(len(body)+len(tail)), math.Float64bits(5000), uint32(len(records)), uint32(7))
+	return append(append(header, body...), tail...)
 }
 
-func instance(n uint16) []byte { return rec(uint8(11), n) }
+func selectInstance() []byte { return eventRecord(eventInstance, testInstance) }
 
-func open(text string) []byte { return rec(uint8(1), uint64(1), uint32(0), uint32(len(text))) }
+// openInstance has its settings at the start of the tail.
+func openInstance(settings string) []byte {
+	return eventRecord(eventOpen, uint64(1), uint32(0), uint32(len(settings)))
+}
 
-// codes lists the action codes of all replies.
-func codes(t *testing.T, out []byte) (all []byte) {
+// actionCodes lists the action codes of all replies.
+func actionCodes(t *testing.T, replies []byte) []byte {
 	t.Helper()
-	for len(out) > 0 {
-		count, size := binary.BigEndian.Uint32(out), binary.BigEndian.Uint32(out[4:])
+	var codes []byte
+	for len(replies) > 0 {
+		count, size := binary.BigEndian.Uint32(replies), binary.BigEndian.Uint32(replies[4:])
 		for i := range int(count) {
-			all = append(all, out[12+24*i])
+			codes = append(codes, replies[replyHeaderSize+actionSize*i])
 		}
-		out = out[12+size:]
+		replies = replies[replyHeaderSize+size:]
 	}
-	return all
+	return codes
 }
 
-func TestRunServesABatchAndEndsCleanly(t *testing.T) {
+func TestRunAnswersBatchesUntilTheInputEnds(t *testing.T) {
 	entry := "\x0a\x00\x00\x01\x1f\x90" +
 		"\x00\x00\x00\x00\x00\x00\x01\x3f\x80\x00\x00" + strings.Repeat("\x00", 8)
 	in := bytes.Join([][]byte{
-		batch(""),
-		batch(settings, instance(4), open(settings)),
-		batch(entry, instance(4), rec(uint8(2), uint8(2), uint64(1), uint32(0), uint32(1)),
-			rec(uint8(3), uint32(9), uint8(0), uint16(0), uint64(0), float64(800))),
+		encodeBatch(""),
+		encodeBatch(settings, selectInstance(), openInstance(settings)),
+		encodeBatch(entry, selectInstance(), eventRecord(eventEndpoints, uint8(2), uint64(1), uint32(0), uint32(1)),
+			eventRecord(eventRequest, uint32(9), uint8(0), uint16(0), uint64(0), float64(800))),
 	}, nil)
 	var out bytes.Buffer
 	if err := run(bytes.NewReader(in), &out); err != nil {
 		t.Fatal(err)
 	}
-	if got := codes(t, out.Bytes()); !bytes.Equal(got, []byte{68, 66, 72}) {
-		t.Fatalf("action codes %v, want context, call_out, notify_me", got)
+	if got := actionCodes(t, out.Bytes()); !bytes.Equal(got, []byte{actionContext, actionSend, actionSetTimer}) {
+		t.Fatalf("action codes %v, want context, send and set timer", got)
 	}
 }
 
-func TestRunReportsImpossibleSettingsAsFatal(t *testing.T) {
+func TestImpossibleSettingsAreReportedAsFatalWithTheirKey(t *testing.T) {
 	text := `{"Classes": [{"DeadlineMs": -5, "Effect": "pure"}]}`
 	var out bytes.Buffer
-	if err := run(bytes.NewReader(batch(text, instance(4), open(text))), &out); err != nil {
+	if err := run(bytes.NewReader(encodeBatch(text, selectInstance(), openInstance(text))), &out); err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Contains(out.Bytes(), []byte("Classes[0].Deadline")) ||
-		!bytes.Contains(codes(t, out.Bytes()), []byte{77}) {
-		t.Fatalf("reply %q names no field", out.Bytes())
+	if !bytes.Contains(out.Bytes(), []byte("settings.Classes[0].DeadlineMs is -5")) ||
+		!bytes.Contains(actionCodes(t, out.Bytes()), []byte{actionFatal}) {
+		t.Fatalf("reply %q does not name the key and the value", out.Bytes())
 	}
 }
 
-func TestRunRejectsEventsForNoInstance(t *testing.T) {
+func TestRunRefusesEventsForInstancesThatAreNotOpen(t *testing.T) {
 	for name, in := range map[string][]byte{
-		"never opened": batch("", instance(4), rec(uint8(7), uint64(0))),
-		"not named":    batch("", rec(uint8(7), uint64(0))),
-		"stopped": batch(settings, instance(4), open(settings), rec(uint8(10)),
-			rec(uint8(7), uint64(0))),
+		"never opened": encodeBatch("", selectInstance(), eventRecord(eventTimer, uint64(0))),
+		"not selected": encodeBatch("", eventRecord(eventTimer, uint64(0))),
+		"stopped": encodeBatch(settings, selectInstance(), openInstance(settings), eventRecord(eventStop),
+			eventRecord(eventTimer, uint64(0))),
 	} {
 		var out bytes.Buffer
 		err := run(bytes.NewReader(in), &out)
@@ -99,17 +127,16 @@
 	}
 }
 
-// Guards against a panic of the module that takes the whole host down silently.
 func TestPanicIsReportedAsFatal(t *testing.T) {
-	h := host{instances: map[uint16]*policy.Balancer{4: nil}, current: 4}
-	h.reply.Reset()
-	h.reply.SelectInstance(4)
-	h.handle(&simproto.Batch{Number: 7}, &simproto.Event{Code: simproto.EventRequest})
+	a := newAdapter()
+	a.reply.Reset()
+	a.selectInstance(testInstance)
+	a.handleEvent(&simproto.Batch{Number: 7}, &simproto.Event{Code: simproto.EventRequest})
 	var out bytes.Buffer
-	if err := h.reply.WriteTo(bufio.NewWriter(&out), 7); err != nil {
+	if err := a.reply.WriteTo(bufio.NewWriter(&out), 7); err != nil {
 		t.Fatal(err)
 	}
-	if got := codes(t, out.Bytes()); !bytes.Equal(got, []byte{68, 77}) ||
+	if got := actionCodes(t, out.Bytes()); !bytes.Equal(got, []byte{actionContext, actionFatal}) ||
 		!bytes.Contains(out.Bytes(), []byte("panic")) {
 		t.Fatalf("action codes %v, want a context and fatal", got)
 	}
