--- /dev/null
+++ b/internal/upstream/endpoints.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"calicohinge/internal/endpoint"
+	"calicohinge/policy"
+)
+
+// RevokedServers is the set of servers to which, after an update of the endpoint
+// list, no attempt decided before may be written any more.
+type RevokedServers map[policy.ServerID]struct{}
+
+// Contains reports whether id is in the set.
+func (s RevokedServers) Contains(id policy.ServerID) bool {
+	_, ok := s[id]
+	return ok
+}
+
+func (s RevokedServers) add(id policy.ServerID) { s[id] = struct{}{} }
+
+// UpdateEndpoints applies an update of the endpoint list: the complete list, or
+// the endpoints that changed. A server with a new address or a new start time is
+// another process: idle connections to the former one are closed, and those in use
+// once they are released. It returns the servers that were added or removed, that
+// are not ready, or that are another process now.
+func (p *Pool) UpdateEndpoints(complete bool, endpoints []endpoint.Endpoint) RevokedServers {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[policy.ServerID]struct{}, len(endpoints))
+	revoked := RevokedServers{}
+	for _, current := range endpoints {
+		id := current.ServerID()
+		if current.State() == policy.Gone {
+			revoked.add(id)
+			p.removeLocked(id, p.servers[id])
+			continue
+		}
+		listed[id] = struct{}{}
+		if replaced := p.updateLocked(id, current); replaced || current.State() != policy.Ready {
+			revoked.add(id)
+		}
+	}
+	if !complete {
+		return revoked
+	}
+	for id, s := range p.servers {
+		if _, ok := listed[id]; !ok {
+			revoked.add(id)
+			p.removeLocked(id, s)
+		}
+	}
+	return revoked
+}
+
+// updateLocked records an endpoint that is not gone. It reports whether the server
+// is new or another process than before.
+func (p *Pool) updateLocked(id policy.ServerID, current endpoint.Endpoint) (replaced bool) {
+	old := p.servers[id]
+	if old != nil && old.address == current.Address && old.startedUnixMilli == current.StartedUnixMilli {
+		return false
+	}
+	p.removeLocked(id, old)
+	p.servers[id] = &server{address: current.Address, startedUnixMilli: current.StartedUnixMilli}
+	return true
+}
+
+// removeLocked closes the idle connections to a server, which may be nil, and
+// forgets it.
+func (p *Pool) removeLocked(id policy.ServerID, s *server) {
+	if s == nil {
+		return
+	}
+	s.removed = true
+	for _, c := range s.idle {
+		p.closeLocked(c)
+	}
+	s.idle = nil
+	delete(p.servers, id)
+}
