--- a/internal/downstream/conn_test.go
+++ b/internal/downstream/conn_test.go
@@ -103,7 +103,7 @@
 		t.Fatalf("read %d bytes of the body, %v", n, err)
 	}
 	closeClient(t, client)
-	// io.EOF itself is wanted: net/http, like any caller of an io.Reader, compares with it.
+	// Compared without errors.Is: an io.Reader has to return io.EOF itself.
 	if n, err := io.Reader(c).Read(buffer[:1]); n != 0 || err != io.EOF {
 		t.Errorf("the background read got %d bytes, %v", n, err)
 	}
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -86,3 +86,18 @@
 	conns.ConnState(c, http.StateIdle)
 	expectRead(t, c, "GET")
 }
+
+// A request in the read-ahead buffer does not show on the socket: the connection must
+// not be closed as idle.
+func TestBufferedRequestWhileDrainingIsReturned(t *testing.T) {
+	conns := newTestConns(5)
+	client, c := acceptConn(t, conns)
+	c.RequestComplete()
+	sendUnread(t, client, c, "GET")
+	if c.ClientDisconnected() { // this fills the read-ahead buffer
+		t.Fatal("the client counts as disconnected")
+	}
+	conns.beginDraining()
+	conns.ConnState(c, http.StateIdle)
+	expectRead(t, c, "GET")
+}
