--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -1,5 +1,6 @@
 // Package httpheader separates the header fields of a message from those of the
-// connection it came on (RFC 9110, section 7.6.1).
+// connection it came on (RFC 9110, section 7.6.1). It keeps no state. Package node
+// calls it for requests and package upstream for responses.
 package httpheader
 
 import (
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -1,6 +1,8 @@
-// Package sockstate inspects a connected socket without reading from it. Both
-// sides of the balancer use it: a client that left, or a pooled connection that
-// its server closed, shows on the socket before anything is read.
+// Package sockstate inspects a connected socket without reading from it: that a
+// peer closed the connection, or wrote to it, shows on the socket before anything
+// is read. Packages downstream and upstream call it, for the connections of clients
+// and for pooled connections to servers. It keeps no state and changes none of the
+// socket.
 package sockstate
 
 import (
@@ -51,6 +53,7 @@
 	return state
 }
 
+// peek inspects the socket of a file descriptor.
 func peek(fd int) State {
 	var buffer [1]byte
 	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
