--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -110,8 +110,8 @@
 	return Result{Status: policy.ServerError}
 }
 
-// failureStatus returns the status of an attempt whose response failed with err: it
-// tells a connection that ended from a response that is invalid or stopped.
+// failureStatus returns the status of an attempt whose response failed with err. It
+// distinguishes a connection that ended from a response that is invalid or stopped.
 func (c *connection) failureStatus(err error) policy.Status {
 	switch {
 	case errors.Is(err, errUnframedBody):
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,8 +1,9 @@
 // Package upstream owns the connections to servers and carries out single
-// attempts over them. The event loop of package node tells it the endpoint list
-// and which server gets an attempt, and when; the package decides neither. Each
-// Send writes a request at most once. It may not touch the state of requests or
-// of package policy: an attempt is described by its Call and its Result alone.
+// attempts over them. Its caller is the event loop of package node, which passes
+// on the endpoint list and decides which server gets an attempt, and when. Each
+// Send writes a request at most once; retries are the caller's. The package does
+// not touch the state of requests or of package policy: an attempt is described by
+// its Call and its Result alone.
 package upstream
 
 import (
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// timeoutHeader tells a server the milliseconds that the client still waits.
+// timeoutHeader carries the milliseconds for which the client still waits.
 const timeoutHeader = "X-Timeout-Ms"
 
 // Request is the part of a client's request that is forwarded to a server.
@@ -44,7 +44,7 @@
 	}, nil
 }
 
-// httpRequest returns the request to a server, which is told timeout in whole
+// httpRequest returns the request to a server. It carries the timeout in whole
 // milliseconds, at least one.
 func (r *Request) httpRequest(timeout time.Duration) *http.Request {
 	request := &http.Request{
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -17,10 +17,10 @@
 	Body               []byte      // of the response, if Status is policy.OK
 }
 
-// Send makes one attempt on a server and returns its outcome. The server is told
-// timeout, less the time for getting a connection, as the time that the client
-// still waits. Send itself ends with the call: once that is cancelled, its result
-// has no meaning.
+// Send makes one attempt on a server and returns its outcome. The timeout, less the
+// time for getting a connection, is sent to the server as the time that the client
+// still waits; it does not end Send. Cancelling the call does, and the result has
+// no meaning then.
 func (p *Pool) Send(call *Call, id policy.ServerID, request *Request, timeout time.Duration) Result {
 	started := time.Now()
 	for {
