config: name BALANCER_DISCOVERY in the error when it is malformed, test all words

Cause: a malformed address from the environment was reported with the path of the file, which may be right. The words of the settings were tested in part only.

Change: the error names the variable. Tests for each word, for Retry-After without permission, and for absent and null settings; whole names in tests.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -73,8 +73,13 @@
 	if config.Discovery == "" {
 		return nil, &Error{File: path, Key: "discovery", Allowed: addressInWords}
 	}
-	if err := validateDiscovery(config.Discovery); err != nil {
-		return nil, withFile(err, path)
+	if getenv(envDiscovery) != "" {
+		err = validateAddress(envDiscovery, config.Discovery)
+	} else {
+		err = withFile(validateAddress("discovery", config.Discovery), path)
+	}
+	if err != nil {
+		return nil, err
 	}
 	return config, nil
 }
@@ -87,7 +92,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := validateDiscovery(config.Discovery); err != nil {
+	if err := validateAddress("discovery", config.Discovery); err != nil {
 		return "", withFile(err, path)
 	}
 	return config.Discovery, nil
@@ -99,13 +104,14 @@
 	}
 }
 
-func validateDiscovery(address string) error {
+// validateAddress checks the form of an address found under a key.
+func validateAddress(key, address string) error {
 	_, port, err := net.SplitHostPort(address)
 	if err == nil {
 		_, err = strconv.ParseUint(port, 10, 16)
 	}
 	if err != nil {
-		return &Error{Key: "discovery", Value: address, Allowed: addressInWords, Err: err}
+		return &Error{Key: key, Value: address, Allowed: addressInWords, Err: err}
 	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -126,6 +126,15 @@
 	}
 }
 
+func TestBadAddressFromTheEnvironmentNamesTheVariable(t *testing.T) {
+	_, err := Load(environment(writeFile(t, fileWith("")), map[string]string{"BALANCER_DISCOVERY": "nowhere"}))
+	var configError *Error
+	if !errors.As(err, &configError) || configError.Key != "BALANCER_DISCOVERY" || configError.File != "" ||
+		configError.Value != "nowhere" {
+		t.Errorf("error %+v, want one that names BALANCER_DISCOVERY and no file", err)
+	}
+}
+
 func TestReloadDiscoveryPrefersTheFileToTheEnvironment(t *testing.T) {
 	path := writeFile(t, fileWith(""))
 	others := map[string]string{"BALANCER_DISCOVERY": "127.0.0.1:8"}
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestParseSettingsTranslatesKeysAndKeepsSafeDefaults(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"Balancers": 2, "Locality": 1, "CountedBy": "work",
+	settings, err := ParseSettings([]byte(`{"Balancers": 2, "Locality": 1, "CountedBy": "work",
 		"RegistryMode": "on_request",
 		"Accounts": [{"Name": "a", "QuotaPerS": 84.0}], "OverShareWorth": 0.05,
 		"Novel": {"x": []},
@@ -23,21 +23,74 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := s.Classes[0]
-	if s.Nodes != 2 || s.Zone != 1 || !s.WeightByWork || !s.PollEndpoints ||
-		s.OverQuotaFraction != 0.05 ||
-		s.Tenants[0].QuotaPerS != 84 || c.Idempotency != policy.IdempotentWithKey || c.KeyScope != policy.KeyScopeZone ||
-		c.KeyRetention != 5*time.Second || c.Objective != 580*time.Millisecond || c.LateFraction != 0.5 ||
-		!c.Streaming || c.ObjectivePerWork != 4 ||
-		s.Limits != (policy.Limits{
+	class := settings.Classes[0]
+	if settings.Nodes != 2 || settings.Zone != 1 || !settings.WeightByWork || !settings.PollEndpoints ||
+		settings.OverQuotaFraction != 0.05 ||
+		settings.Tenants[0].QuotaPerS != 84 || class.Idempotency != policy.IdempotentWithKey || class.KeyScope != policy.KeyScopeZone ||
+		class.KeyRetention != 5*time.Second || class.Objective != 580*time.Millisecond || class.LateFraction != 0.5 ||
+		!class.Streaming || class.ObjectivePerWork != 4 ||
+		settings.Limits != (policy.Limits{
 			MaxAttempts: 4, Hedging: true, Cancel: true, MaxRetryAfter: 600 * time.Millisecond}) ||
-		s.Rules.OverloadMultiple != 3 || s.Rules.SlowStartDuration != 8800*time.Millisecond ||
-		s.Rules.MaxPollInterval != 9*time.Second {
-		t.Errorf("settings %+v", s)
+		settings.Rules.OverloadMultiple != 3 || settings.Rules.SlowStartDuration != 8800*time.Millisecond ||
+		settings.Rules.MaxPollInterval != 9*time.Second {
+		t.Errorf("settings %+v", settings)
 	}
-	if d := s.Classes[1]; d.Idempotency != policy.NotIdempotent || d.KeyScope != policy.KeyScopeCell ||
-		d.Objective != d.Deadline || d.PriorityWeight != 1 {
-		t.Errorf("class without most keys %+v: not the safe defaults", d)
+	second := settings.Classes[1]
+	if second.Idempotency != policy.NotIdempotent || second.KeyScope != policy.KeyScopeCell ||
+		second.Objective != second.Deadline || second.PriorityWeight != 1 {
+		t.Errorf("class without most keys %+v: not the safe defaults", second)
+	}
+}
+
+func TestEachWordOfTheSettingsIsTranslated(t *testing.T) {
+	for word, want := range map[string]policy.Idempotency{
+		"pure": policy.Idempotent, "token": policy.IdempotentWithKey, "side_effect": policy.NotIdempotent,
+		"": policy.NotIdempotent,
+	} {
+		settings, err := ParseSettings([]byte(`{"Classes": [{"DeadlineMs": 1, "Effect": "` + word + `"}]}`))
+		if err != nil || settings.Classes[0].Idempotency != want {
+			t.Errorf("Effect %q: %v, error %v, want %v", word, settings.Classes, err, want)
+		}
+	}
+	for word, want := range map[string]policy.KeyScope{
+		"all": policy.KeyScopeAll, "zone": policy.KeyScopeZone, "cell": policy.KeyScopeCell, "": policy.KeyScopeCell,
+	} {
+		settings, err := ParseSettings([]byte(`{"Classes": [{"DeadlineMs": 1, "DedupScope": "` + word + `"}]}`))
+		if err != nil || settings.Classes[0].KeyScope != want {
+			t.Errorf("DedupScope %q: %v, error %v, want %v", word, settings.Classes, err, want)
+		}
+	}
+	for word, want := range map[string]bool{"": false, "pushed": false, "on_request": true} {
+		settings, err := ParseSettings([]byte(`{"Classes": [{"DeadlineMs": 1}], "RegistryMode": "` + word + `"}`))
+		if err != nil || settings.PollEndpoints != want {
+			t.Errorf("RegistryMode %q: polling %v, error %v, want %v", word, settings.PollEndpoints, err, want)
+		}
+	}
+}
+
+func TestRetryAfterIsOffUnlessPermitted(t *testing.T) {
+	settings, err := ParseSettings([]byte(`{"Classes": [{"DeadlineMs": 1}], "Limits": {"MaxRetryAfterMs": 600}}`))
+	if err != nil || settings.Limits.MaxRetryAfter != 0 {
+		t.Errorf("longest Retry-After %v, error %v, want 0", settings.Limits.MaxRetryAfter, err)
+	}
+}
+
+func TestAbsentAndNullSettingsKeepTheDefaults(t *testing.T) {
+	want := policy.Defaults()
+	for _, text := range []string{
+		`{"Classes": [{"DeadlineMs": 1}]}`,
+		`{"Classes": [{"DeadlineMs": 1}], "Balancers": null, "TickMs": null, "OverShareWorth": null,
+			"Contract": {"ColdFrom": null, "ColdMs": null, "FallMs": null, "FallMultiple": null,
+				"GraceToAnswerMs": null, "MustAskInMs": null}, "Limits": {"MaxAttempts": null}}`,
+	} {
+		settings, err := ParseSettings([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if settings.Nodes != want.Nodes || settings.Tick != want.Tick || settings.Limits != want.Limits ||
+			settings.Rules != want.Rules || settings.OverQuotaFraction != want.OverQuotaFraction {
+			t.Errorf("%s: settings %+v, want %+v", text, settings, want)
+		}
 	}
 }
 
