--- a/internal/jitter/jitter.go
+++ b/internal/jitter/jitter.go
@@ -11,7 +11,8 @@
 	return time.Duration(random.Float64() * float64(delay))
 }
 
-// Proportional varies a delay by up to a fifth either way, so that the delays of an exponential backoff still grow.
-func Proportional(random *rand.Rand, delay time.Duration) time.Duration {
-	return time.Duration(float64(delay) * (0.8 + 0.4*random.Float64()))
+// Proportional varies a delay by up to the given share of it either way. With a share under a third
+// the delays of an exponential backoff that doubles still grow.
+func Proportional(random *rand.Rand, delay time.Duration, share float64) time.Duration {
+	return time.Duration(float64(delay) * (1 - share + 2*share*random.Float64()))
 }
--- a/internal/jitter/jitter_test.go
+++ b/internal/jitter/jitter_test.go
@@ -24,8 +24,11 @@
 	}
 }
 
-func TestProportionalStaysWithinAFifth(t *testing.T) {
-	least, greatest := spread(Proportional, time.Second)
+func TestProportionalStaysWithinItsShare(t *testing.T) {
+	aFifth := func(random *rand.Rand, delay time.Duration) time.Duration {
+		return Proportional(random, delay, 0.2)
+	}
+	least, greatest := spread(aFifth, time.Second)
 	if least < 800*time.Millisecond || least > 810*time.Millisecond ||
 		greatest < 1190*time.Millisecond || greatest > 1200*time.Millisecond {
 		t.Errorf("delays from %v to %v, want 0.8 s to 1.2 s", least, greatest)
--- a/policy/circuit_breaker.go
+++ b/policy/circuit_breaker.go
@@ -80,7 +80,7 @@
 	server.breaker.state, server.breaker.trial = breakerOpen, nil
 	b.limiter.markAllUnresponsive(server)
 	b.subset.stale = true
-	server.breaker.halfOpenAt = now + jitter.Proportional(b.random, server.breaker.openDuration)
+	server.breaker.halfOpenAt = now + jitter.Proportional(b.random, server.breaker.openDuration, jitterShare)
 }
 
 // reachedFailureThreshold reports whether the consecutive failures open the breaker. An undersampled node
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -12,13 +12,15 @@
 const (
 	initialBackoffShare  = 1.0 / 16 // of the class's objective; doubles with each attempt
 	maxBackoff           = 30 * time.Second
+	jitterShare          = 0.2 // of a delay either way; keeps doubled delays growing
 	unresponsiveMultiple = 4.0 // of the expected latency without a response: counts as a failure
 )
 
 // scheduleRetry starts the backoff before a retry, or terminates the request if no retry fits.
 func (b *Balancer) scheduleRetry(now time.Duration, request *request) {
 	first := time.Duration(float64(request.class.Objective) * initialBackoffShare)
-	retryAt := now + jitter.Proportional(b.random, min(first<<(len(request.attempts)-1), maxBackoff))
+	backoff := min(first<<(len(request.attempts)-1), maxBackoff)
+	retryAt := now + jitter.Proportional(b.random, backoff, jitterShare)
 	if b.attemptsExhausted(request, retryAt) || retryAt+b.expectedLatency(request) > request.retryDeadline() {
 		b.terminateUnserved(request)
 		return
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -25,17 +25,25 @@
 	for i := range s.Classes {
 		checks = append(checks, s.Classes[i].checks(fmt.Sprintf("Classes[%d].", i))...)
 	}
-	for i, t := range s.Tenants {
-		checks = append(checks, checkNumber(fmt.Sprintf("Tenants[%d].QuotaPerS", i), t.QuotaPerS))
-	}
 	for _, c := range checks {
 		if !c.valid {
 			return &SettingError{Field: c.field, Value: c.value, Allowed: c.allowed}
 		}
 	}
+	for i, t := range s.Tenants { // may be tens of thousands: nothing is allocated for a valid one
+		if !isFiniteNonNegative(t.QuotaPerS) {
+			return &SettingError{fmt.Sprintf("Tenants[%d].QuotaPerS", i), t.QuotaPerS, allowedNumber}
+		}
+	}
 	return nil
 }
 
+// allowedNumber says in words what isFiniteNonNegative accepts.
+const allowedNumber = "a finite number of at least 0"
+
+// isFiniteNonNegative refuses NaN too, which compares false.
+func isFiniteNonNegative(value float64) bool { return value >= 0 && !math.IsInf(value, 1) }
+
 // check is the result of comparing one field with its allowed values.
 type check struct {
 	field   string
@@ -86,9 +94,8 @@
 	return check{field, value, value >= 0, "at least 0"}
 }
 
-// checkNumber allows finite numbers from 0; it refuses NaN, which compares false.
 func checkNumber(field string, value float64) check {
-	return check{field, value, value >= 0 && !math.IsInf(value, 1), "a finite number of at least 0"}
+	return check{field, value, isFiniteNonNegative(value), allowedNumber}
 }
 
 func checkShare(field string, value float64) check {
