--- /dev/null
+++ b/internal/node/harness_handler_test.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"calicohinge/internal/downstream"
+	"calicohinge/internal/endpoint"
+	"calicohinge/internal/sockstate"
+	"calicohinge/internal/testkit"
+	"calicohinge/internal/upstream"
+	"calicohinge/policy"
+)
+
+// handlerServer is a handler that serves on a socket, and the loop behind it. The tests can
+// pause the loop, so that a socket shows what the loop has not learned.
+type handlerServer struct {
+	*testNode
+	handler *handler
+	loop    *loop
+	conns   sync.Map // *downstream.Conn by its client's address
+}
+
+// startHandler starts one with deadlines that no test reaches, and 400 client connections.
+func startHandler(t *testing.T, list ...endpoint.Endpoint) *handlerServer {
+	t.Helper()
+	return startHandlerLingering(t, downstream.DefaultLingerTimeout, list...)
+}
+
+// startHandlerLingering does the same with another linger timeout.
+func startHandlerLingering(t *testing.T, linger time.Duration, list ...endpoint.Endpoint) *handlerServer {
+	t.Helper()
+	cfg := testConfig(t, testkit.NewRegistry(t), withDeadlines(600000))
+	cfg.Policy.Classes[1].KeyRetention = 10 * time.Minute
+	cfg.ConnectTimeout = testkit.Patience
+	l, err := newLoop(t.Context(), cfg, upstream.NewPool(upstreamConfig(cfg, 400)), noWatcher{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.run()
+	l.UpdateEndpoints(policy.UpdateSnapshot, list)
+	conns := downstreamConfig(400, 0)
+	conns.LingerTimeout = linger
+	s := &handlerServer{loop: l, handler: newHandler(cfg, l, downstream.NewConns(conns))}
+	listener := testkit.Listen(t)
+	s.testNode = &testNode{t: t, addr: listener.Addr().String()}
+	srv := s.handler.server()
+	srv.ConnState = func(nc net.Conn, state http.ConnState) {
+		s.conns.Store(nc.RemoteAddr().String(), nc)
+		s.handler.conns.ConnState(nc, state)
+	}
+	go func() { _ = srv.Serve(s.handler.conns.Listener(listener)) }() // until srv is closed
+	closeAtEnd(t, srv)
+	return s
+}
+
+// sendOnNewConn sends a request on a new connection, with further bytes in the same write.
+func (s *handlerServer) sendOnNewConn(class, behind string) *net.TCPConn {
+	s.t.Helper()
+	nc := s.dial().(*net.TCPConn)
+	if _, err := io.WriteString(nc, s.requestText(class)+behind); err != nil {
+		s.t.Fatal(err)
+	}
+	return nc
+}
+
+// requestText returns a valid request as it goes over the wire.
+func (s *handlerServer) requestText(class string) string {
+	r := s.request(class)
+	r.Header.Set("X-Timeout-Ms", "600000")
+	var b strings.Builder
+	sendRequest(&b, r)
+	return b.String()
+}
+
+// nodeConn returns the node's end of a client's connection; nil before it is accepted.
+func (s *handlerServer) nodeConn(client net.Conn) *downstream.Conn {
+	c, _ := s.conns.Load(client.LocalAddr().String())
+	conn, _ := c.(*downstream.Conn)
+	return conn
+}
+
+// awaitDisconnect waits until the node's end of a connection shows that its client has disconnected.
+func (s *handlerServer) awaitDisconnect(client *net.TCPConn) {
+	s.t.Helper()
+	awaitSocketState(s.t, s.nodeConn(client).Conn, sockstate.Closed)
+}
+
+// awaitNoRequests waits until no part of the node has an active request.
+func (s *handlerServer) awaitNoRequests() {
+	s.t.Helper()
+	s.loop.awaitRequests(s.t, 0, 0)
+	testkit.Until(s.t, "the ids to be free", func() bool {
+		return s.handler.activeIDs.count() == 0
+	})
+}
+
+// awaitIdleConns waits until the pool has so many idle connections to an address.
+func (s *handlerServer) awaitIdleConns(n int, addr net.Addr) {
+	s.t.Helper()
+	testkit.Until(s.t, "connections to come up", func() bool {
+		idle := 0
+		for _, server := range s.loop.pool.Stats().Servers {
+			if server.Address == addr.String() {
+				idle += server.Idle
+			}
+		}
+		return idle == n
+	})
+}
+
+// awaitNoConns waits until nothing is open but idle connections to servers.
+func (f *handler) awaitNoConns(t *testing.T) {
+	t.Helper()
+	f.loop.awaitRequests(t, 0, 0)
+	testkit.Until(t, "the connections' end", func() bool {
+		pool := f.loop.pool.Stats()
+		return f.conns.Open() == 0 && pool.Open == pool.Idle()
+	})
+}
+
+// acceptedConn returns both ends of an admitted connection.
+func acceptedConn(t *testing.T, conns *downstream.Conns) (client net.Conn, node *downstream.Conn) {
+	t.Helper()
+	listener := testkit.Listen(t)
+	limited := conns.Listener(listener)
+	closeAtEnd(t, limited)
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, client)
+	nc, err := limited.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, nc)
+	return client, nc.(*downstream.Conn)
+}
