Reserve the stand-in discovery's address with the shared test kit

Cause: the bound address that refuses connections stood in cmd/balancer and in testkit. Change: cmd/balancer uses testkit.ReserveAddr; the stand-in serves in named steps.

--- a/cmd/balancer/discovery_stub_test.go
+++ b/cmd/balancer/discovery_stub_test.go
@@ -1,17 +1,16 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"os"
-	"syscall"
 	"testing"
 	"time"
 
 	"calicohinge/internal/endpoint"
+	"calicohinge/internal/testkit"
 )
 
 // queueLength is how many calls may wait at an overbooked discovery.
@@ -27,7 +26,7 @@
 // overbookedDiscovery serves a list once it is back. It takes calls for the complete list
 // one after the other, each for timePerCall, those that were given up included.
 type overbookedDiscovery struct {
-	tb          testing.TB
+	t           *testing.T
 	list        endpoint.List
 	outage      outage
 	timePerCall time.Duration
@@ -35,37 +34,39 @@
 }
 
 // startDiscovery starts one and returns its address.
-func startDiscovery(tb testing.TB, list endpoint.List, outage outage, timePerCall time.Duration) (addr string) {
-	tb.Helper()
+func startDiscovery(t *testing.T, list endpoint.List, outage outage, timePerCall time.Duration) (addr string) {
+	t.Helper()
 	stub := &overbookedDiscovery{
-		tb: tb, list: list, outage: outage, timePerCall: timePerCall, queue: make(chan chan struct{}, queueLength),
+		t: t, list: list, outage: outage, timePerCall: timePerCall, queue: make(chan chan struct{}, queueLength),
 	}
 	go stub.work()
-	server := &http.Server{Handler: stub}
-	tb.Cleanup(func() { _ = server.Close() }) // the test is over
-	addr, listen := bindAddr(tb)
-	serve := func() {
-		listener, err := listen()
-		if err != nil {
-			tb.Error(err)
-			return
-		}
-		go func() { _ = server.Serve(listener) }() // ends with the server's Close
-	}
+	reserved := testkit.ReserveAddr(t)
 	if outage.refuses {
-		go stub.afterOutage(serve)
+		go stub.serveAfterOutage(reserved)
 	} else {
-		serve()
+		stub.serve(reserved)
+	}
+	return reserved.Address
+}
+
+// serve begins to accept calls, to the end of the test.
+func (d *overbookedDiscovery) serve(reserved *testkit.ReservedAddr) {
+	listener, err := reserved.Listen()
+	if err != nil {
+		d.t.Error(err)
+		return
 	}
-	return addr
+	server := &http.Server{Handler: d}
+	context.AfterFunc(d.t.Context(), func() { _ = server.Close() }) // the test is over
+	go func() { _ = server.Serve(listener) }()                      // ends with the server's Close
 }
 
-// afterOutage serves once the outage is over.
-func (d *overbookedDiscovery) afterOutage(serve func()) {
+// serveAfterOutage serves once the outage is over.
+func (d *overbookedDiscovery) serveAfterOutage(reserved *testkit.ReservedAddr) {
 	select {
 	case <-d.outage.back:
-		serve()
-	case <-d.tb.Context().Done():
+		d.serve(reserved)
+	case <-d.t.Context().Done():
 	}
 }
 
@@ -76,7 +77,7 @@
 		case finished := <-d.queue:
 			time.Sleep(d.timePerCall) // what is under test
 			close(finished)
-		case <-d.tb.Context().Done():
+		case <-d.t.Context().Done():
 			return
 		}
 	}
@@ -99,7 +100,7 @@
 	select {
 	case <-finished:
 		_ = json.NewEncoder(w).Encode(d.list) // the call may have been given up
-	case <-d.tb.Context().Done():
+	case <-d.t.Context().Done():
 	}
 }
 
@@ -107,7 +108,7 @@
 func (d *overbookedDiscovery) serveNoChange(w http.ResponseWriter, r *http.Request) {
 	wait, err := time.ParseDuration(r.URL.Query().Get("wait_ms") + "ms")
 	if err != nil {
-		d.tb.Error(err)
+		d.t.Error(err)
 	}
 	select {
 	case <-time.After(wait):
@@ -116,30 +117,6 @@
 	_, _ = fmt.Fprintf(w, `{"generation": %d, "instances": []}`, d.list.Generation) // the node may have ended
 }
 
-// bindAddr returns an address that refuses connections until listen is called.
-func bindAddr(tb testing.TB) (addr string, listen func() (net.Listener, error)) {
-	tb.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	file := os.NewFile(uintptr(fd), "discovery")
-	closeAtEnd(tb, file)
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		tb.Fatal(err)
-	}
-	bound, err := syscall.Getsockname(fd)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port), func() (net.Listener, error) {
-		if err := syscall.Listen(fd, syscall.SOMAXCONN); err != nil {
-			return nil, err
-		}
-		return net.FileListener(file)
-	}
-}
-
 // closeAtEnd closes something at the end of the test, by when nobody uses it.
 func closeAtEnd(tb testing.TB, closer io.Closer) {
 	tb.Helper()
