downstream: correct two comments

Cause: the comments of StopReading and evictionCandidate kept the old wording, and the first one stated what the kernel does rather than what the package does. Change: comments only.

--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -37,9 +37,9 @@
 	return nil
 }
 
-// StopReading ends the reading of all sockets. A request that is not read by then is
-// left unread, so that its client gets a reset and can retry elsewhere. One that was
-// read is still answered.
+// StopReading ends the reading of all sockets. A request that is not read by then
+// stays unread, so that its client retries at another node. One that was read is
+// still answered.
 func (cs *Conns) StopReading() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -24,8 +24,8 @@
 // evictionCandidate returns the connection to evict for a new one, and how long it is
 // still in its grace period; nil if all connections are active. Silent connections
 // come first, then idle ones, then those with a part of a request, each the oldest
-// first: a flood of connections that never complete a request must not keep out
-// clients that do. If none is past its grace period, the next to be so is returned.
+// first: a flood of connections that never complete a request must not deny
+// capacity to clients that do. If none is past its grace period, the next to be so is returned.
 // The caller holds cs.mu.
 func (cs *Conns) evictionCandidate() (candidate *Conn, wait time.Duration) {
 	now := time.Now()
