--- a/internal/node/disconnect_race_test.go
+++ b/internal/node/disconnect_race_test.go
@@ -69,17 +69,17 @@
 // A client disconnects in the moment in which the balancer decides the next attempt, whether the
 // loop has the event or only the socket shows it: no attempt starts, and nothing stays behind.
 // One that ends its sending only looks like one that closes, until something is written to
-// it; it counts as disconnected, so its connection ends with no response.
+// it. It counts as disconnected, so its connection ends with no response.
 func TestNoAttemptStartsAfterADisconnect(t *testing.T) {
 	for pointName, point := range requestPoints() {
 		for wayName, way := range disconnections() {
-			t.Run(fmt.Sprintf("%s/%s/heard=true", pointName, wayName), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%s/event=true", pointName, wayName), func(t *testing.T) {
 				t.Parallel()
 				s := startAtPoint(t, point, way)
 				s.disconnectBeforeDecision(point, way)
 				s.noAttemptStarted(point)
 			})
-			t.Run(fmt.Sprintf("%s/%s/heard=false", pointName, wayName), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%s/event=false", pointName, wayName), func(t *testing.T) {
 				t.Parallel()
 				s := startAtPoint(t, point, way)
 				s.disconnectBehindDecision(point, way)
--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -16,8 +16,8 @@
 )
 
 func TestDisconnectCancelsTheAttempt(t *testing.T) {
-	left := make(chan struct{}, 1)
-	b := testkit.NewBackend(t, testkit.Silent(left))
+	cancelled := make(chan struct{}, 1)
+	b := testkit.NewBackend(t, testkit.Silent(cancelled))
 	n, _ := startReady(t, b)
 	nc, err := net.Dial("tcp", n.addr)
 	if err != nil {
@@ -28,7 +28,7 @@
 	}
 	testkit.Wait(t, b.Requests, "the request")
 	closeConn(nc)
-	testkit.Wait(t, left, "the cancelled attempt")
+	testkit.Wait(t, cancelled, "the cancelled attempt")
 }
 
 // A client disconnects while its request is queued for want of capacity: it is never sent.
@@ -63,7 +63,7 @@
 	c.RequestComplete()
 	over := make(chan bool)
 	go func() {
-		_, err := l.submit(t.Context(), l.newRequest(2, c.ClientDisconnected)) // its context tells nothing
+		_, err := l.submit(t.Context(), l.newRequest(2, c.ClientDisconnected)) // its context never ends
 		over <- err == nil
 	}()
 	l.awaitRequests(t, 2, 1)
@@ -116,8 +116,8 @@
 
 // A client sends more behind its request and disconnects: its attempt is cancelled all the same.
 func TestDisconnectBehindReadAheadCancelsTheAttempt(t *testing.T) {
-	left := make(chan struct{}, 1)
-	b := testkit.NewBackend(t, testkit.Silent(left))
+	cancelled := make(chan struct{}, 1)
+	b := testkit.NewBackend(t, testkit.Silent(cancelled))
 	n := start(t, testConfig(t, testkit.NewRegistry(t, b.Endpoint("s-0")), withDeadlines(600000)))
 	n.waitReady(http.StatusOK)
 	nc := n.dial()
@@ -127,7 +127,7 @@
 	testkit.Wait(t, b.Requests, "the request")
 	send(nc, strings.Repeat("x", 5000))
 	closeConn(nc)
-	testkit.Wait(t, left, "the cancelled attempt")
+	testkit.Wait(t, cancelled, "the cancelled attempt")
 }
 
 // A client disconnects while a connection for its first or its second attempt is being opened,
@@ -167,10 +167,10 @@
 func TestIncompleteRequestIsNeverForwarded(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
 	s := startHandler(t, b.Endpoint("s-0"))
-	whole := s.requestText("pay")
+	complete := s.requestText("pay")
 	for name, part := range map[string]string{
-		"nothing": "", "half of the head": whole[:len(whole)/2], "the head": whole[:strings.Index(whole, "{")],
-		"half of the body": whole[:len(whole)-3],
+		"nothing": "", "half of the head": complete[:len(complete)/2], "the head": complete[:strings.Index(complete, "{")],
+		"half of the body": complete[:len(complete)-3],
 	} {
 		for way, leave := range map[string]func(nc *net.TCPConn){
 			"closes": func(nc *net.TCPConn) { closeConn(nc) }, "resets": func(nc *net.TCPConn) { resetConn(nc) },
@@ -184,7 +184,7 @@
 				return c != nil && c.Closed()
 			})
 			if len(b.Requests) > 0 || s.loop.lastID > 0 {
-				t.Errorf("%s, %s: taken for a request", name, way)
+				t.Errorf("%s, %s: treated as a request", name, way)
 			}
 		}
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -47,7 +47,7 @@
 	}
 	n.node.MoveDiscovery(next.Listener.Addr().String())
 	if q := testkit.Wait(t, next.Queries, "the first call"); q != "" {
-		t.Errorf("the new address is asked for %q", q)
+		t.Errorf("the new address is queried with %q", q)
 	}
 	testkit.Wait(t, next.Queries, "the watch")
 	n.waitReady(http.StatusOK)
@@ -86,7 +86,7 @@
 		t.Errorf("status %d", a.status)
 	}
 	if q := testkit.Wait(t, d.Queries, "a watch"); !strings.Contains(q, "after=7") {
-		t.Errorf("the watch asks for %q", q)
+		t.Errorf("the watch has the query %q", q)
 	}
 }
 
@@ -97,7 +97,7 @@
 	_, d := startReady(t, b)
 	testkit.Wait(t, d.Queries, "the first call")
 	if q := testkit.Wait(t, d.Queries, "the watch"); !strings.Contains(q, "after=0") {
-		t.Errorf("the second call asks for %q", q)
+		t.Errorf("the second call has the query %q", q)
 	}
 }
 
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -67,10 +67,10 @@
 // reach another process at the same address.
 func (l *loop) revokeUnsent(servers upstream.RevokedServers) []revokedAttempt {
 	var revoked []revokedAttempt
-	for _, r := range l.requests {
-		for index, a := range r.attempts {
+	for _, req := range l.requests {
+		for index, a := range req.attempts {
 			if !a.reported && servers.Contains(a.server) && a.call.Revoke() {
-				revoked = append(revoked, revokedAttempt{r, index})
+				revoked = append(revoked, revokedAttempt{req, index})
 			}
 		}
 	}
--- a/internal/node/forwarding_test.go
+++ b/internal/node/forwarding_test.go
@@ -40,7 +40,7 @@
 	if got.Header.Get("User-Agent") != r.Header.Get("User-Agent") {
 		t.Errorf("User-Agent %q", got.Header.Get("User-Agent"))
 	}
-	if left, err := strconv.Atoi(got.Header.Get("X-Timeout-Ms")); err != nil || left <= 0 || left >= 8000 {
+	if timeout, err := strconv.Atoi(got.Header.Get("X-Timeout-Ms")); err != nil || timeout <= 0 || timeout >= 8000 {
 		t.Errorf("X-Timeout-Ms %q", got.Header.Get("X-Timeout-Ms"))
 	}
 }
@@ -83,9 +83,9 @@
 			n, f := s.testNode, s.handler
 			f.draining.Store(true)
 			nc := n.slowDial()
-			var asked strings.Builder
-			sendRequest(&asked, n.request("read"))
-			send(nc, asked.String()+c.ahead)
+			var request strings.Builder
+			sendRequest(&request, n.request("read"))
+			send(nc, request.String()+c.ahead)
 			in := bufio.NewReader(nc)
 			if _, err := in.Peek(1); err != nil {
 				t.Fatal(err)
@@ -117,9 +117,9 @@
 	s := startHandler(t, b.Endpoint("s-0"))
 	n, f := s.testNode, s.handler
 	slow, other := n.slowDial(), n.dial()
-	var asked strings.Builder
-	sendRequest(&asked, n.request("pay"))
-	sendByteByByte(slow, asked.String(), func() { n.roundTrip(other) })
+	var request strings.Builder
+	sendRequest(&request, n.request("pay"))
+	sendByteByByte(slow, request.String(), func() { n.roundTrip(other) })
 	in := iotest.OneByteReader(slow)
 	if _, err := io.ReadFull(in, make([]byte, 5)); err != nil {
 		t.Fatal(err)
@@ -161,7 +161,7 @@
 // The read timeout of a request must not end the wait for its response.
 func TestReadTimeoutEndsWithTheRequest(t *testing.T) {
 	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(readTimeout + 200*time.Millisecond) // the thing under test is a time-out
+		time.Sleep(readTimeout + 200*time.Millisecond) // a timeout is under test
 		testkit.OK(w, r)
 	})
 	n, _ := startReady(t, b)
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -15,7 +15,7 @@
 	maxHeader = 16 << 10 // bytes of a request's head
 	// readTimeout is how long a client may take from its connection, or a request's
 	// first byte, to the request's last byte, whatever its deadline: one that sends
-	// half a request is owed a close within 3 s of connecting.
+	// half a request has to be disconnected within 3 s of connecting.
 	readTimeout = 2 * time.Second
 	// idleTimeout is how long a client's connection may wait for its next request.
 	idleTimeout = 10 * time.Second
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -180,12 +180,12 @@
 	began := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		n.t.Fatalf("no answer: %v", err)
+		n.t.Fatalf("no response: %v", err)
 	}
 	defer closeConn(resp.Body)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		n.t.Fatalf("no whole answer: %v", err)
+		n.t.Fatalf("response cut off: %v", err)
 	}
 	return clientResponse{resp.StatusCode, resp.Header, string(body), time.Since(began)}
 }
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -14,28 +14,28 @@
 
 // Send implements policy.Host.
 func (l *loop) Send(id policy.RequestID, server policy.ServerID, timeout time.Duration) {
-	r := l.requests[id]
-	if r == nil {
+	req := l.requests[id]
+	if req == nil {
 		return
 	}
 	now := l.clock()
-	a := &attempt{server: server, sentAt: now, call: upstream.NewCall(l.ctx, r.client.ClientDisconnected)}
-	index := len(r.attempts)
-	r.attempts = append(r.attempts, a)
-	r.inFlight++
-	if r.completed || index >= l.maxAttempts || now >= r.deadline {
-		l.deferEvent(attemptEnded{r, index, upstream.Result{Status: policy.NotSent}})
+	started := &attempt{server: server, sentAt: now, call: upstream.NewCall(l.ctx, req.client.ClientDisconnected)}
+	index := len(req.attempts)
+	req.attempts = append(req.attempts, started)
+	req.inFlight++
+	if req.completed || index >= l.maxAttempts || now >= req.deadline {
+		l.deferEvent(attemptEnded{req, index, upstream.Result{Status: policy.NotSent}})
 		return
 	}
-	if timeout > 0 && now+timeout < r.deadline {
-		a.timer = time.AfterFunc(timeout, func() {
-			l.post(attemptEnded{r, index, upstream.Result{Status: policy.Timeout}})
+	if timeout > 0 && now+timeout < req.deadline {
+		started.timer = time.AfterFunc(timeout, func() {
+			l.post(attemptEnded{req, index, upstream.Result{Status: policy.Timeout}})
 		})
 	}
-	l.limitToKeyRetention(r, index)
+	l.limitToKeyRetention(req, index)
 	l.sends.Go(func() {
-		result := l.pool.Send(a.call, server, &r.Request, r.deadline-now)
-		l.post(attemptEnded{r, index, result})
+		result := l.pool.Send(started.call, server, &req.Request, req.deadline-now)
+		l.post(attemptEnded{req, index, result})
 	})
 }
 
@@ -43,26 +43,26 @@
 // once servers may have forgotten the key. Retention counts from the first attempt that may
 // have run. Which of the attempts in flight gets its connection first is open, so all of them
 // get the same write deadline.
-func (l *loop) limitToKeyRetention(r *request, index int) {
-	class := &l.classes[r.class]
-	first := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.neverRan })
+func (l *loop) limitToKeyRetention(req *request, index int) {
+	class := &l.classes[req.class]
+	first := slices.IndexFunc(req.attempts, func(a *attempt) bool { return !a.neverRan })
 	if class.Idempotency != policy.IdempotentWithKey || first >= index {
 		return
 	}
-	end := l.clockOrigin.Add(r.attempts[first].sentAt + class.KeyRetention)
-	for _, a := range r.attempts[first:] {
+	end := l.clockOrigin.Add(req.attempts[first].sentAt + class.KeyRetention)
+	for _, a := range req.attempts[first:] {
 		a.call.SetWriteDeadline(end)
 	}
-	r.attempts[index].timer = time.AfterFunc(time.Until(end), func() { l.post(keyRetentionEnded{r, index}) })
+	req.attempts[index].timer = time.AfterFunc(time.Until(end), func() { l.post(keyRetentionEnded{req, index}) })
 }
 
 // Cancel implements policy.Host.
 func (l *loop) Cancel(id policy.RequestID, index int) {
-	r := l.requests[id]
-	if r == nil || index >= len(r.attempts) {
+	req := l.requests[id]
+	if req == nil || index >= len(req.attempts) {
 		return
 	}
-	l.deferEvent(attemptEnded{r, index, upstream.Result{Status: policy.Cancelled}})
+	l.deferEvent(attemptEnded{req, index, upstream.Result{Status: policy.Cancelled}})
 }
 
 // Reject implements policy.Host.
@@ -77,12 +77,12 @@
 
 // completeActive completes a request by the balancer's decision, unless it is completed.
 func (l *loop) completeActive(id policy.RequestID, final response) {
-	r := l.requests[id]
-	if r == nil || r.completed {
+	req := l.requests[id]
+	if req == nil || req.completed {
 		return
 	}
-	l.complete(r, completion{response: final})
-	l.deferEvent(requestCompleted{r})
+	l.complete(req, completion{response: final})
+	l.deferEvent(requestCompleted{req})
 }
 
 // SetTimer implements policy.Host.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -47,7 +47,7 @@
 	requests   map[policy.RequestID]*request // active ones
 	lastID     policy.RequestID
 	terminated bool    // new requests are rejected
-	deferred   []event // left by host calls, which must not call the balancer back
+	deferred   []event // by host calls, which must not call the balancer back
 }
 
 // watcher starts a watch of the endpoint list.
@@ -90,7 +90,8 @@
 	}
 }
 
-// handleDeferred handles what host calls have left, in their order, until nothing new is left.
+// handleDeferred handles the events that host calls have deferred, in their order, and those
+// that are deferred meanwhile.
 func (l *loop) handleDeferred() {
 	for len(l.deferred) > 0 {
 		next := l.deferred[0]
@@ -114,16 +115,16 @@
 
 // submit has the balancer decide on a request and waits for its final response. The error is
 // errClientDisconnected, also when ctx ends, or errLoopEnded.
-func (l *loop) submit(ctx context.Context, r *request) (response, error) {
-	r.completion = make(chan completion, 1)
-	if !l.post(requestArrived{r}) {
+func (l *loop) submit(ctx context.Context, req *request) (response, error) {
+	req.completion = make(chan completion, 1)
+	if !l.post(requestArrived{req}) {
 		return response{}, errLoopEnded
 	}
 	select {
-	case c := <-r.completion:
-		return c.response, c.err
+	case final := <-req.completion:
+		return final.response, final.err
 	case <-ctx.Done():
-		l.post(clientDisconnected{r})
+		l.post(clientDisconnected{req})
 		return response{}, errClientDisconnected
 	case <-l.ctx.Done():
 		return response{}, errLoopEnded
@@ -135,19 +136,19 @@
 func (l *loop) terminateAll() { l.post(terminated{}) }
 
 // start hands a new request to the balancer.
-func (l *loop) start(now time.Duration, r *request) {
-	r.id = l.nextID()
+func (l *loop) start(now time.Duration, req *request) {
+	req.id = l.nextID()
 	if l.terminated {
-		l.complete(r, completion{response: response{status: http.StatusServiceUnavailable, retryAfter: l.retryAfter}})
+		l.complete(req, completion{response: response{status: http.StatusServiceUnavailable, retryAfter: l.retryAfter}})
 		return
 	}
-	l.requests[r.id] = r
-	timeout := max(0, r.deadline-now)
-	r.deadlineTimer = time.AfterFunc(timeout, func() { l.post(deadlineExpired{r}) })
+	l.requests[req.id] = req
+	timeout := max(0, req.deadline-now)
+	req.deadlineTimer = time.AfterFunc(timeout, func() { l.post(deadlineExpired{req}) })
 	l.balancer.Request(now, policy.Request{
-		ID: r.id, Class: r.class, Tenant: r.tenant, Timeout: timeout, CostHint: r.costHint,
+		ID: req.id, Class: req.class, Tenant: req.tenant, Timeout: timeout, CostHint: req.costHint,
 	})
-	l.release(r)
+	l.release(req)
 }
 
 // nextID returns an ID that no active request has: IDs wrap around after 2^32 requests.
@@ -160,60 +161,60 @@
 }
 
 // disconnect ends a request whose client has disconnected: no final response is due any more.
-func (l *loop) disconnect(now time.Duration, r *request) {
-	if r.completed {
+func (l *loop) disconnect(now time.Duration, req *request) {
+	if req.completed {
 		return
 	}
-	l.complete(r, completion{err: errClientDisconnected})
-	l.balancer.ClientDisconnected(now, r.id)
-	l.release(r)
+	l.complete(req, completion{err: errClientDisconnected})
+	l.balancer.ClientDisconnected(now, req.id)
+	l.release(req)
 }
 
 // expire ends the attempts that are in flight at the request's deadline. The balancer
 // completes the request then.
-func (l *loop) expire(now time.Duration, r *request) {
-	for index := range r.attempts {
-		l.reportOutcome(now, r, index, upstream.Result{Status: policy.Timeout})
+func (l *loop) expire(now time.Duration, req *request) {
+	for index := range req.attempts {
+		l.reportOutcome(now, req, index, upstream.Result{Status: policy.Timeout})
 	}
 }
 
 // reportOutcome reports the end of an attempt to the balancer, once; later ends are dropped.
-func (l *loop) reportOutcome(now time.Duration, r *request, index int, result upstream.Result) {
-	a := r.attempts[index]
-	if a.reported {
+func (l *loop) reportOutcome(now time.Duration, req *request, index int, result upstream.Result) {
+	ended := req.attempts[index]
+	if ended.reported {
 		return
 	}
-	a.reported = true
-	a.neverRan = result.Status.NeverRan()
-	r.inFlight--
-	a.call.Cancel()
-	if a.timer != nil {
-		a.timer.Stop()
+	ended.reported = true
+	ended.neverRan = result.Status.NeverRan()
+	req.inFlight--
+	ended.call.Cancel()
+	if ended.timer != nil {
+		ended.timer.Stop()
 	}
-	if result.Status == policy.OK && !r.completed {
-		l.complete(r, completion{response: response{status: http.StatusOK, header: result.Header, body: result.Body}})
+	if result.Status == policy.OK && !req.completed {
+		l.complete(req, completion{response: response{status: http.StatusOK, header: result.Header, body: result.Body}})
 	}
 	l.balancer.Outcome(now, policy.Outcome{
-		ID: r.id, Attempt: index, Server: a.server, Status: result.Status,
-		RequestEnded: r.completed, Latency: now - a.sentAt,
+		ID: req.id, Attempt: index, Server: ended.server, Status: result.Status,
+		RequestEnded: req.completed, Latency: now - ended.sentAt,
 	})
-	l.release(r)
+	l.release(req)
 }
 
 // complete ends a request for its client. Attempts that still wait for a connection are
 // revoked: nothing may be sent once the client has its final response.
-func (l *loop) complete(r *request, c completion) {
-	r.completed = true
-	for _, a := range r.attempts {
+func (l *loop) complete(req *request, final completion) {
+	req.completed = true
+	for _, a := range req.attempts {
 		a.call.Revoke()
 	}
-	r.completion <- c
+	req.completion <- final
 }
 
 // release forgets a request that is completed and has no attempt in flight.
-func (l *loop) release(r *request) {
-	if r.completed && r.inFlight == 0 {
-		r.deadlineTimer.Stop()
-		delete(l.requests, r.id)
+func (l *loop) release(req *request) {
+	if req.completed && req.inFlight == 0 {
+		req.deadlineTimer.Stop()
+		delete(l.requests, req.id)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,7 +58,7 @@
 // Run serves until the context ends, then shuts down gracefully: it completes the requests
 // that were accepted. It returns an error if serving failed.
 func (n *Node) Run(ctx context.Context) error {
-	defer func() { _ = n.listener.Close() }() // mostly closed before
+	defer func() { _ = n.listener.Close() }() // closed before, unless Run failed
 	// The node's parts outlive ctx, whose end only begins the shutdown.
 	partsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s, err := newService(partsCtx, n)
@@ -121,10 +121,10 @@
 	go func() { s.serveResult <- s.server.Serve(s.listener) }()
 }
 
-// stop closes the connections that are left, ends the parts and waits for their goroutines.
+// stop closes the remaining connections, ends the parts and waits for their goroutines.
 // That of Serve has ended by then; those of handlers end with their connections and the loop.
 func (s *service) stop(cancelParts context.CancelFunc) {
-	_ = s.server.Close() // of the listener, again
+	_ = s.server.Close() // the listener may be closed before
 	cancelParts()
 	s.parts.Wait()
 }
--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -172,7 +172,7 @@
 	}
 }
 
-// readBody reads a body of a known, bounded length in what is left of the read timeout.
+// readBody reads a body of a known, bounded length within the read timeout.
 func readBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/node/retry_test.go
+++ b/internal/node/retry_test.go
@@ -69,8 +69,8 @@
 // An unresponsive server must not keep the client past its deadline, and once the client has
 // its response nothing more is sent and the attempt is cancelled.
 func TestUnresponsiveServerFailsTheRequestAtItsDeadline(t *testing.T) {
-	left := make(chan struct{}, 1)
-	b := testkit.NewBackend(t, testkit.Silent(left))
+	cancelled := make(chan struct{}, 1)
+	b := testkit.NewBackend(t, testkit.Silent(cancelled))
 	n, _ := startReady(t, b)
 	r := n.request("pay")
 	r.Header.Set("X-Timeout-Ms", "300")
@@ -78,7 +78,7 @@
 	if a.status != http.StatusBadGateway || a.took < 200*time.Millisecond {
 		t.Errorf("status %d after %v", a.status, a.took)
 	}
-	testkit.Wait(t, left, "the cancelled attempt")
+	testkit.Wait(t, cancelled, "the cancelled attempt")
 	if len(b.Requests) != 1 {
 		t.Errorf("%d sends", len(b.Requests))
 	}
@@ -87,11 +87,11 @@
 // When a server becomes unresponsive a hedged request goes elsewhere; once that is served
 // the first attempt is cancelled, which closes its connection.
 func TestHedgedRequestSucceedsPastAnUnresponsiveServer(t *testing.T) {
-	left := make(chan struct{}, 1)
+	cancelled := make(chan struct{}, 1)
 	var quiet atomic.Bool // the next request met stays without an answer
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		if quiet.CompareAndSwap(true, false) {
-			testkit.Silent(left)(w, r)
+			testkit.Silent(cancelled)(w, r)
 			return
 		}
 		testkit.OK(w, r)
@@ -106,7 +106,7 @@
 	if r := n.do(n.request("push")); r.status != http.StatusOK {
 		t.Fatalf("status %d", r.status)
 	}
-	testkit.Wait(t, left, "the silent attempt to be given up")
+	testkit.Wait(t, cancelled, "the cancelled attempt")
 	if sends := len(a.Requests) + len(b.Requests) - before; sends != 2 {
 		t.Errorf("%d sends, want 2", sends)
 	}
@@ -206,7 +206,7 @@
 	const safe, keyed = 0, 1
 	for name, c := range map[string]struct {
 		class int
-		first policy.Status // of the attempt before, Cancelled for one that is still out
+		first policy.Status // of the attempt before, Cancelled for one that is still in flight
 		over  bool
 		late  int // the attempt whose connection comes up late
 		sent  bool
@@ -243,9 +243,9 @@
 				return !c.over || l.clock() >= r.attempts[0].sentAt+l.classes[keyed].KeyRetention
 			})
 			received := far.Admit()
-			testkit.Until(t, "the outcome", func() (told bool) {
-				l.inLoop(t, func() { told = r.attempts[c.late].reported })
-				return told
+			testkit.Until(t, "the outcome", func() (reported bool) {
+				l.inLoop(t, func() { reported = r.attempts[c.late].reported })
+				return reported
 			})
 			if len(received) != map[bool]int{true: 1}[c.sent] {
 				t.Errorf("%d sends", len(received))
