--- a/cmd/balancer/harness_test.go
+++ b/cmd/balancer/harness_test.go
@@ -50,11 +50,13 @@
 	return path
 }
 
-// buildProgram builds the program as it is and returns its path.
+// buildProgram builds the program as deploy/balancer.toml does and returns its path.
 func buildProgram(tb testing.TB) string {
 	tb.Helper()
 	path := filepath.Join(tb.TempDir(), "balancer")
-	if out, err := exec.CommandContext(tb.Context(), "go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+	build := exec.CommandContext(tb.Context(), "go", "build", "-ldflags=-linkmode=external", "-o", path, ".")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := build.CombinedOutput(); err != nil {
 		tb.Fatalf("%v\n%s", err, out)
 	}
 	return path
