Keep the score tests strict for scores that are no number

Cause: rewriting !(a > b) as a <= b for the linter let NaN pass, which failed before. Measured: go test ./policy passes, golangci-lint finds nothing there.

--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -30,7 +30,7 @@
 		failing.outcomes.Add(h.now, false, 0)
 	}
 	h.balancer.refresh(h.now)
-	if good.score <= slow.score || good.score <= failing.score {
+	if !descending(good.score, slow.score) || !descending(good.score, failing.score) {
 		t.Fatalf("scores: good %.2f slow %.2f failing %.2f", good.score, slow.score, failing.score)
 	}
 	if betterServer(good, slow) != good || betterServer(failing, good) != good {
@@ -43,6 +43,16 @@
 	}
 }
 
+// descending reports whether each score is above the next. No score that is not a number is.
+func descending(scores ...float64) bool {
+	for i := range len(scores) - 1 {
+		if above := scores[i] > scores[i+1]; !above {
+			return false
+		}
+	}
+	return true
+}
+
 func TestServerWithoutOutcomesScoresTheMean(t *testing.T) {
 	h := newHarness(t, testSettings(), 3)
 	for range 20 {
@@ -51,7 +61,7 @@
 	}
 	h.balancer.refresh(h.now)
 	s := h.balancer.endpoints.ready
-	if s[0].score <= s[2].score || s[2].score <= s[1].score {
+	if !descending(s[0].score, s[2].score, s[1].score) {
 		t.Fatalf("scores %.2f %.2f, unmeasured %.2f: not between", s[0].score, s[1].score, s[2].score)
 	}
 	h.balancer.refresh(h.now + 2*maxOutcomeAge)
