--- /dev/null
+++ b/cmd/balancer/shutdown_clients_test.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"calicohinge/internal/testkit"
+)
+
+const (
+	// shutdownDeadline is the longest request deadline of the processes under test. It
+	// keeps a shutdown short: the process ends within half a second more.
+	shutdownDeadline = 200 * time.Millisecond
+	// shutdownClients is how many clients send at the same time.
+	shutdownClients = 24
+)
+
+// shutdownClient sends requests one after another until the process accepts no more
+// connections. A request has to get a complete response if its connection was
+// established, unless that had carried a request before and ends without a byte of a
+// response: then it crossed the close of an idle connection and is sent once more.
+type shutdownClient struct {
+	addr string
+	name string
+	// keepAlive has the client reuse its connection for as long as it stays open.
+	keepAlive bool
+	conn      net.Conn
+	reader    *bufio.Reader
+	sent      int
+}
+
+// run sends until the process refuses a connection. It returns the requests that got
+// their response, and an error for each of the others.
+func (c *shutdownClient) run(signaled func() time.Duration) (answered int, lost []error) {
+	for {
+		reused, err := c.connect()
+		if err != nil {
+			return answered, lost
+		}
+		c.sent++
+		began := signaled()
+		complete, err := c.roundTrip()
+		switch {
+		case err == nil:
+			answered++
+		case reused && !complete:
+			continue // on a new connection
+		default:
+			lost = append(lost, fmt.Errorf("%s, request %d, sent %v after SIGTERM, reused %v: %w",
+				c.name, c.sent, began.Round(time.Millisecond), reused, err))
+		}
+	}
+}
+
+// connect opens a connection unless the client has one. An error means that the process
+// does not listen any more.
+func (c *shutdownClient) connect() (reused bool, err error) {
+	if c.conn != nil {
+		return true, nil
+	}
+	c.conn, err = net.Dial("tcp", c.addr)
+	if err != nil {
+		return false, err
+	}
+	c.reader = bufio.NewReader(c.conn)
+	return false, c.conn.SetDeadline(time.Now().Add(testkit.Patience))
+}
+
+// roundTrip sends a request and reads its response. On an error it reports whether a
+// byte of the response had come.
+func (c *shutdownClient) roundTrip() (began bool, err error) {
+	keep := false
+	defer func() {
+		if !keep {
+			_ = c.conn.Close() // nothing is expected of it any more
+			c.conn = nil
+		}
+	}()
+	_, err = fmt.Fprintf(c.conn, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s-%d\r\nX-Timeout-Ms: %d\r\n"+
+		"Content-Length: 0\r\n\r\n", c.name, c.sent, shutdownDeadline.Milliseconds())
+	if err != nil {
+		return false, fmt.Errorf("write: %w", err)
+	}
+	if _, err = c.reader.Peek(1); err != nil {
+		return false, fmt.Errorf("no response: %w", err)
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return true, fmt.Errorf("response: %w", err)
+	}
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return true, fmt.Errorf("response body: %w", err)
+	}
+	keep = c.keepAlive && !response.Close
+	return true, nil
+}
+
+// shutdownRun is one end of a process under load.
+type shutdownRun struct {
+	answered int
+	lost     []error
+}
+
+// endUnderLoad starts a process before a server that responds and one that does not,
+// has clients send to it, and sends it SIGTERM. Then it calls disturb, which may stop
+// and continue the process, and returns once no connection is accepted any more.
+func endUnderLoad(t *testing.T, program string, disturb func(pid int)) shutdownRun {
+	t.Helper()
+	server := testkit.NewBackend(t, testkit.OK)
+	hanging := testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 1)))
+	started := startProcess(t, map[string]any{
+		"discovery": "127.0.0.1:1",
+		"settings": testkit.JSON(strings.ReplaceAll(settings, "8000",
+			fmt.Sprint(shutdownDeadline.Milliseconds()))),
+		"known": listOf(1, server.Address(), server.Address(), server.Address(), hanging.Address()),
+	}, program)
+	addr := testkit.Wait(t, started.addr, "the process to serve")
+	awaitReady(t, addr)
+
+	var signaledAt atomic.Pointer[time.Time]
+	sinceSignal := func() time.Duration {
+		if at := signaledAt.Load(); at != nil {
+			return time.Since(*at)
+		}
+		return -1
+	}
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	var total shutdownRun
+	for i := range shutdownClients {
+		client := shutdownClient{addr: addr, name: fmt.Sprintf("c%d", i), keepAlive: i%2 == 0}
+		clients.Go(func() {
+			answered, lost := client.run(sinceSignal)
+			mu.Lock()
+			defer mu.Unlock()
+			total.answered += answered
+			total.lost = append(total.lost, lost...)
+		})
+	}
+	time.Sleep(shutdownDeadline) // the clients are on their way
+	now := time.Now()
+	signaledAt.Store(&now)
+	signalProcess(t, started.pid, syscall.SIGTERM)
+	disturb(started.pid)
+	clients.Wait()
+	return total
+}
+
+// signalProcess sends a process a signal. It may have ended by then.
+func signalProcess(t *testing.T, pid int, signal syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(pid, signal); err != nil && !errors.Is(err, syscall.ESRCH) {
+		t.Error(err)
+	}
+}
+
+// report fails the test for each request that got no response, up to a few.
+func (r shutdownRun) report(t *testing.T) {
+	t.Helper()
+	t.Logf("%d requests answered, %d lost", r.answered, len(r.lost))
+	const shown = 5
+	for _, err := range r.lost[:min(shown, len(r.lost))] {
+		t.Error(err)
+	}
+	if r.answered == 0 {
+		t.Error("no request was answered")
+	}
+}
+
+// Clients send on connections old and new until the process accepts none. Each request
+// whose connection was established gets a complete response.
+func TestEveryRequestIsAnsweredUntilTheProcessEnds(t *testing.T) {
+	endUnderLoad(t, buildProgram(t), func(int) {}).report(t)
+}
+
+// The same, with the process held up for 150 ms around each step of the end of its
+// shutdown, as the operators' terms allow.
+func TestEveryRequestIsAnsweredByAProcessThatIsHeldUp(t *testing.T) {
+	const holdUp = 150 * time.Millisecond
+	program := buildProgram(t)
+	for _, after := range []time.Duration{300, 400, 500, 560, 600, 640, 680} {
+		after *= time.Millisecond
+		t.Run(fmt.Sprintf("%v after SIGTERM", after), func(t *testing.T) {
+			t.Parallel()
+			endUnderLoad(t, program, func(pid int) {
+				time.Sleep(after)
+				signalProcess(t, pid, syscall.SIGSTOP)
+				time.Sleep(holdUp)
+				signalProcess(t, pid, syscall.SIGCONT)
+			}).report(t)
+		})
+	}
+}
