End a shutdown by steps in order, and answer every request that was read

Cause: the last 50 ms of a shutdown were a time, not a state. From StopReading on a new connection was closed unread, and net/http answered the read error with a 400 without length that the reset broke off. A process that was held up found the times of all last steps past, took them in any order and ended before its responses were written. Change: steps in a fixed order, each late if it has to be: serve, drain, stop accepting, reject what still comes, close what waits for no response, end when every request that was read has its response (Conns.Finish in place of StopReading). A connection beyond the reserve waits and is not closed unread. Each response that closes its connection lingers, with its length stated. The quiet period uses the monotonic clock. Log lines for each step. Grace period 50 ms shorter, so that a node held up for 150 ms ends before it is killed.

--- a/internal/downstream/admission.go
+++ b/internal/downstream/admission.go
@@ -6,10 +6,9 @@
 type decision int
 
 const (
-	decisionAdmit  decision = iota // it is in the set, in phaseSilent
-	decisionReject                 // it is to be closed
-	decisionEvict                  // close the victim's socket, then decide again
-	decisionWait                   // wait for a change, then decide again
+	decisionAdmit decision = iota // it is in the set, in phaseSilent
+	decisionEvict                 // close the victim's socket, then decide again
+	decisionWait                  // wait for a change, then decide again
 )
 
 // String names the decision.
@@ -17,8 +16,6 @@
 	switch d {
 	case decisionAdmit:
 		return "admit"
-	case decisionReject:
-		return "reject"
 	case decisionEvict:
 		return "evict"
 	case decisionWait:
@@ -31,25 +28,27 @@
 // without holding cs.mu.
 type admission struct {
 	decision decision
-	victim   *Conn         // with decisionEvict: marked closed, its socket is still open
-	wait     time.Duration // with decisionWait: until a connection may be evicted
+	victim   *Conn // with decisionEvict: marked closed, its socket is still open
+	// With decisionWait: the time until a connection may be evicted, 0 if all are active,
+	// and a channel that is closed at the next change of one.
+	wait    time.Duration
+	changed <-chan struct{}
 }
 
-// admit makes c one of the set's connections and returns true, or returns false if
-// there is no capacity for it. It blocks while the first connection that may be
-// evicted is in its grace period.
+// admit makes c one of the set's connections and returns true, or returns false if the
+// listener was closed. It blocks while the first connection that may be evicted is in its
+// grace period, and while all are active, the reserve included: that of the reserve get
+// their answer at once. Closing c instead could drop a request that its client has sent.
 func (cs *Conns) admit(c *Conn) bool {
 	for {
 		step := cs.tryAdmit(c)
 		switch step.decision {
 		case decisionAdmit:
 			return true
-		case decisionReject:
-			return false
 		case decisionEvict:
 			_ = step.victim.Conn.Close() // nothing can be done about a failure
 		case decisionWait:
-			if !cs.waitForChange(step.wait) {
+			if !cs.waitForChange(step) {
 				return false
 			}
 		}
@@ -68,12 +67,12 @@
 	candidate, wait := cs.evictionCandidate()
 	switch {
 	case candidate == nil && cs.open >= cs.config.MaxOpen+cs.config.Reserve:
-		return admission{decision: decisionReject}
+		return admission{decision: decisionWait, changed: cs.nextChange()}
 	case candidate == nil:
 		c.overLimit = true
 		return cs.add(c)
 	case wait > 0:
-		return admission{decision: decisionWait, wait: wait}
+		return admission{decision: decisionWait, wait: wait, changed: cs.nextChange()}
 	}
 	cs.close(candidate)
 	return admission{decision: decisionEvict, victim: candidate}
@@ -86,14 +85,18 @@
 	return admission{decision: decisionAdmit}
 }
 
-// waitForChange waits until a connection changes its phase, for timeout at most. It
+// waitForChange waits until a connection changes or the time of the step is over. It
 // returns false if the listener was closed.
-func (cs *Conns) waitForChange(timeout time.Duration) bool {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
+func (cs *Conns) waitForChange(step admission) bool {
+	var evictable <-chan time.Time // never ready if no connection becomes evictable by itself
+	if step.wait > 0 {
+		timer := time.NewTimer(step.wait)
+		defer timer.Stop()
+		evictable = timer.C
+	}
 	select {
-	case <-timer.C:
-	case <-cs.changed:
+	case <-evictable:
+	case <-step.changed:
 	case <-cs.listenerClosed:
 		return false
 	}
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -38,23 +38,24 @@
 
 // Conns is the set of a node's client connections. It is safe for concurrent use.
 type Conns struct {
-	config            Config
-	changed           chan struct{} // buffers one wake-up, sent when a connection changes its phase
-	listenerClosed    chan struct{} // closed with the listener
-	closeListenerOnce sync.Once     // guards the close of listenerClosed
+	config         Config
+	listenerClosed chan struct{} // closed with the listener
 
-	mu             sync.Mutex
-	open           int       // connections that are admitted and not closed
-	silent         connQueue // those in phaseSilent
-	partial        connQueue // those in phaseReadingHead or phaseReadingBody
-	idle           connQueue // those in phaseIdle
-	draining       bool      // connections are closed instead of falling idle
-	readingStopped bool      // no socket is read any more
+	mu       sync.Mutex
+	open     int           // connections that are admitted and not closed
+	active   int           // those in phaseActive
+	silent   connQueue     // those in phaseSilent
+	partial  connQueue     // those in phaseReadingHead or phaseReadingBody
+	idle     connQueue     // those in phaseIdle
+	linger   connQueue     // those in phaseLingering
+	draining bool          // connections are closed instead of falling idle
+	closing  bool          // they are closed as soon as no request is being read or answered
+	changed  chan struct{} // closed at the next change; nil if nobody waits for it
 }
 
 // NewConns returns an empty set of connections.
 func NewConns(config Config) *Conns {
-	return &Conns{config: config, changed: make(chan struct{}, 1), listenerClosed: make(chan struct{})}
+	return &Conns{config: config, listenerClosed: make(chan struct{})}
 }
 
 // Open returns the number of open connections.
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -1,31 +1,94 @@
 package downstream
 
-import "context"
+import (
+	"context"
+
+	"calicohinge/internal/sockstate"
+)
 
 // Drain closes idle connections, and from now on every other as soon as it falls
 // idle. It returns when no connection is open or ctx ends, and may be called again.
 func (cs *Conns) Drain(ctx context.Context) {
 	cs.beginDraining()
-	for c := cs.nextToDrain(); c != nil; c = cs.nextToDrain() {
-		_ = c.Conn.Close() // nothing can be done about a failure
-	}
-	for cs.Open() > 0 && ctx.Err() == nil {
+	cs.closeEach(cs.nextToDrain)
+	cs.await(ctx, func() bool { return cs.open == 0 })
+}
+
+// Finish closes every connection as soon as its client waits for no response: those on
+// which nothing has come, those with a part of a request of which nothing more has
+// arrived, and those whose last response is sent. It returns when each request that was
+// read has its response, or ctx ends. The caller has closed the listener and called Drain.
+// A connection whose next request has arrived is not closed but answered.
+func (cs *Conns) Finish(ctx context.Context) {
+	cs.beginClosing()
+	for {
+		cs.closeEach(cs.nextToFinish)
+		changed, finished := cs.finished()
+		if finished {
+			return
+		}
 		select {
-		case <-cs.changed:
+		case <-changed:
 		case <-ctx.Done():
+			return
 		}
 	}
 }
 
+// Stats counts the connections of a set.
+type Stats struct {
+	Open   int // admitted and not closed
+	Active int // with a request that has no complete response
+}
+
+// Stats returns the present numbers of connections.
+func (cs *Conns) Stats() Stats {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return Stats{Open: cs.open, Active: cs.active}
+}
+
 func (cs *Conns) beginDraining() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.draining = true
 }
 
-// nextToDrain marks an idle connection closed and returns it, so that its socket is
-// closed without holding cs.mu; nil if no connection is idle. One whose client has
-// sent bytes of a further request is not idle any more and stays open.
+func (cs *Conns) beginClosing() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.draining = true
+	cs.closing = true
+}
+
+// await waits until a condition holds, which is checked under cs.mu, or ctx ends.
+func (cs *Conns) await(ctx context.Context, holds func() bool) {
+	for {
+		cs.mu.Lock()
+		held, changed := holds(), cs.nextChange()
+		cs.mu.Unlock()
+		if held {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// closeEach closes the sockets of the connections that next marks closed, without
+// holding cs.mu, until it returns nil.
+func (cs *Conns) closeEach(next func() *Conn) {
+	for c := next(); c != nil; c = next() {
+		_ = c.Conn.Close() // nothing can be done about a failure
+	}
+}
+
+// nextToDrain marks an idle connection closed and returns it; nil if no connection is
+// idle. One whose client has sent bytes of a further request is not idle any more and
+// stays open.
 func (cs *Conns) nextToDrain() *Conn {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -37,11 +100,37 @@
 	return nil
 }
 
-// StopReading ends the reading of all sockets. A request that is not read by then
-// stays unread, so that its client retries at another node. One that was read is
-// still answered.
-func (cs *Conns) StopReading() {
+// nextToFinish marks a connection closed that has no request and returns it; nil if
+// there is none.
+func (cs *Conns) nextToFinish() *Conn {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.readingStopped = true
+	for _, queue := range []*connQueue{&cs.silent, &cs.idle, &cs.partial} {
+		for element := queue.conns.Front(); element != nil; element = element.Next() {
+			if c := element.Value.(*Conn); c.hasNoRequest() {
+				cs.close(c)
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// finished reports whether no request is being read or answered. Otherwise the channel
+// is closed when that may have changed.
+func (cs *Conns) finished() (changed <-chan struct{}, finished bool) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	unanswered := cs.active + cs.silent.conns.Len() + cs.idle.conns.Len() + cs.partial.conns.Len()
+	return cs.nextChange(), unanswered == 0
+}
+
+// hasNoRequest reports whether no complete request has arrived on a connection that is
+// not active. A part of one is with net/http, which waits for the rest. The caller holds
+// conns.mu.
+func (c *Conn) hasNoRequest() bool {
+	if c.phase != phaseSilent && c.phase != phaseIdle && !c.awaiting {
+		return false
+	}
+	return len(c.readAhead) == 0 && sockstate.Peek(c.Conn) != sockstate.Readable
 }
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -19,13 +19,16 @@
 	// client would wait in the accept queue while idle connections age, and all
 	// clients behind it would wait too.
 	idleGracePeriod = 0
+	// lingerGracePeriod applies after a last response, which its client may still be reading.
+	lingerGracePeriod = 150 * time.Millisecond
 )
 
 // evictionCandidate returns the connection to evict for a new one, and how long it is
 // still in its grace period; nil if all connections are active. Silent connections
 // come first, then idle ones, then those with a part of a request, each the oldest
 // first: a flood of connections that never complete a request must not deny
-// capacity to clients that do. If none is past its grace period, the next to be so is returned.
+// capacity to clients that do. Last come those that wait for their clients to close them.
+// If none is past its grace period, the next to be so is returned.
 // The caller holds cs.mu.
 func (cs *Conns) evictionCandidate() (candidate *Conn, wait time.Duration) {
 	now := time.Now()
@@ -38,6 +41,7 @@
 		{&cs.silent, silentGracePeriod},
 		{&cs.idle, idleGracePeriod},
 		{&cs.partial, partialGracePeriod},
+		{&cs.linger, lingerGracePeriod},
 	} {
 		oldest := class.queue.oldest()
 		if oldest == nil {
--- a/internal/downstream/phase.go
+++ b/internal/downstream/phase.go
@@ -15,6 +15,7 @@
 	phaseReadingHead              // the head of a request is being read
 	phaseReadingBody              // net/http has the head; the rest of the request is being read
 	phaseActive                   // the request is complete and its answer is not
+	phaseLingering                // the last answer is sent; nothing is read any more
 	phaseIdle                     // between two requests
 	phaseClosed                   // closed by this node; not counted any more
 )
@@ -32,6 +33,8 @@
 		return "reading body"
 	case phaseActive:
 		return "active"
+	case phaseLingering:
+		return "lingering"
 	case phaseIdle:
 		return "idle"
 	case phaseClosed:
@@ -63,13 +66,15 @@
 		return &cs.partial
 	case phaseIdle:
 		return &cs.idle
+	case phaseLingering:
+		return &cs.linger
 	default:
 		return nil
 	}
 }
 
 // setPhase begins a phase of c, puts c at the end of that phase's queue and wakes
-// one waiter on cs.changed. The caller holds cs.mu.
+// those that wait for a change. The caller holds cs.mu.
 func (cs *Conns) setPhase(c *Conn, next phase) {
 	if c.phase == phaseIdle && next == phaseReadingHead {
 		// net/http applies the read timeout only once it has four bytes of the
@@ -81,12 +86,32 @@
 		cs.queue(c.phase).conns.Remove(c.element)
 		c.element = nil
 	}
+	if c.phase == phaseActive {
+		cs.active--
+	}
+	if next == phaseActive {
+		cs.active++
+	}
 	c.phase, c.since = next, time.Now()
 	if queue := cs.queue(next); queue != nil {
 		c.element = queue.conns.PushBack(c)
 	}
-	select {
-	case cs.changed <- struct{}{}:
-	default: // a wake-up is pending already
+	cs.notify()
+}
+
+// notify wakes all that wait for a change. The caller holds cs.mu.
+func (cs *Conns) notify() {
+	if cs.changed != nil {
+		close(cs.changed)
+		cs.changed = nil
+	}
+}
+
+// nextChange returns a channel that is closed at the next change of any connection. The
+// caller holds cs.mu, so that it misses none after what it has seen.
+func (cs *Conns) nextChange() <-chan struct{} {
+	if cs.changed == nil {
+		cs.changed = make(chan struct{})
 	}
+	return cs.changed
 }
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -32,8 +32,9 @@
 	conns        *downstream.Conns
 	shuttingDown atomic.Bool  // the node is not ready any more
 	draining     atomic.Bool  // responses close their connections
-	lastRequest  atomic.Int64 // when a request was last accepted, Unix nanoseconds
+	lastRequest  atomic.Int64 // when a request was last accepted, a time.Duration on the loop's clock
 	activeIDs    requestIDs   // of the requests that have no final response yet
+	stats        requestStats
 }
 
 func newHandler(cfg *config.Config, loop *loop, conns *downstream.Conns) *handler {
@@ -59,7 +60,24 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close") // clients move to other nodes
 	}
+	h.respond(w, r)
+	if conn := clientConnection(r); conn != nil && w.Header().Get("Connection") != "" {
+		if err := http.NewResponseController(w).Flush(); err == nil {
+			conn.LingeringClose(r.Context())
+		}
+	}
+}
+
+// clientConnection returns the connection of a request; nil if it is none of downstream.
+func clientConnection(r *http.Request) *downstream.Conn {
+	conn, _ := r.Context().Value(connKey{}).(*downstream.Conn)
+	return conn
+}
+
+// respond writes the response to whatever a client asks for.
+func (h *handler) respond(w http.ResponseWriter, r *http.Request) {
 	if err := checkFraming(r); err != nil {
+		h.stats.invalid.Add(1)
 		writeRejection(w, r, err)
 		return
 	}
@@ -73,27 +91,27 @@
 // serveReadiness answers the health check of whoever assigns clients to nodes.
 func (h *handler) serveReadiness(w http.ResponseWriter) {
 	if !h.loop.ready.Load() || h.shuttingDown.Load() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		writeText(w, http.StatusServiceUnavailable, "not ready")
 		return
 	}
-	writeText(w, "ready\n")
+	writeText(w, http.StatusOK, "ready")
 }
 
 // serveRequest validates a request, forwards it and writes its final response.
 func (h *handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	parsed, err := h.parse(r)
 	if err != nil {
+		h.stats.invalid.Add(1)
 		writeRejection(w, r, err)
 		return
 	}
 	parsed.client = contextConn{r.Context()}
-	conn, counted := r.Context().Value(connKey{}).(*downstream.Conn)
-	if counted {
+	if conn := clientConnection(r); conn != nil {
 		parsed.client = conn
 		conn.RequestComplete()
 		if conn.OverLimit() {
 			w.Header().Set("Connection", "close")
-			writeResponse(w, response{
+			h.finish(w, response{
 				status: http.StatusServiceUnavailable, retryAfter: h.cfg.Policy.Limits.MaxRetryAfter,
 			})
 			return
@@ -101,13 +119,17 @@
 	}
 	final, err := h.submit(w, r, parsed)
 	if err != nil {
+		h.stats.invalid.Add(1)
 		writeRejection(w, r, err)
 		return
 	}
+	h.finish(w, final)
+}
+
+// finish writes a final response and counts it.
+func (h *handler) finish(w http.ResponseWriter, final response) {
+	h.stats.countFinal(final.status)
 	writeResponse(w, final)
-	if counted && w.Header().Get("Connection") != "" && http.NewResponseController(w).Flush() == nil {
-		conn.LingeringClose(r.Context())
-	}
 }
 
 // submit waits for a request's final response, and prepares the connection for writing it. The
@@ -117,7 +139,7 @@
 	if !h.activeIDs.reserve(id) {
 		return response{}, &rejectionError{status: http.StatusConflict, reason: "a request with this X-Request-ID is open"}
 	}
-	h.lastRequest.Store(time.Now().UnixNano())
+	h.lastRequest.Store(int64(h.loop.clock()))
 	control := http.NewResponseController(w)
 	// net/http goes on reading, to see the client disconnect. The deadline of the
 	// request's own bytes would look like that. A broken connection shows elsewhere.
@@ -125,6 +147,7 @@
 	final, err := h.loop.submit(r.Context(), parsed)
 	h.activeIDs.release(id)
 	if err != nil {
+		h.stats.disconnected.Add(1)
 		panic(http.ErrAbortHandler)
 	}
 	// If the connection is broken, so is the write.
@@ -132,13 +155,11 @@
 	return final, nil
 }
 
-// activeSince reports whether the given time or the last request is less than the
-// quiet period ago.
-func (h *handler) activeSince(at time.Time) bool {
-	if last := time.Unix(0, h.lastRequest.Load()); last.After(at) {
-		at = last
-	}
-	return time.Since(at) < quietPeriod
+// activeSince reports whether the given time on the loop's clock or the last request is
+// less than the quiet period ago.
+func (h *handler) activeSince(at time.Duration) bool {
+	last := time.Duration(h.lastRequest.Load())
+	return h.loop.clock()-max(at, last) < quietPeriod
 }
 
 // contextConn is the client connection of a request that came over none of downstream.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -21,10 +21,7 @@
 	eventQueueSize = 1024
 )
 
-var (
-	errClientDisconnected = errors.New("client disconnected")
-	errLoopEnded          = errors.New("event loop ended")
-)
+var errClientDisconnected = errors.New("client disconnected")
 
 // loop owns the balancer, its clock and its timers, and carries out its actions. All
 // other goroutines send it events.
@@ -114,11 +111,12 @@
 }
 
 // submit has the balancer decide on a request and waits for its final response. The error is
-// errClientDisconnected, also when ctx ends, or errLoopEnded.
+// errClientDisconnected, also when ctx ends. Once the loop has ended nothing can be decided:
+// the request is rejected if it was never forwarded, and has failed otherwise.
 func (l *loop) submit(ctx context.Context, req *request) (response, error) {
 	req.completion = make(chan completion, 1)
 	if !l.post(requestArrived{req}) {
-		return response{}, errLoopEnded
+		return response{status: http.StatusServiceUnavailable, retryAfter: l.retryAfter}, nil
 	}
 	select {
 	case final := <-req.completion:
@@ -127,7 +125,17 @@
 		l.post(clientDisconnected{req})
 		return response{}, errClientDisconnected
 	case <-l.ctx.Done():
-		return response{}, errLoopEnded
+		return l.lastResponse(req)
+	}
+}
+
+// lastResponse returns the final response to a request that was active as the loop ended.
+func (l *loop) lastResponse(req *request) (response, error) {
+	select {
+	case final := <-req.completion:
+		return final.response, final.err
+	default:
+		return response{status: http.StatusBadGateway}, nil
 	}
 }
 
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,9 +29,11 @@
 	_, _ = w.Write(final.body) // a client that has disconnected is none to respond to
 }
 
-// writeText writes a response of plain text with status 200.
-func writeText(w http.ResponseWriter, text string) {
-	_, _ = io.WriteString(w, text) // as in writeResponse
+// writeText writes a response of one line of plain text. It states its length: without one
+// the response would not be complete before its handler returns.
+func writeText(w http.ResponseWriter, status int, text string) {
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, "X-Content-Type-Options": {"nosniff"}}
+	writeResponse(w, response{status: status, header: header, body: []byte(text + "\n")})
 }
 
 // writeRejection answers a request that is not forwarded. The rest of its body is not
@@ -48,5 +49,5 @@
 	if r.ContentLength != 0 || !r.ProtoAtLeast(1, 1) {
 		w.Header().Set("Connection", "close")
 	}
-	http.Error(w, rejection.reason, rejection.status)
+	writeText(w, rejection.status, rejection.reason)
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -13,10 +13,11 @@
 
 const (
 	// A node is killed killDeadlineExtra after the longest request deadline from SIGTERM on,
-	// of which killDeadlineCap counts at most. It ends killDeadlineMargin before that.
+	// of which killDeadlineCap counts at most. The grace period ends killDeadlineMargin before
+	// that: a node may be held up for 150 ms, and the last responses take some time to write.
 	killDeadlineCap    = 3 * time.Second
 	killDeadlineExtra  = 700 * time.Millisecond
-	killDeadlineMargin = 200 * time.Millisecond
+	killDeadlineMargin = 250 * time.Millisecond
 
 	// quietPeriod is how long clients are still assigned to a node that is not ready any
 	// more, and how long no request must have come for the node to drain early.
@@ -25,9 +26,15 @@
 	quietPollInterval = 10 * time.Millisecond
 	// drainPeriod is the last part of the grace period, in which clients are sent away.
 	drainPeriod = 300 * time.Millisecond
-	// terminationPeriod is the last part of the drain period, in which the requests that
-	// are still active get their final responses.
+	// terminationPeriod is the last part of the drain period, in which no connection is
+	// accepted any more and every request is answered at once.
 	terminationPeriod = 50 * time.Millisecond
+	// finishPeriod is how long after the grace period the last responses may be written, for
+	// instance to a client that does not read. The node ends before it is killed.
+	finishPeriod = killDeadlineMargin / 2
+	// minFinishPeriod is the least time for writing the last responses, also if a node that
+	// was held up comes to them after its grace period.
+	minFinishPeriod = 100 * time.Millisecond
 )
 
 // shutdownGracePeriod returns how long a graceful shutdown may take. A request that is active
@@ -40,50 +47,85 @@
 	return min(longest, killDeadlineCap) + killDeadlineExtra - killDeadlineMargin
 }
 
-// shutdown completes the accepted requests and closes the connections. It takes no longer
-// than the grace period.
+// shutdown completes the accepted requests and closes the connections, within the grace
+// period. Each of its steps begins at its time or, on a node that was held up, later, but
+// none is left out and their order is always the same: requests are served; connections
+// without one are closed; no more connections are accepted; all requests are answered; the
+// rest is closed. It returns an error if accepting connections failed.
 func (s *service) shutdown(ctx context.Context) error {
 	gracePeriod := shutdownGracePeriod(s.cfg)
-	began := time.Now()
+	began, beganOnClock := time.Now(), s.loop.clock()
 	slog.Info("shutting down", "grace_period", gracePeriod)
 	s.handler.shuttingDown.Store(true)
-	s.serveUntilQuiet(began, gracePeriod-drainPeriod)
-	return s.drain(ctx, began.Add(gracePeriod))
+	s.serveUntilQuiet(beganOnClock, gracePeriod-drainPeriod)
+	err := s.drain(ctx, began.Add(gracePeriod-terminationPeriod))
+	s.terminate(ctx, began.Add(gracePeriod))
+	s.logEnd(began)
+	return err
 }
 
 // serveUntilQuiet goes on serving until no requests come any more, for the given time at
 // most: clients may have no other node to go to.
-func (s *service) serveUntilQuiet(began time.Time, limit time.Duration) {
-	for time.Since(began) < limit && s.handler.activeSince(began) {
+func (s *service) serveUntilQuiet(began, limit time.Duration) {
+	for s.loop.clock()-began < limit && s.handler.activeSince(began) {
 		time.Sleep(quietPollInterval)
 	}
 }
 
-// drain closes the clients' connections as they become idle, and the listener. It does not
-// use http.Server.Shutdown, which drops requests that are just being read.
-func (s *service) drain(ctx context.Context, deadline time.Time) error {
+// drain closes the clients' connections as they become idle until none is open, or until
+// the given time. Then it closes the listener. It does not use http.Server.Shutdown, which
+// drops requests that are just being read.
+func (s *service) drain(ctx context.Context, until time.Time) error {
+	s.logStep("draining connections")
 	s.handler.draining.Store(true)
-	limit, cancel := context.WithDeadline(ctx, deadline)
+	limit, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	s.parts.Go(func() { s.terminateAt(limit, deadline.Add(-terminationPeriod)) })
-	// The listener is closed last: closed before, it would reset the connections in its
-	// backlog, whose clients may have sent requests.
 	s.conns.Drain(limit)
-	_ = s.listener.Close() // Serve returns what came of it
+	err := s.stopAccepting(ctx)
+	s.conns.Drain(limit) // those that were accepted meanwhile
+	return err
+}
+
+// stopAccepting closes the listener once the connections in its queue are accepted. It
+// returns why accepting ended if that was not the reason.
+func (s *service) stopAccepting(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, minFinishPeriod)
+	defer cancel()
+	s.listener.StopAccepting(limit)
 	if err := <-s.serveResult; !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
-	s.conns.Drain(limit) // those that were accepted meanwhile
 	return nil
 }
 
-// terminateAt completes all active requests at the given time, unless ctx ends before.
-// Reading stops first, so that the loop still answers each request that was read.
-func (s *service) terminateAt(ctx context.Context, at time.Time) {
-	select {
-	case <-time.After(time.Until(at)):
-		s.conns.StopReading()
-		s.loop.terminateAll()
-	case <-ctx.Done():
+// terminate answers all active requests, and at once those that still come on connections
+// that are open. At the given time it closes the connections without a request, and returns
+// when each request that was read has its response.
+func (s *service) terminate(ctx context.Context, end time.Time) {
+	if s.conns.Open() == 0 {
+		return
 	}
+	s.logStep("terminating requests")
+	s.loop.terminateAll()
+	// Clients that have just connected are sending their requests, also if it is late.
+	limit, cancel := context.WithTimeout(ctx, max(terminationPeriod, time.Until(end)))
+	defer cancel()
+	s.conns.Drain(limit)
+
+	finish, cancelFinish := context.WithTimeout(ctx, max(minFinishPeriod, time.Until(end.Add(finishPeriod))))
+	defer cancelFinish()
+	s.conns.Finish(finish)
+}
+
+// logStep logs that a step of the shutdown begins.
+func (s *service) logStep(step string) {
+	open := s.conns.Stats()
+	slog.Info(step, "connections", open.Open, "active", open.Active)
+}
+
+// logEnd logs the end of a shutdown and what became of all requests.
+func (s *service) logEnd(began time.Time) {
+	remaining := s.conns.Stats()
+	slog.Info("shutdown complete", "took", time.Since(began).Round(time.Millisecond),
+		"connections", remaining.Open, "unanswered", remaining.Active, "requests", &s.handler.stats)
 }
--- /dev/null
+++ b/internal/node/stats.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+)
+
+// requestStats counts the requests that a node has answered since its start, by result.
+type requestStats struct {
+	served       atomic.Int64 // with a server's response
+	rejected     atomic.Int64 // with 503
+	failed       atomic.Int64 // with 502
+	invalid      atomic.Int64 // with 4xx: they break a rule and were not forwarded
+	disconnected atomic.Int64 // without a response, as their clients had disconnected
+}
+
+// countFinal counts a final response by its status.
+func (s *requestStats) countFinal(status int) {
+	switch status {
+	case http.StatusOK:
+		s.served.Add(1)
+	case http.StatusServiceUnavailable:
+		s.rejected.Add(1)
+	default:
+		s.failed.Add(1)
+	}
+}
+
+// LogValue implements slog.LogValuer.
+func (s *requestStats) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Int64("served", s.served.Load()),
+		slog.Int64("rejected", s.rejected.Load()),
+		slog.Int64("failed", s.failed.Load()),
+		slog.Int64("invalid", s.invalid.Load()),
+		slog.Int64("disconnected", s.disconnected.Load()),
+	)
+}
