Survive failing system calls, stepped clocks and a log that nobody reads

Cause: the class behind the incident is that a fault beside a request decides about it. Found by reading and probes: a socket or port that the system refuses for a moment counted against the server; an interrupted look at a socket counted as the client's disconnection; starts of servers were compared with the wall time of the node's start, so that after a step a fresh server counted as warm or as started in an hour; the timeout told to a server began with the decision, not with the time of the write; the client was asked before the last look at the clock; standard error with no reader ended the process (SIGPIPE), one that is full kept the shutdown from ending. Tests: each with the change. TestServerStartTimesAreStableOnTheClock asks startTimes now, the same checks. Clock steps were tested on the mapping only.

--- /dev/null
+++ b/cmd/balancer/logging_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+
+	"calicohinge/internal/testkit"
+)
+
+// Whoever reads the log may be gone, or read no more: the process serves, answers the
+// requests that it has and ends as usual.
+func TestProcessServesWithoutAReaderOfItsLog(t *testing.T) {
+	program := buildProgram(t)
+	for name, breakPipe := range map[string]func(t *testing.T, reader, writer *os.File){
+		"closed": func(t *testing.T, reader, _ *os.File) { closeFile(t, reader) },
+		"full":   func(t *testing.T, _, writer *os.File) { fillPipe(t, writer) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = reader.Close() }() // unless the case has closed it
+			breakPipe(t, reader, writer)
+			testServingWithLog(t, program, writer)
+		})
+	}
+}
+
+// testServingWithLog has a process that logs to a pipe serve a request and end.
+func testServingWithLog(t *testing.T, program string, log *os.File) {
+	t.Helper()
+	server := testkit.NewBackend(t, testkit.OK)
+	addr := testkit.FreeAddr(t)
+	config, err := json.Marshal(map[string]any{
+		"listen": addr, "discovery": "127.0.0.1:1", "settings": json.RawMessage(settings),
+		"known": listOf(1, server.Address()),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.CommandContext(t.Context(), program)
+	command.Env = []string{"BALANCER_CONFIG=" + writeConfig(t, config)}
+	command.Stderr = log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	closeFile(t, log)
+	awaitReady(t, addr)
+	if answer := post(addr); answer != "done" {
+		t.Errorf("answer %q", answer)
+	}
+	signalProcess(t, command.Process.Pid, syscall.SIGTERM)
+	if err := command.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+func closeFile(t *testing.T, file *os.File) {
+	t.Helper()
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fillPipe writes to a pipe until it holds no more. The descriptor is left in blocking mode.
+func fillPipe(t *testing.T, writer *os.File) {
+	t.Helper()
+	fd := int(writer.Fd())
+	if err := syscall.SetNonblock(fd, true); err != nil {
+		t.Fatal(err)
+	}
+	for err := error(nil); err == nil; {
+		_, err = syscall.Write(fd, make([]byte, 1))
+	}
+	if err := syscall.SetNonblock(fd, false); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"log/slog"
 	"math"
 	"os"
@@ -15,7 +16,9 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"calicohinge/internal/asyncwriter"
 	"calicohinge/internal/config"
 	"calicohinge/internal/node"
 )
@@ -27,6 +30,9 @@
 	// heapShare is the part of the granted memory at which the runtime collects more
 	// often instead, as a fraction. The rest is for stacks and socket buffers.
 	heapShareNumerator, heapShareDenominator = 7, 10
+	// maxLogDelay is how long the end of the process may be held up by log lines that are
+	// not written yet. It is short beside the margin of a shutdown.
+	maxLogDelay = 20 * time.Millisecond
 )
 
 func main() {
@@ -38,6 +44,7 @@
 
 // run serves until a signal ends it.
 func run() error {
+	defer logWithoutWaiting()()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hangups := make(chan os.Signal, 1)
@@ -75,6 +82,19 @@
 	}
 }
 
+// logWithoutWaiting keeps a reader of standard error that is slow or gone from blocking or
+// ending the process. The function that it returns ends that, once the lines are written.
+func logWithoutWaiting() (end func()) {
+	signal.Ignore(syscall.SIGPIPE)
+	previous := log.Writer()
+	writer := asyncwriter.New(previous)
+	log.SetOutput(writer)
+	return func() {
+		log.SetOutput(previous)
+		writer.Close(maxLogDelay)
+	}
+}
+
 // applyLimits keeps the runtime inside what the machine grants.
 func applyLimits(limits config.Limits) {
 	if limits.Cores > 0 {
--- /dev/null
+++ b/internal/asyncwriter/asyncwriter.go
@@ -0,0 +1,74 @@
+// Package asyncwriter writes log lines without making their writers wait. A node must not stop serving,
+// or fail to shut down, because whoever reads its log is slow or gone. The balancer program uses it.
+package asyncwriter
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// maxQueuedLines is how many lines may wait to be written; further ones are dropped.
+const maxQueuedLines = 256
+
+// Writer passes lines on to another writer in its own goroutine. Its methods may be called from several
+// goroutines.
+type Writer struct {
+	target io.Writer
+	ended  chan struct{} // closed when all lines are written
+
+	mu      sync.Mutex
+	lines   chan []byte
+	dropped int // lines since the last that was queued
+	closed  bool
+}
+
+// New returns a writer to target. Close ends its goroutine.
+func New(target io.Writer) *Writer {
+	w := &Writer{target: target, ended: make(chan struct{}), lines: make(chan []byte, maxQueuedLines)}
+	go w.run()
+	return w
+}
+
+// Write queues a line. It never blocks and never fails: a line that does not fit the queue is dropped,
+// and a later line says how many were.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return len(line), nil
+	}
+	text := append([]byte(nil), line...)
+	if w.dropped > 0 {
+		text = append(fmt.Appendf(nil, "%d log lines dropped\n", w.dropped), text...)
+	}
+	select {
+	case w.lines <- text:
+		w.dropped = 0
+	default:
+		w.dropped++
+	}
+	return len(line), nil
+}
+
+// Close waits until the queued lines are written, for timeout at most. Later lines are dropped.
+func (w *Writer) Close(timeout time.Duration) {
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
+	select {
+	case <-w.ended:
+	case <-time.After(timeout):
+	}
+}
+
+func (w *Writer) run() {
+	defer close(w.ended)
+	for line := range w.lines {
+		_, _ = w.target.Write(line) // there is no other place to tell of a failure
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"calicohinge/internal/endpoint"
+	"calicohinge/internal/syserror"
 	"calicohinge/policy"
 )
 
@@ -122,7 +123,11 @@
 	if path == "" {
 		return nil, "", &Error{Key: envFile, Allowed: "the path of the configuration file"}
 	}
-	text, err := os.ReadFile(path)
+	var text []byte
+	err := syserror.Retry(func() (err error) {
+		text, err = os.ReadFile(path)
+		return err
+	})
 	if err != nil {
 		return nil, "", &Error{File: path, Err: err}
 	}
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -84,7 +84,7 @@
 	c, err := newConn(netConn, l.conns)
 	if err != nil {
 		_ = netConn.Close() // nothing can be done about a failure
-		return nil, err
+		return nil, &connError{err}
 	}
 	if !l.conns.admit(c) {
 		_ = netConn.Close() // as above
@@ -93,10 +93,21 @@
 	return c, nil
 }
 
+// connError is an error of a connection that was accepted, and not of the listener.
+type connError struct{ err error }
+
+func (e *connError) Error() string { return "accepted connection: " + e.err.Error() }
+
+func (e *connError) Unwrap() error { return e.err }
+
 // temporaryAcceptError reports whether a later accept may succeed. The errors that accept(2)
 // documents are shortages of the system, or errors of the connection that was to be
 // accepted; only some tell of a descriptor that cannot be used.
 func temporaryAcceptError(err error) bool {
+	var connErr *connError
+	if errors.As(err, &connErr) {
+		return true
+	}
 	var errno syscall.Errno
 	if !errors.As(err, &errno) {
 		return false
--- /dev/null
+++ b/internal/downstream/listener_test.go
@@ -0,0 +1,115 @@
+package downstream
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"calicohinge/internal/testkit"
+)
+
+// failingListener fails a number of accepts, each before a connection leaves the queue.
+type failingListener struct {
+	net.Listener
+	failures int
+	err      error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, l.err
+	}
+	return l.Listener.Accept()
+}
+
+// acceptError is an error as the net package returns it from accept.
+func acceptError(errno syscall.Errno) error {
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+}
+
+// After any error of accept that may pass, the connection is accepted by a later one.
+func TestAcceptIsRepeatedAfterMomentaryFailure(t *testing.T) {
+	for _, errno := range []syscall.Errno{
+		syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.EPERM, syscall.ETIMEDOUT, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN,
+		syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ENOSR, syscall.ECONNRESET,
+	} {
+		t.Run(fmt.Sprint(errno), func(t *testing.T) {
+			inner := testkit.Listen(t)
+			listener := newTestConns(5).Listener(&failingListener{inner, 3, acceptError(errno)})
+			client := dial(t, listener)
+			send(t, client, "GET")
+			expectRead(t, accept(t, listener), "GET")
+		})
+	}
+}
+
+// A descriptor that cannot be used, and the listener's close, end the accepting.
+func TestAcceptEndsWithLastingFailure(t *testing.T) {
+	for _, want := range []error{
+		acceptError(syscall.EBADF), acceptError(syscall.EINVAL), acceptError(syscall.ENOTSOCK), net.ErrClosed,
+	} {
+		listener := newTestConns(5).Listener(&failingListener{testkit.Listen(t), 1, want})
+		if _, err := listener.Accept(); !errors.Is(err, want) {
+			t.Errorf("ended with %v, want %v", err, want)
+		}
+	}
+}
+
+// Closing the listener ends the pause after a failure.
+func TestCloseEndsThePauseAfterAFailure(t *testing.T) {
+	const endless = 1 << 30
+	listener := newTestConns(5).Listener(&failingListener{testkit.Listen(t), endless, acceptError(syscall.ENFILE)})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		ended <- err
+	}()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := testkit.Wait(t, ended, "accepting to end"); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// Connections in the accept queue, and what their clients sent, outlast the listener's end.
+func TestStopAcceptingReturnsQueuedConnections(t *testing.T) {
+	const queued = 20
+	conns := newTestConns(queued)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := conns.Listener(inner)
+	for range queued {
+		send(t, dial(t, listener), "GET")
+	}
+	stopped := make(chan struct{})
+	go func() {
+		listener.StopAccepting(t.Context())
+		close(stopped)
+	}()
+	for range queued {
+		expectRead(t, accept(t, listener), "GET")
+	}
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accepting ended with %v", err)
+	}
+	testkit.Wait(t, stopped, "StopAccepting")
+	if conn, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+		t.Error("a connection was accepted after the end")
+		_ = conn.Close() // nothing was sent on it
+	}
+}
+
+// Connections that nobody accepts do not hold up the shutdown.
+func TestStopAcceptingGivesUpWhenItsContextEnds(t *testing.T) {
+	listener := newTestConns(5).Listener(testkit.Listen(t))
+	dial(t, listener)
+	listener.StopAccepting(canceledContext())
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -15,24 +15,28 @@
 // and have none, are skipped.
 func (l *loop) UpdateEndpoints(kind policy.UpdateKind, list []endpoint.Endpoint) {
 	update := endpointsUpdated{kind: kind}
-	for _, e := range list {
+	starts := l.startTimes.update(kind, list, l.clock(), time.Now())
+	for i, e := range list {
 		if e.InstanceID == "" || (e.Address == "" && e.State() == policy.Ready) {
 			continue
 		}
 		update.usable = append(update.usable, e)
-		update.policy = append(update.policy, l.policyEndpoint(e))
+		update.policy = append(update.policy, l.policyEndpoint(e, starts[i]))
 	}
 	l.post(update)
 }
 
 // EndpointsKnown implements discovery.Handler.
-func (l *loop) EndpointsKnown() { l.ready.Store(true) }
+func (l *loop) EndpointsKnown() {
+	l.startTimes.answered(l.clock())
+	l.ready.Store(true)
+}
 
 // WatchFailed implements discovery.Handler.
 func (l *loop) WatchFailed(notifiedAt time.Time) { l.post(watchFailed{notifiedAt}) }
 
 // policyEndpoint converts an endpoint of discovery into the balancer's terms.
-func (l *loop) policyEndpoint(e endpoint.Endpoint) policy.Endpoint {
+func (l *loop) policyEndpoint(e endpoint.Endpoint, startedAt time.Duration) policy.Endpoint {
 	zone, configured := l.zones[e.Zone]
 	if !configured {
 		zone = len(l.zones) // the index of no zone
@@ -43,17 +47,8 @@
 		Cell:      e.Cell,
 		State:     e.State(),
 		Weight:    max(0, e.Weight),
-		StartedAt: l.startedAt(e.StartedUnixMilli),
-	}
-}
-
-// startedAt maps a Unix time in milliseconds onto the loop's clock. The difference between
-// the two clocks is the same for good: a start time that changed would mean a restart.
-func (l *loop) startedAt(unixMilli float64) time.Duration {
-	if unixMilli <= 0 {
-		return 0
+		StartedAt: startedAt,
 	}
-	return max(0, time.UnixMilli(int64(unixMilli)).Sub(l.wallOrigin))
 }
 
 // revokedAttempt identifies an attempt of which nothing was or will be written.
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -135,15 +135,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	startedAt := func(unixMilli float64) time.Duration {
+		list := []endpoint.Endpoint{{InstanceID: "s-0", Lifecycle: "Ready", StartedUnixMilli: unixMilli}}
+		return l.startTimes.update(policy.UpdateSnapshot, list, l.clock(), time.Now())[0]
+	}
 	at := float64(time.Now().Add(-3 * time.Second).UnixMilli())
-	first := l.startedAt(at)
+	first := startedAt(at)
 	if age := l.clock() - first; age < 2900*time.Millisecond || age > 3*time.Second+testkit.Patience {
 		t.Errorf("a start 3 s ago is %v ago on the clock", age)
 	}
-	if again := l.startedAt(at); again != first {
+	if again := startedAt(at); again != first {
 		t.Errorf("the start moved from %v to %v", first, again)
 	}
-	if l.startedAt(0) != 0 {
+	if startedAt(0) != 0 {
 		t.Error("a start long ago is not 0")
 	}
 }
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -34,7 +34,7 @@
 	}
 	l.limitToKeyRetention(req, index)
 	l.sends.Go(func() {
-		result := l.pool.Send(started.call, server, &req.Request, req.deadline-now)
+		result := l.pool.Send(started.call, server, &req.Request, l.clockOrigin.Add(req.deadline))
 		l.post(attemptEnded{req, index, result})
 	})
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -28,7 +28,7 @@
 type loop struct {
 	ctx         context.Context
 	clockOrigin time.Time // when the clock would have shown 0
-	wallOrigin  time.Time // wall time at clockOrigin
+	startTimes  *startTimes
 	pool        *upstream.Pool
 	watcher     watcher
 	zones       map[string]int // indexes of the configured zones by name
@@ -63,7 +63,7 @@
 		events:      make(chan event, eventQueueSize),
 		requests:    map[policy.RequestID]*request{},
 	}
-	l.wallOrigin = l.clockOrigin.Round(0)
+	l.startTimes = newStartTimes(l.clockOrigin)
 	var err error
 	l.balancer, err = policy.New(cfg.Policy, cfg.Seed, l)
 	return l, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"calicohinge/internal/config"
 	"calicohinge/internal/discovery"
 	"calicohinge/internal/downstream"
+	"calicohinge/internal/syserror"
 	"calicohinge/internal/upstream"
 )
 
@@ -38,7 +39,11 @@
 
 // Listen opens the node's listener. Clients that connect wait until Run.
 func Listen(cfg *config.Config) (*Node, error) {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	var listener net.Listener
+	err := syserror.Retry(func() (err error) {
+		listener, err = net.Listen("tcp", cfg.Listen)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -56,10 +56,20 @@
 // peek inspects the socket of a file descriptor.
 func peek(fd int) State {
 	var buffer [1]byte
-	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	for {
+		n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.EINTR) {
+			continue // interrupted by a signal, which says nothing of the socket
+		}
+		return stateOf(n, err)
+	}
+}
+
+// stateOf returns the state that the result of a receive call shows.
+func stateOf(n int, err error) State {
 	switch {
-	case errors.Is(err, syscall.EAGAIN):
-		return Quiet
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.ENOBUFS):
+		return Quiet // the latter are shortages of the system for a moment
 	case err == nil && n > 0:
 		return Readable
 	}
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"calicohinge/internal/testkit"
@@ -138,3 +139,17 @@
 		}
 	}
 }
+
+// A receive call that fails for a reason of the system says nothing of the peer: its
+// connection must not count as closed.
+func TestStateOfFailedReceive(t *testing.T) {
+	for errno, want := range map[syscall.Errno]State{
+		syscall.EAGAIN: Quiet, syscall.ENOMEM: Quiet, syscall.ENOBUFS: Quiet,
+		syscall.ECONNRESET: Closed, syscall.ETIMEDOUT: Closed, syscall.EHOSTUNREACH: Closed,
+		syscall.ENOTCONN: Closed, syscall.EBADF: Closed,
+	} {
+		if got := stateOf(-1, errno); got != want {
+			t.Errorf("%v is taken for %v, want %v", errno, got, want)
+		}
+	}
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -60,24 +60,30 @@
 // It has no effect on an attempt that has started.
 func (c *Call) SetWriteDeadline(deadline time.Time) { c.writeDeadline.Store(&deadline) }
 
-// start permits the first byte to be written and returns the write deadline, zero
-// if there is none; or it returns why nothing may be written. The client is asked
-// again here, as the event of its disconnection may still be queued; and the loop
-// may have revoked the attempt, or be late to do so at the write deadline.
-func (c *Call) start() (writeDeadline time.Time, err error) {
-	if c.clientDisconnected() {
-		return time.Time{}, errClientDisconnected
-	}
+// writeDeadlineOrZero returns the write deadline, zero if there is none.
+func (c *Call) writeDeadlineOrZero() time.Time {
 	if deadline := c.writeDeadline.Load(); deadline != nil {
-		writeDeadline = *deadline
+		return *deadline
+	}
+	return time.Time{}
+}
+
+// start permits the first byte to be written, or returns why nothing may be written. The
+// loop may have revoked the attempt, or be late to do so at the write deadline. The client
+// is asked last, as the event of its disconnection may still be queued: an attempt must not
+// begin 0.1 s after a client has left, and a node may be held up for longer between a look
+// at the clock and a write.
+func (c *Call) start() error {
+	if deadline := c.writeDeadlineOrZero(); !deadline.IsZero() && !time.Now().Before(deadline) {
+		return errWriteDeadline
 	}
-	if !writeDeadline.IsZero() && !time.Now().Before(writeDeadline) {
-		return time.Time{}, errWriteDeadline
+	if c.clientDisconnected() {
+		return errClientDisconnected
 	}
 	if !c.transition(sending) {
-		return time.Time{}, errRevoked
+		return errRevoked
 	}
-	return writeDeadline, nil
+	return nil
 }
 
 // transition changes an unsent attempt's state; it reports false if the attempt is
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -20,6 +20,9 @@
 	clientTimeout = time.Minute
 )
 
+// clientDeadline returns the end of the client timeout of an attempt that begins now.
+func clientDeadline() time.Time { return time.Now().Add(clientTimeout) }
+
 // closeQuietly closes what the other side or the test may have closed already.
 func closeQuietly(closer io.Closer) { _ = closer.Close() }
 
@@ -57,7 +60,7 @@
 
 // send makes one attempt for a connected client.
 func send(ctx context.Context, pool *Pool, id policy.ServerID, request *Request) Result {
-	return pool.Send(NewCall(ctx, connected), id, request, clientTimeout)
+	return pool.Send(NewCall(ctx, connected), id, request, clientDeadline())
 }
 
 // expectStatus makes one attempt and checks its status.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +50,7 @@
 // whose names end in Locked need mu.
 type Pool struct {
 	config  Config
+	dial    dialFunc
 	maxIdle time.Duration // time after which an idle connection is closed
 
 	mu      sync.Mutex
@@ -72,8 +74,10 @@
 
 // NewPool returns a pool that knows no server yet.
 func NewPool(config Config) *Pool {
+	dialer := net.Dialer{KeepAlive: -1}
 	return &Pool{
 		config:  config,
+		dial:    dialer.DialContext,
 		maxIdle: time.Duration(float64(config.IdleTimeout) * idleTimeoutShare),
 		servers: map[policy.ServerID]*server{},
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -17,19 +17,19 @@
 	Body               []byte      // of the response, if Status is policy.OK
 }
 
-// Send makes one attempt on a server and returns its outcome. The timeout, less the
-// time for getting a connection, is sent to the server as the time that the client
-// still waits; it does not end Send. Cancelling the call does, and the result has
-// no meaning then.
-func (p *Pool) Send(call *Call, id policy.ServerID, request *Request, timeout time.Duration) Result {
-	started := time.Now()
+// Send makes one attempt on a server and returns its outcome. What is left until the
+// deadline as the request is written is sent to the server as the time that the client
+// still waits; nothing is written after it. The deadline does not end Send. Cancelling the
+// call does, and the result has no meaning then.
+func (p *Pool) Send(call *Call, id policy.ServerID, request *Request, deadline time.Time) Result {
 	for {
 		conn, err := p.acquire(call.ctx, id)
 		if err != nil {
 			return Result{Status: acquireStatus(err)}
 		}
-		encoded, err := request.encode(timeout - time.Since(started))
-		if err != nil {
+		left := time.Until(deadline)
+		encoded, err := request.encode(left)
+		if err != nil || left <= 0 {
 			p.release(conn, true)
 			return Result{Status: policy.NotSent}
 		}
@@ -46,14 +46,17 @@
 // sendOn carries out an attempt on an acquired connection and releases that.
 func (p *Pool) sendOn(conn *connection, call *Call, request *encodedRequest) Result {
 	stopAbort := context.AfterFunc(call.ctx, conn.abort)
-	writeDeadline, err := call.start()
-	if err != nil {
-		p.release(conn, stopAbort())
-		return Result{Status: policy.NotSent, ClientDisconnected: errors.Is(err, errClientDisconnected)}
-	}
 	// A server does not begin a request before its last byte, so a deadline within
 	// the write is early enough.
+	writeDeadline := call.writeDeadlineOrZero()
 	conn.limitWrite(writeDeadline)
+	if err := call.start(); err != nil {
+		p.release(conn, stopAbort())
+		return Result{Status: policy.NotSent, ClientDisconnected: errors.Is(err, errClientDisconnected)}
+	}
+	if latest := call.writeDeadlineOrZero(); !latest.Equal(writeDeadline) {
+		conn.limitWrite(latest) // it was set meanwhile
+	}
 	result, reusable := conn.exchange(request)
 	notAborted := stopAbort()
 	p.release(conn, notAborted && reusable)
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -22,7 +22,7 @@
 	pool, id := poolTo(poolConfig(), backend.Address())
 	call := NewCall(t.Context(), connected)
 	call.Revoke()
-	if result := pool.Send(call, id, anyRequest(), clientTimeout); result.Status != policy.NotSent {
+	if result := pool.Send(call, id, anyRequest(), clientDeadline()); result.Status != policy.NotSent {
 		t.Errorf("status %v", result.Status)
 	}
 	send(t.Context(), pool, id, anyRequest())
@@ -35,7 +35,7 @@
 	backend := testkit.NewBackend(t, testkit.OK)
 	pool, id := poolTo(poolConfig(), backend.Address())
 	call := NewCall(t.Context(), func() bool { return true })
-	result := pool.Send(call, id, anyRequest(), clientTimeout)
+	result := pool.Send(call, id, anyRequest(), clientDeadline())
 	if result.Status != policy.NotSent || !result.ClientDisconnected {
 		t.Errorf("status %v, client disconnected %v", result.Status, result.ClientDisconnected)
 	}
@@ -50,7 +50,7 @@
 func TestStartedCallCannotBeRevoked(t *testing.T) {
 	pool, id := poolTo(poolConfig(), testkit.NewBackend(t, testkit.OK).Address())
 	call := NewCall(t.Context(), connected)
-	if result := pool.Send(call, id, anyRequest(), clientTimeout); result.Status != policy.OK {
+	if result := pool.Send(call, id, anyRequest(), clientDeadline()); result.Status != policy.OK {
 		t.Errorf("status %v", result.Status)
 	}
 	if call.Revoke() || call.Revoked() || !call.Started() {
@@ -91,7 +91,7 @@
 	defer call.Cancel()
 	call.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
 	results := make(chan Result, 1)
-	go func() { results <- pool.Send(call, id, request, clientTimeout) }()
+	go func() { results <- pool.Send(call, id, request, clientDeadline()) }()
 	conn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
