Read a request at the end of an idle timeout, wait out a shortage of descriptors

Cause: a busy node may find the idle timeout over and a request arrived at once, and closed the connection under it. At a shortage of descriptors the last connections were given up after 100 ms, or as one could not be copied. Real processes without descriptors (prlimit), serving and shutting down, are tested.

--- /dev/null
+++ b/cmd/balancer/shortage_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"calicohinge/internal/testkit"
+)
+
+const (
+	// shortage is how long a process gets no descriptor. It is shorter than the deadline of
+	// the requests that come meanwhile.
+	shortage = 300 * time.Millisecond
+	// scarceDescriptors is fewer than any process has open.
+	scarceDescriptors = 3
+)
+
+// limitDescriptors sets how many descriptors a process may open and returns the former limit.
+func limitDescriptors(t *testing.T, pid int, descriptors uint64) (former uint64) {
+	t.Helper()
+	var limit unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &limit); err != nil {
+		t.Fatal(err)
+	}
+	former, limit.Cur = limit.Cur, descriptors
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		t.Fatal(err)
+	}
+	return former
+}
+
+// For a while accept and socket fail in a process, as they do where a system has no
+// descriptors left. Clients that connect meanwhile are served, on old connections too, and
+// the process goes on; also if it is told to end just then.
+func TestRequestsOutlastAShortageOfDescriptors(t *testing.T) {
+	program := buildProgram(t)
+	for name, signal := range map[string]unix.Signal{"serving": 0, "shutting down": unix.SIGTERM} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := testkit.NewBackend(t, testkit.OK)
+			started := startProcess(t, map[string]any{
+				"discovery": "127.0.0.1:1", "settings": testkit.JSON(settings), "known": listOf(1, server.Address()),
+			}, program)
+			client := &nodeUnderFlood{t: t, pid: started.pid, addr: testkit.Wait(t, started.addr, "the process")}
+			awaitReady(t, client.addr)
+			old := client.dial()
+			if body, err := client.request(old); body != "done" {
+				t.Fatalf("answered %q, %v", body, err)
+			}
+			former := limitDescriptors(t, started.pid, scarceDescriptors)
+			signalProcess(t, started.pid, signal) // signal 0 does nothing
+			began := time.Now()
+			timer := time.AfterFunc(shortage, func() { limitDescriptors(t, started.pid, former) })
+			defer timer.Stop()
+			for i, conn := range []net.Conn{client.dial(), old} {
+				if body, err := client.request(conn); body != "done" {
+					t.Errorf("connection %d: answered %q, %v", i, body, err)
+				}
+				if took := time.Since(began); i == 0 && took < shortage {
+					t.Errorf("a connection was accepted after %v: there was no shortage", took)
+				}
+			}
+		})
+	}
+}
--- a/cmd/balancer/shutdown_clients_test.go
+++ b/cmd/balancer/shutdown_clients_test.go
@@ -273,3 +273,22 @@
 		})
 	}
 }
+
+// The same, with a process that gets no descriptor for 100 ms, also as it accepts the last
+// connections.
+func TestEveryRequestIsAnsweredByAProcessShortOfDescriptors(t *testing.T) {
+	const short = 100 * time.Millisecond
+	program := buildProgram(t)
+	for _, after := range []time.Duration{100, 300, 450, 520, 560, 590} {
+		after *= time.Millisecond
+		t.Run(fmt.Sprintf("%v after SIGTERM", after), func(t *testing.T) {
+			t.Parallel()
+			endUnderLoad(t, program, func(pid int) {
+				time.Sleep(after)
+				former := limitDescriptors(t, pid, scarceDescriptors)
+				time.Sleep(short)
+				limitDescriptors(t, pid, former)
+			}).report(t)
+		})
+	}
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -3,9 +3,11 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -49,22 +51,34 @@
 // request. net/http reads in the background at that time and stops at the first
 // byte; it could not notice any more that the client disconnects.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	waitErr := c.raw.Read(func(fd uintptr) (done bool) {
-		n, done, err = c.receive(int(fd), p)
-		return done
-	})
-	if waitErr != nil {
-		c.endWait()
-		return 0, waitErr
+	for {
+		waitErr := c.raw.Read(func(fd uintptr) (done bool) {
+			n, done, err = c.receive(int(fd), p)
+			return done
+		})
+		if waitErr == nil {
+			return n, err
+		}
+		if !c.requestArrivedLate(waitErr) {
+			return 0, waitErr
+		}
 	}
-	return n, err
 }
 
-// endWait records that Read returns although no bytes have come.
-func (c *Conn) endWait() {
+// requestArrivedLate is called when Read stops waiting for bytes. It returns true if that
+// was the idle or read timeout of a connection without a request, and a request has arrived
+// by now: a busy node finds both at once, and its client waits for a response. The request
+// has the partial grace period to be complete.
+func (c *Conn) requestArrivedLate(waitErr error) bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	c.awaiting = false
+	if !errors.Is(waitErr, os.ErrDeadlineExceeded) || c.phase != phaseSilent && c.phase != phaseIdle ||
+		sockstate.Peek(c.Conn) != sockstate.Readable {
+		return false
+	}
+	c.conns.setPhase(c, phaseReadingHead)
+	return c.SetReadDeadline(time.Now().Add(partialGracePeriod)) == nil
 }
 
 // receive reads what has arrived without waiting. It returns done=false if Read has
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"calicohinge/internal/syserror"
 )
 
 const (
@@ -173,6 +175,9 @@
 	file := os.NewFile(uintptr(descriptor), "accepted connection")
 	defer func() { _ = file.Close() }() // the connection has a copy, nothing is written here
 	netConn, err := net.FileConn(file)
+	for err != nil && syserror.IsShortage(err) && ctx.Err() == nil && l.pause(minAcceptBackoff) {
+		netConn, err = net.FileConn(file)
+	}
 	if err != nil {
 		slog.Error("accepted connection lost", "err", err)
 		return
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -58,8 +58,9 @@
 	slog.Info("shutting down", "grace_period", gracePeriod)
 	s.handler.shuttingDown.Store(true)
 	s.serveUntilQuiet(beganOnClock, gracePeriod-drainPeriod)
-	err := s.drain(ctx, began.Add(gracePeriod-terminationPeriod))
-	s.terminate(ctx, began.Add(gracePeriod))
+	end := began.Add(gracePeriod)
+	err := s.drain(ctx, end)
+	s.terminate(ctx, end)
 	s.logEnd(began)
 	return err
 }
@@ -73,23 +74,23 @@
 }
 
 // drain closes the clients' connections as they become idle until none is open, or until
-// the given time. Then it closes the listener. It does not use http.Server.Shutdown, which
-// drops requests that are just being read.
-func (s *service) drain(ctx context.Context, until time.Time) error {
+// the termination period before the given end. Then it closes the listener. It does not use
+// http.Server.Shutdown, which drops requests that are just being read.
+func (s *service) drain(ctx context.Context, end time.Time) error {
 	s.logStep("draining connections")
 	s.handler.draining.Store(true)
-	limit, cancel := context.WithDeadline(ctx, until)
+	limit, cancel := context.WithDeadline(ctx, end.Add(-terminationPeriod))
 	defer cancel()
 	s.conns.Drain(limit)
-	err := s.stopAccepting(ctx)
+	err := s.stopAccepting(ctx, end)
 	s.conns.Drain(limit) // those that were accepted meanwhile
 	return err
 }
 
 // stopAccepting closes the listener once the connections in its queue are accepted. It
 // returns why accepting ended if that was not the reason.
-func (s *service) stopAccepting(ctx context.Context) error {
-	limit, cancel := context.WithTimeout(ctx, minFinishPeriod)
+func (s *service) stopAccepting(ctx context.Context, end time.Time) error {
+	limit, cancel := finishContext(ctx, end)
 	defer cancel()
 	s.listener.StopAccepting(limit)
 	if err := <-s.serveResult; !errors.Is(err, net.ErrClosed) {
@@ -112,11 +113,17 @@
 	defer cancel()
 	s.conns.Drain(limit)
 
-	finish, cancelFinish := context.WithTimeout(ctx, max(minFinishPeriod, time.Until(end.Add(finishPeriod))))
+	finish, cancelFinish := finishContext(ctx, end)
 	defer cancelFinish()
 	s.conns.Finish(finish)
 }
 
+// finishContext returns the context of what must not be left out at the end of a shutdown,
+// also if it is late.
+func finishContext(ctx context.Context, end time.Time) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(minFinishPeriod, time.Until(end.Add(finishPeriod))))
+}
+
 // logStep logs that a step of the shutdown begins.
 func (s *service) logStep(step string) {
 	open := s.conns.Stats()
