--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -78,9 +78,10 @@
 	return http.ReadResponse(c.reader, request.http)
 }
 
-// readBody reads the body of a response. It never closes the body, as that would
-// read a body of any length to its end: the connection is closed instead, unless
-// the body has been read.
+// readBody reads the body of a response. One without a length is complete when the server
+// closes the connection in order (RFC 9112, 6.3); a reset is an error, as any other. It never
+// closes the body, as that would read a body of any length to its end: the connection is
+// closed instead, unless the body has been read.
 func readBody(response *http.Response) ([]byte, error) {
 	if response.ContentLength > maxBody {
 		return nil, errBodyTooLarge
@@ -91,8 +92,6 @@
 		return nil, err
 	case len(body) > maxBody:
 		return nil, errBodyTooLarge
-	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
-		return nil, errUnframedBody
 	}
 	return body, nil
 }
@@ -114,8 +113,6 @@
 // distinguishes a connection that ended from a response that is invalid or stopped.
 func (c *connection) failureStatus(err error) policy.Status {
 	switch {
-	case errors.Is(err, errUnframedBody):
-		return policy.Reset
 	case errors.Is(err, errBodyTooLarge),
 		errors.Is(err, errInterimResponses),
 		errors.Is(err, errSwitchingProtocols):
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -19,5 +19,4 @@
 	errInterimResponses   = errors.New("too many interim responses")
 	errSwitchingProtocols = errors.New("server switches protocols unasked")
 	errNotHTTP            = errors.New("response is not HTTP/1")
-	errUnframedBody       = errors.New("body ends with the connection and may be incomplete")
 )
