Take the time that a connection was held up off its request's deadline

Change: the listener notes stalls of its accepting; Conn.QueueTime is the longest time that a first request may have waited, and comes off its deadline.

--- a/cmd/balancer/shortage_test.go
+++ b/cmd/balancer/shortage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 	if body, err := client.request(old); body != "done" {
 		t.Fatalf("answered %q, %v", body, err)
 	}
+	testkit.Wait(t, server.Requests, "the request before")
 	former := limitDescriptors(t, started.pid, scarceDescriptors)
 	signalProcess(t, started.pid, signal)
 	began := time.Now()
@@ -68,6 +70,10 @@
 		if body, err := client.request(conn); body != "done" {
 			t.Errorf("connection %d: answered %q, %v", i, body, err)
 		}
+		told, err := strconv.Atoi(testkit.Wait(t, server.Requests, "the request").Header.Get("X-Timeout-Ms"))
+		if limit := 8000 - shortage.Milliseconds(); i == 0 && (err != nil || int64(told) > limit) {
+			t.Errorf("the server was told %d ms, %v; want %d at most", told, err, limit)
+		}
 		if took := time.Since(began); i == 0 && took < shortage {
 			t.Errorf("a connection was accepted after %v: there was no shortage", took)
 		}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -27,6 +27,7 @@
 	element   *list.Element // in the queue of its phase; nil if the phase has none
 	readAhead []byte        // received while a request was active, not yet returned by Read
 	readErr   error         // the error that ended reading
+	queueTime time.Duration // see QueueTime
 	awaiting  bool          // Read waits for bytes of a request: all that came before is with its caller
 }
 
@@ -178,6 +179,20 @@
 // request is to be rejected.
 func (c *Conn) OverLimit() bool { return c.overLimit }
 
+// QueueTime returns how long the present request may have waited for its connection to be
+// accepted and admitted, at most: 0 unless it is the first on the connection.
+func (c *Conn) QueueTime() time.Duration {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.queueTime
+}
+
+func (c *Conn) setQueueTime(d time.Duration) {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.queueTime = d
+}
+
 // Closed reports whether the connection has been closed by this node.
 func (c *Conn) Closed() bool {
 	c.conns.mu.Lock()
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -99,6 +99,7 @@
 func (cs *Conns) requestFinished(c *Conn) (closed bool) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	c.queueTime = 0
 	switch {
 	case c.phase == phaseClosed:
 		return false
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -38,6 +38,7 @@
 	// Only Accept uses the fields below; net/http calls it from one goroutine.
 	failures int       // of accept that are not logged yet
 	loggedAt time.Time // the last of them that is
+	stall    acceptStall
 }
 
 // Listener returns a listener whose connections are admitted to the set. A set has one
@@ -62,6 +63,7 @@
 			return nil, err
 		}
 		l.logFailure(err)
+		l.stall.begin(time.Now())
 		if !l.pause(backoff) {
 			return nil, net.ErrClosed
 		}
@@ -72,7 +74,7 @@
 // acceptOne accepts a connection and admits it. After StopAccepting it returns what had
 // been in the queue, then net.ErrClosed.
 func (l *Listener) acceptOne() (*Conn, error) {
-	netConn, err := l.inner.Accept()
+	netConn, err := l.acceptInner()
 	if err != nil && l.stopping.Load() {
 		queued, ok := <-l.queued
 		if !ok {
@@ -88,13 +90,39 @@
 		_ = netConn.Close() // nothing can be done about a failure
 		return nil, &connError{err}
 	}
-	if !l.conns.admit(c) {
+	if !l.admit(c) {
 		_ = netConn.Close() // as above
 		return nil, net.ErrClosed
 	}
 	return c, nil
 }
 
+// acceptInner accepts a connection. If it has to wait for one, none is held up any more.
+func (l *Listener) acceptInner() (net.Conn, error) {
+	calledAt := time.Now()
+	netConn, err := l.inner.Accept()
+	if time.Since(calledAt) >= minStall {
+		l.stall.clear()
+	}
+	return netConn, err
+}
+
+// admit admits a connection that was accepted, and notes how long it may have been held up.
+func (l *Listener) admit(c *Conn) bool {
+	acceptedAt := time.Now()
+	l.stall.end(acceptedAt)
+	if !l.conns.admit(c) {
+		return false
+	}
+	admittedAt := time.Now()
+	if admittedAt.Sub(acceptedAt) >= minStall {
+		l.stall.begin(acceptedAt)
+		l.stall.end(admittedAt)
+	}
+	c.setQueueTime(l.stall.heldUpFor(admittedAt))
+	return true
+}
+
 // connError is an error of a connection that was accepted, and not of the listener.
 type connError struct{ err error }
 
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"calicohinge/internal/testkit"
 )
@@ -113,3 +114,35 @@
 	dial(t, listener)
 	listener.StopAccepting(canceledContext())
 }
+
+// What a client sends as it connects may wait for a failing accept to succeed, and for the
+// admission of its connection and of those before it. The connection tells for how long.
+func TestQueueTimeCoversFailuresAndAdmission(t *testing.T) {
+	const failures = 4
+	const pauses = minAcceptBackoff * (1<<failures - 1)
+	conns := newTestConns(1)
+	inner := &failingListener{Listener: testkit.Listen(t), err: acceptError(syscall.ENFILE)}
+	listener := conns.Listener(inner)
+	dial(t, listener)
+	inner.failures = failures
+	c := accept(t, listener)
+	if c.QueueTime() < pauses {
+		t.Errorf("%v in the queue after failures for %v", c.QueueTime(), pauses)
+	}
+	c.RequestComplete()
+	dial(t, listener)
+	accepted := acceptInBackground(t, listener)
+	testkit.Until(t, "the admission to wait", conns.isAwaited)
+	time.Sleep(pauses)
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	waited := testkit.Wait(t, accepted, "the admission").(*Conn)
+	if waited.QueueTime() < pauses {
+		t.Errorf("%v in the queue after an admission of %v", waited.QueueTime(), pauses)
+	}
+	makeIdle(conns, waited)
+	if waited.QueueTime() > 0 {
+		t.Errorf("%v in the queue for the second request", waited.QueueTime())
+	}
+}
--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -88,10 +88,19 @@
 		class:    classIndex,
 		tenant:   tenant,
 		costHint: parseCostHint(r),
-		deadline: h.loop.clock() + min(timeout, class.Deadline) - responseMargin,
+		deadline: h.loop.clock() + min(timeout, class.Deadline) - responseMargin - timeInQueue(r),
 	}, nil
 }
 
+// timeInQueue returns how long a request may have waited for its connection to be accepted. The
+// client's time has been running meanwhile, and no server may be told more than is left of it.
+func timeInQueue(r *http.Request) time.Duration {
+	if conn := clientConnection(r); conn != nil {
+		return conn.QueueTime()
+	}
+	return 0
+}
+
 // parseClass returns the index of the class that the path's first segment names.
 func (h *handler) parseClass(r *http.Request) (int, error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
