Write the last error without waiting for its reader, test SIGHUP without descriptors

Cause: the line of a failed start went past the queue of the log and could block the end of the process. Change: main owns the queue and writes that line through it, for a second at most. Tests: TestSIGHUPOutlastsAShortageOfDescriptors; without the repeated opening it times out.

--- a/cmd/balancer/harness_test.go
+++ b/cmd/balancer/harness_test.go
@@ -80,6 +80,8 @@
 type process struct {
 	pid  int
 	addr <-chan string // where it serves, once it does; closed without a value if it ends before
+
+	configPath string
 }
 
 // startProcess starts a program with a configuration. It is killed at the end of the test.
@@ -91,7 +93,8 @@
 		tb.Fatal(err)
 	}
 	cmd := exec.CommandContext(tb.Context(), command[0], command[1:]...)
-	cmd.Env = []string{"BALANCER_CONFIG=" + writeConfig(tb, text)}
+	configPath := writeConfig(tb, text)
+	cmd.Env = []string{"BALANCER_CONFIG=" + configPath}
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		tb.Fatal(err)
@@ -113,7 +116,7 @@
 		<-ended
 		_ = cmd.Wait() // it was killed
 	})
-	return process{pid: cmd.Process.Pid, addr: addr}
+	return process{pid: cmd.Process.Pid, addr: addr, configPath: configPath}
 }
 
 // servingAddr finds where a node serves in the line that it logs once it does.
--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -33,18 +33,27 @@
 	// maxLogDelay is how long the end of the process may be held up by log lines that are
 	// not written yet. It is short beside the margin of a shutdown.
 	maxLogDelay = 20 * time.Millisecond
+	// maxErrorDelay is the same for a process that ends with an error.
+	maxErrorDelay = time.Second
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "balancer:", err)
-		os.Exit(1)
+	// A reader of standard error that is slow or gone must not block or end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	stderr := asyncwriter.New(os.Stderr)
+	log.SetOutput(stderr)
+	err := run()
+	if err == nil {
+		stderr.Close(maxLogDelay)
+		return
 	}
+	_, _ = fmt.Fprintln(stderr, "balancer:", err) // never fails
+	stderr.Close(maxErrorDelay)
+	os.Exit(1)
 }
 
 // run serves until a signal ends it.
 func run() error {
-	defer logWithoutWaiting()()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hangups := make(chan os.Signal, 1)
@@ -82,19 +91,6 @@
 	}
 }
 
-// logWithoutWaiting keeps a reader of standard error that is slow or gone from blocking or
-// ending the process. The function that it returns ends that, once the lines are written.
-func logWithoutWaiting() (end func()) {
-	signal.Ignore(syscall.SIGPIPE)
-	previous := log.Writer()
-	writer := asyncwriter.New(previous)
-	log.SetOutput(writer)
-	return func() {
-		log.SetOutput(previous)
-		writer.Close(maxLogDelay)
-	}
-}
-
 // applyLimits keeps the runtime inside what the machine grants.
 func applyLimits(limits config.Limits) {
 	if limits.Cores > 0 {
--- a/cmd/balancer/shortage_test.go
+++ b/cmd/balancer/shortage_test.go
@@ -79,3 +79,23 @@
 		}
 	}
 }
+
+// A new configuration that cannot be opened for a moment takes effect all the same.
+func TestSIGHUPOutlastsAShortageOfDescriptors(t *testing.T) {
+	t.Parallel()
+	calls := make(chan string, 1000)
+	started := startProcess(t, map[string]any{
+		"discovery": namedDiscovery(t, "first", calls), "settings": testkit.JSON(settings),
+	}, buildProgram(t))
+	if name := testkit.Wait(t, calls, "a call"); name != "first" {
+		t.Fatalf("%s is called", name)
+	}
+	configFile{t, started.configPath}.replace(configText(namedDiscovery(t, "second", calls)))
+	former := limitDescriptors(t, started.pid, scarceDescriptors)
+	signalProcess(t, started.pid, unix.SIGHUP)
+	time.Sleep(shortage / 3) // shorter than the file is tried
+	limitDescriptors(t, started.pid, former)
+	for name := ""; name != "second"; {
+		name = testkit.Wait(t, calls, "a call to the second one")
+	}
+}
