Answer active requests before the listener closes, so that none waits for admission

Cause: the listener closes once its queue is admitted. An admission may wait until a request of another connection ends, and those were terminated only after the listener's close. Found by reading. Change: service.drain terminates first; service.finish is the last step. Tests: TestShutdownAnswersAConnectionThatWaitsForAdmission; it passed before as well, as the reserve is free at once.

--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -50,17 +50,16 @@
 // shutdown completes the accepted requests and closes the connections, within the grace
 // period. Each of its steps begins at its time or, on a node that was held up, later, but
 // none is left out and their order is always the same: requests are served; connections
-// without one are closed; no more connections are accepted; all requests are answered; the
-// rest is closed. It returns an error if accepting connections failed.
+// without one are closed; all requests are answered and no more connections are accepted;
+// the rest is closed. It returns an error if accepting connections failed.
 func (s *service) shutdown(ctx context.Context) error {
 	gracePeriod := shutdownGracePeriod(s.cfg)
 	began, beganOnClock := time.Now(), s.loop.clock()
 	slog.Info("shutting down", "grace_period", gracePeriod)
 	s.handler.shuttingDown.Store(true)
 	s.serveUntilQuiet(beganOnClock, gracePeriod-drainPeriod)
-	end := began.Add(gracePeriod)
-	err := s.drain(ctx, end)
-	s.terminate(ctx, end)
+	err := s.drain(ctx, began.Add(gracePeriod))
+	s.finish(ctx, began.Add(gracePeriod))
 	s.logEnd(began)
 	return err
 }
@@ -74,7 +73,8 @@
 }
 
 // drain closes the clients' connections as they become idle until none is open, or until
-// the termination period before the given end. Then it closes the listener. It does not use
+// the termination period before the given end. Then it has the active requests answered and
+// closes the listener, whose last connections it drains as well. It does not use
 // http.Server.Shutdown, which drops requests that are just being read.
 func (s *service) drain(ctx context.Context, end time.Time) error {
 	s.logStep("draining connections")
@@ -82,11 +82,23 @@
 	limit, cancel := context.WithDeadline(ctx, end.Add(-terminationPeriod))
 	defer cancel()
 	s.conns.Drain(limit)
+	s.terminate()
 	err := s.stopAccepting(ctx, end)
-	s.conns.Drain(limit) // those that were accepted meanwhile
+	s.conns.Drain(limit)
+	s.terminate()
 	return err
 }
 
+// terminate has all active requests answered, and those that still come rejected at once,
+// unless no connection is open. It may be called again.
+func (s *service) terminate() {
+	if s.conns.Open() == 0 {
+		return
+	}
+	s.logStep("terminating requests")
+	s.loop.terminateAll()
+}
+
 // stopAccepting closes the listener once the connections in its queue are accepted. It
 // returns why accepting ended if that was not the reason.
 func (s *service) stopAccepting(ctx context.Context, end time.Time) error {
@@ -99,16 +111,10 @@
 	return nil
 }
 
-// terminate answers all active requests, and at once those that still come on connections
-// that are open. At the given time it closes the connections without a request, and returns
-// when each request that was read has its response.
-func (s *service) terminate(ctx context.Context, end time.Time) {
-	if s.conns.Open() == 0 {
-		return
-	}
-	s.logStep("terminating requests")
-	s.loop.terminateAll()
-	// Clients that have just connected are sending their requests, also if it is late.
+// finish closes the connections without a request at the given end, or later if their clients
+// have just connected and may be sending one. It returns when each request that was read has
+// its response.
+func (s *service) finish(ctx context.Context, end time.Time) {
 	limit, cancel := context.WithTimeout(ctx, max(terminationPeriod, time.Until(end)))
 	defer cancel()
 	s.conns.Drain(limit)
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -258,6 +258,36 @@
 	}
 }
 
+// A shutdown finds every connection in use, those of the reserve too, and a further one that
+// waits for its admission with a request: each request gets its response before the kill.
+func TestShutdownAnswersAConnectionThatWaitsForAdmission(t *testing.T) {
+	t.Parallel()
+	b := testkit.NewBackend(t, testkit.Silent(make(chan struct{}, 100)))
+	d := testkit.NewRegistry(t, b.Endpoint("s-0"))
+	const sockets, connections = 64, 40 // more than divideDescriptors grants to clients
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets}
+	}))
+	n.waitReady(http.StatusOK)
+	http.DefaultClient.CloseIdleConnections()
+	var clients []net.Conn
+	for range connections {
+		clients = append(clients, n.sendLongRequest())
+	}
+	began := time.Now()
+	n.stop()
+	for i, client := range clients {
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || resp.StatusCode < 500 {
+			t.Fatalf("request %d ended with %v, %v", i, resp, err)
+		}
+		closeConn(client)
+	}
+	if took := time.Since(began); took >= killDeadlineCap+killDeadlineExtra {
+		t.Errorf("answered after %v", took)
+	}
+}
+
 // A request that comes after termination is rejected at once: nobody would answer it later.
 func TestRequestAfterTerminationIsRejected(t *testing.T) {
 	b := testkit.NewBackend(t, testkit.OK)
