--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -1,19 +1,11 @@
 package downstream
 
 import (
-	"context"
-	"errors"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
-
-	"calicohinge/internal/syserror"
 )
 
 const (
@@ -123,32 +115,6 @@
 	return true
 }
 
-// connError is an error of a connection that was accepted, and not of the listener.
-type connError struct{ err error }
-
-func (e *connError) Error() string { return "accepted connection: " + e.err.Error() }
-
-func (e *connError) Unwrap() error { return e.err }
-
-// temporaryAcceptError reports whether a later accept may succeed. The errors that accept(2)
-// documents are shortages of the system, or errors of the connection that was to be
-// accepted; only some tell of a descriptor that cannot be used.
-func temporaryAcceptError(err error) bool {
-	var connErr *connError
-	if errors.As(err, &connErr) {
-		return true
-	}
-	var errno syscall.Errno
-	if !errors.As(err, &errno) {
-		return false
-	}
-	switch errno {
-	case syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT:
-		return false
-	}
-	return true
-}
-
 // logFailure logs a failed accept, with how many there were since the last such line.
 func (l *Listener) logFailure(err error) {
 	l.failures++
@@ -171,115 +137,8 @@
 	}
 }
 
-// StopAccepting refuses new connections and closes the listener. Connections that the
-// system has established by then are returned by Accept before it fails: closing a listener
-// resets those in its queue, whose clients may have sent requests. It gives up on a
-// connection that cannot be accepted when ctx ends.
-func (l *Listener) StopAccepting(ctx context.Context) {
-	l.stopping.Store(true)
-	defer close(l.queued)
-	defer func() { _ = l.inner.Close() }() // Accept returns what came of it
-	raw, err := rawConn(l.inner)
-	if err != nil {
-		return
-	}
-	if err := dropHandshakes(raw); err != nil {
-		slog.Debug("cannot refuse connections ahead of the listener's close", "err", err)
-	}
-	for {
-		descriptors, err := acceptQueue(raw)
-		for _, descriptor := range descriptors {
-			l.enqueue(ctx, descriptor)
-		}
-		if err == nil || !temporaryAcceptError(err) || ctx.Err() != nil {
-			return
-		}
-		l.pause(minAcceptBackoff)
-	}
-}
-
-// enqueue has Accept return the connection of a descriptor, if it is called before ctx ends.
-func (l *Listener) enqueue(ctx context.Context, descriptor int) {
-	file := os.NewFile(uintptr(descriptor), "accepted connection")
-	defer func() { _ = file.Close() }() // the connection has a copy, nothing is written here
-	netConn, err := net.FileConn(file)
-	for err != nil && syserror.IsShortage(err) && ctx.Err() == nil && l.pause(minAcceptBackoff) {
-		netConn, err = net.FileConn(file)
-	}
-	if err != nil {
-		slog.Error("accepted connection lost", "err", err)
-		return
-	}
-	select {
-	case l.queued <- netConn:
-	case <-ctx.Done():
-		slog.Error("accepted connection lost", "err", ctx.Err())
-		_ = netConn.Close() // as above
-	}
-}
-
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.conns.listenerClosed) })
 	return l.inner.Close()
 }
-
-// rawConn gives access to the descriptor of a socket.
-func rawConn(socket any) (syscall.RawConn, error) {
-	conn, ok := socket.(syscall.Conn)
-	if !ok {
-		return nil, errors.ErrUnsupported
-	}
-	return conn.SyscallConn()
-}
-
-// dropHandshakes has the system drop every further packet that is addressed to a listening
-// socket. Connections that are established have sockets of their own.
-func dropHandshakes(raw syscall.RawConn) error {
-	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
-	program := unix.SockFprog{Len: 1, Filter: &dropAll}
-	return control(raw, func(fd int) error {
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
-	})
-}
-
-// acceptQueue accepts all connections that wait at a listening socket. Once there is none
-// it ends the listening at once: a connection that is established in between is reset,
-// unless dropHandshakes has prevented it. An error leaves the socket listening.
-func acceptQueue(raw syscall.RawConn) (descriptors []int, err error) {
-	err = control(raw, func(fd int) error {
-		for {
-			descriptor, errno := acceptOrShutdown(fd)
-			switch errno {
-			case 0:
-				descriptors = append(descriptors, descriptor)
-			case unix.EAGAIN:
-				return nil
-			case unix.EINTR, unix.ECONNABORTED:
-			default:
-				return errno
-			}
-		}
-	})
-	return descriptors, err
-}
-
-// acceptOrShutdown accepts a connection or, if there is none, ends the listening and returns
-// EAGAIN. It makes raw system calls: between others the scheduler might let other goroutines
-// run, and connections could be established meanwhile.
-func acceptOrShutdown(fd int) (descriptor int, errno unix.Errno) {
-	const flags = unix.SOCK_NONBLOCK | unix.SOCK_CLOEXEC
-	accepted, _, errno := unix.RawSyscall6(unix.SYS_ACCEPT4, uintptr(fd), 0, 0, flags, 0, 0)
-	if errno == unix.EAGAIN {
-		// It cannot fail for a listening socket. The listener is closed next, in any case.
-		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, uintptr(fd), unix.SHUT_RD, 0)
-	}
-	return int(accepted), errno
-}
-
-// control calls a function with the descriptor of a socket.
-func control(raw syscall.RawConn, call func(fd int) error) error {
-	var callErr error
-	err := raw.Control(func(fd uintptr) { callErr = call(int(fd)) })
-	return errors.Join(err, callErr)
-}
