Terminate once in a shutdown, answer invalid requests in one place

Cause: the second step of a drain posted and logged the termination again; three places of the handler counted and answered an invalid request with the same two lines. Change: service.terminated; handler.reject.

--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -77,8 +77,7 @@
 // respond writes the response to whatever a client asks for.
 func (h *handler) respond(w http.ResponseWriter, r *http.Request) {
 	if err := checkFraming(r); err != nil {
-		h.stats.invalid.Add(1)
-		writeRejection(w, r, err)
+		h.reject(w, r, err)
 		return
 	}
 	if r.URL.Path == "/health/ready" {
@@ -101,8 +100,7 @@
 func (h *handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	parsed, err := h.parse(r)
 	if err != nil {
-		h.stats.invalid.Add(1)
-		writeRejection(w, r, err)
+		h.reject(w, r, err)
 		return
 	}
 	parsed.client = contextConn{r.Context()}
@@ -119,13 +117,18 @@
 	}
 	final, err := h.submit(w, r, parsed)
 	if err != nil {
-		h.stats.invalid.Add(1)
-		writeRejection(w, r, err)
+		h.reject(w, r, err)
 		return
 	}
 	h.finish(w, final)
 }
 
+// reject answers a request that breaks a rule, and counts it.
+func (h *handler) reject(w http.ResponseWriter, r *http.Request, err error) {
+	h.stats.invalid.Add(1)
+	writeRejection(w, r, err)
+}
+
 // finish writes a final response and counts it.
 func (h *handler) finish(w http.ResponseWriter, final response) {
 	h.stats.countFinal(final.status)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 	server      *http.Server
 	serveResult chan error     // gets what server.Serve returned
 	parts       sync.WaitGroup // goroutines that end with the context of the parts
+	terminated  bool           // by shutdown, the only user
 }
 
 func newService(ctx context.Context, n *Node) (*service, error) {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -90,11 +90,12 @@
 }
 
 // terminate has all active requests answered, and those that still come rejected at once,
-// unless no connection is open. It may be called again.
+// unless no connection is open. It may be called again, which has an effect only if none was.
 func (s *service) terminate() {
-	if s.conns.Open() == 0 {
+	if s.terminated || s.conns.Open() == 0 {
 		return
 	}
+	s.terminated = true
 	s.logStep("terminating requests")
 	s.loop.terminateAll()
 }
