--- a/cmd/balancer/harness_test.go
+++ b/cmd/balancer/harness_test.go
@@ -64,11 +64,12 @@
 	return writeConfig(tb, text)
 }
 
-// buildProgram builds the program as deploy/balancer.toml does and returns its path.
-func buildProgram(tb testing.TB) string {
+// buildProgram builds the program as deploy/balancer.toml does, with further flags, and returns its path.
+func buildProgram(tb testing.TB, flags ...string) string {
 	tb.Helper()
 	path := filepath.Join(tb.TempDir(), "balancer")
-	build := exec.CommandContext(tb.Context(), "go", "build", "-ldflags=-linkmode=external", "-o", path, ".")
+	arguments := append([]string{"build", "-ldflags=-linkmode=external", "-o", path}, flags...)
+	build := exec.CommandContext(tb.Context(), "go", append(arguments, ".")...)
 	build.Env = append(os.Environ(), "CGO_ENABLED=1")
 	if out, err := build.CombinedOutput(); err != nil {
 		tb.Fatalf("%v\n%s", err, out)
@@ -86,6 +87,12 @@
 
 // startProcess starts a program with a configuration. It is killed at the end of the test.
 func startProcess(tb testing.TB, config map[string]any, command ...string) process {
+	tb.Helper()
+	return startProcessWith(tb, nil, config, command...)
+}
+
+// startProcessWith is startProcess with variables in the environment.
+func startProcessWith(tb testing.TB, environment []string, config map[string]any, command ...string) process {
 	tb.Helper()
 	config["listen"] = "127.0.0.1:0"
 	text, err := json.Marshal(config)
@@ -94,7 +101,7 @@
 	}
 	cmd := exec.CommandContext(tb.Context(), command[0], command[1:]...)
 	configPath := writeConfig(tb, text)
-	cmd.Env = []string{"BALANCER_CONFIG=" + configPath}
+	cmd.Env = append([]string{"BALANCER_CONFIG=" + configPath}, environment...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/testkit/listener_test.go
+++ b/internal/testkit/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 )
@@ -44,3 +45,26 @@
 		t.Error("read a byte, want the end")
 	}
 }
+
+// A node calls its discovery service, and sends to its servers, until it has ended; a stand-in may stop
+// before. Its host must not be given to a stand-in of another test, which would take the calls for those of
+// its own node.
+func TestStandInsShareNoHost(t *testing.T) {
+	seen := map[string]bool{}
+	for range 10 {
+		for _, address := range []string{
+			NewScriptedDiscovery(t).Address, NewBackend(t, OK).Address(), Listen(t).Addr().String(),
+			NewRegistry(t).Address(), FreeAddr(t), ReserveAddr(t).Address,
+			NewMachine(t, func(*http.Request) (int, string) { return http.StatusOK, "" }).Address,
+		} {
+			host, _, err := net.SplitHostPort(address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if seen[host] {
+				t.Fatalf("%s is given out again", host)
+			}
+			seen[host] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/testkit/machine.go
@@ -0,0 +1,191 @@
+package testkit
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Machine is an HTTP service on a machine that may vanish from the network and return. While it is away it
+// says nothing: open connections stay open and silent, and the system drops the packets that open new ones.
+// When it returns, the connections from before are reset.
+type Machine struct {
+	Address string
+
+	listener *net.TCPListener
+	answer   func(r *http.Request) (status int, body string)
+
+	mu      sync.Mutex
+	away    bool
+	changed chan struct{} // closed at the next Vanish or Return
+	stays   int           // how often the machine has returned
+	fillers []net.Conn    // which fill the accept queue while it is away
+}
+
+// NewMachine starts a service that answers each call with what the function returns, which may block. It
+// stops at the end of the test.
+func NewMachine(tb testing.TB, answer func(r *http.Request) (status int, body string)) *Machine {
+	tb.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	m := &Machine{
+		Address: listener.Addr().String(), listener: listener.(*net.TCPListener),
+		answer: answer, changed: make(chan struct{}),
+	}
+	server := &http.Server{Handler: m}
+	go func() { _ = server.Serve(machineListener{listener, m}) }() // ends with the server's Close
+	tb.Cleanup(func() {
+		m.setAway(false)
+		_ = server.Close() // the test is over
+	})
+	return m
+}
+
+// Vanish takes the machine off the network.
+func (m *Machine) Vanish(tb testing.TB) {
+	tb.Helper()
+	m.setAway(true)
+	m.setBacklog(tb, 0)
+	for { // until a connection attempt hangs
+		conn, err := net.DialTimeout("tcp", m.Address, connectTimeout)
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		m.fillers = append(m.fillers, conn)
+		m.mu.Unlock()
+	}
+}
+
+// Return brings the machine back.
+func (m *Machine) Return(tb testing.TB) {
+	tb.Helper()
+	m.setBacklog(tb, syscall.SOMAXCONN)
+	m.setAway(false)
+}
+
+// ServeHTTP implements http.Handler. A call that lasts until the machine vanishes is reset when it returns.
+func (m *Machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	stay, _ := m.present(r)
+	status, body := m.answer(r)
+	if now, ok := m.present(r); !ok || now != stay {
+		resetConnection(w)
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body) // the client may have disconnected
+}
+
+// present waits until the machine is there, and returns in which of its stays it is. It reports false if
+// the client disconnects before.
+func (m *Machine) present(r *http.Request) (stay int, ok bool) {
+	for {
+		m.mu.Lock()
+		away, changed, stay := m.away, m.changed, m.stays
+		m.mu.Unlock()
+		if !away {
+			return stay, true
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return stay, false
+		}
+	}
+}
+
+func (m *Machine) setAway(away bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away == away {
+		return
+	}
+	m.away = away
+	close(m.changed)
+	m.changed = make(chan struct{})
+	if !away {
+		m.stays++
+		closeAll(m.fillers)
+		m.fillers = nil
+	}
+}
+
+// awaitPresence blocks while the machine is away.
+func (m *Machine) awaitPresence() {
+	for {
+		m.mu.Lock()
+		away, changed := m.away, m.changed
+		m.mu.Unlock()
+		if !away {
+			return
+		}
+		<-changed
+	}
+}
+
+// setBacklog sets how many connections the system establishes ahead of Accept.
+func (m *Machine) setBacklog(tb testing.TB, connections int) {
+	tb.Helper()
+	raw, err := m.listener.SyscallConn()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), connections) })
+	if err != nil || listenErr != nil {
+		tb.Fatal(err, listenErr)
+	}
+}
+
+// machineListener accepts no connection while its machine is away.
+type machineListener struct {
+	net.Listener
+	machine *Machine
+}
+
+func (l machineListener) Accept() (net.Conn, error) {
+	l.machine.awaitPresence()
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.machine.awaitPresence() // it may have vanished meanwhile
+	}
+	return conn, err
+}
+
+// resetConnection ends the connection of a request with a reset.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it is closed in either case
+	}
+	_ = conn.Close() // the peer sees the reset
+}
+
+func closeAll(conns []net.Conn) {
+	for _, conn := range conns {
+		_ = conn.Close() // nothing was sent on it
+	}
+}
+
+// LongPoll blocks a call of the endpoint list for as long as it asks to wait, until changed is closed or
+// until its caller disconnects.
+func LongPoll(r *http.Request, changed <-chan struct{}) {
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait_ms") + "ms")
+	if err != nil {
+		return // it asks for no wait
+	}
+	select {
+	case <-changed:
+	case <-r.Context().Done():
+	case <-time.After(wait):
+	}
+}
