Log what a call to discovery waits for, the generations of lists and recoveries

Missed in the incident's logs: whether a failed call waited for a connection, its dial or its answer, how many failed on end, which generation the node held, and when it got a list again.

--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -35,7 +35,7 @@
 func (f *follower) fetch(ctx context.Context) (endpoint.List, error) {
 	callCtx, cancel := context.WithTimeout(ctx, f.timeout())
 	defer cancel()
-	list, err := f.call(callCtx)
+	list, err := f.call(f.history.begin(callCtx))
 	if err != nil && f.haveList && ctx.Err() == nil && callCtx.Err() != nil {
 		err = &Error{Kind: Silent, Err: err}
 	}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"calicohinge/internal/endpoint"
@@ -23,6 +22,7 @@
 	haveList   bool      // generation is valid, even if it is 0
 	generation uint64    // of the present list
 	listDue    time.Time // deadline of the first list after a change of the address, else zero
+	history    history   // for the log
 }
 
 // newFollower makes a follower that has no list and waits for a request.
@@ -32,6 +32,7 @@
 		handler: handler,
 		address: address,
 		backoff: newBackoff(client.maxBackoff),
+		history: history{progress: &callProgress{}},
 	}
 }
 
@@ -69,6 +70,7 @@
 
 // report hands a list to the handler and keeps its generation for the next call.
 func (f *follower) report(list endpoint.List) {
+	f.logList(list)
 	f.backoff.reset()
 	f.watching = true
 	f.haveList, f.generation = true, list.Generation
@@ -124,15 +126,5 @@
 	return f.backoff.next()
 }
 
-// logFailure logs a failed call with further attributes as for slog.Warn.
-func (f *follower) logFailure(err error, attributes ...any) {
-	attributes = append([]any{
-		"discovery_addr", f.address, // not "addr", by which the node's own address is found in the log
-		"kind", kindOf(err).String(),
-		"err", err,
-	}, attributes...)
-	slog.Warn("endpoint watch failed", attributes...)
-}
-
 // awaitingFirstList reports whether the address changed a short while ago and its list has not arrived.
 func (f *follower) awaitingFirstList() bool { return !f.haveList && time.Now().Before(f.listDue) }
--- /dev/null
+++ b/internal/discovery/progress.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"context"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+)
+
+// callPhase is what a call waits for.
+type callPhase int32
+
+// The phases of a call, in their order.
+const (
+	// phaseQueued is a call that waits for the HTTP client to give it a connection.
+	phaseQueued callPhase = iota
+	// phaseConnecting is a call whose connection is being opened.
+	phaseConnecting
+	// phaseWriting is a call that has a connection.
+	phaseWriting
+	// phaseWaiting is a call that is written and has no byte of an answer.
+	phaseWaiting
+	// phaseReading is a call whose answer has begun.
+	phaseReading
+)
+
+// String names the phase as in the log.
+func (p callPhase) String() string {
+	switch p {
+	case phaseQueued:
+		return "queued"
+	case phaseConnecting:
+		return "connecting"
+	case phaseWriting:
+		return "writing"
+	case phaseWaiting:
+		return "waiting"
+	case phaseReading:
+		return "reading"
+	}
+	return "phase " + strconv.Itoa(int(p))
+}
+
+// callProgress tells how far a call has come. The HTTP client updates it from goroutines of its own.
+type callProgress struct{ phase atomic.Int32 }
+
+// enter notes that a call has reached a phase. It never goes back: a connection that is opened for a call
+// and no longer needed reports late.
+func (p *callProgress) enter(phase callPhase) {
+	for now := p.phase.Load(); now < int32(phase); now = p.phase.Load() {
+		if p.phase.CompareAndSwap(now, int32(phase)) {
+			return
+		}
+	}
+}
+
+func (p *callProgress) current() callPhase { return callPhase(p.phase.Load()) }
+
+// track returns a context whose calls update the progress.
+func (p *callProgress) track(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart:         func(string, string) { p.enter(phaseConnecting) },
+		GotConn:              func(httptrace.GotConnInfo) { p.enter(phaseWriting) },
+		WroteRequest:         func(httptrace.WroteRequestInfo) { p.enter(phaseWaiting) },
+		GotFirstResponseByte: func() { p.enter(phaseReading) },
+	})
+}
