Give every stand-in of the tests a loopback host of its own

Cause: a stand-in's port came back to another test's stand-in, which took the calls of a node that still ran for those of its own (the failed run of TestSilentOrResetWatchIsReopened). Hosts are not given out twice in a process.

--- a/cmd/balancer/harness_test.go
+++ b/cmd/balancer/harness_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -155,12 +154,7 @@
 // newServer starts a server and returns its address.
 func newServer(tb testing.TB, handle http.HandlerFunc) string {
 	tb.Helper()
-	server := httptest.NewServer(handle)
-	tb.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
-	return server.Listener.Addr().String()
+	return testkit.NewServer(tb, handle).Listener.Addr().String()
 }
 
 // listOf makes a complete list of ready servers.
--- a/internal/testkit/backend.go
+++ b/internal/testkit/backend.go
@@ -24,7 +24,7 @@
 func NewBackend(t *testing.T, handle http.HandlerFunc) *Backend {
 	t.Helper()
 	backend := &Backend{Requests: make(chan *http.Request, maxRecordedRequests)}
-	backend.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	backend.Server = NewServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -36,13 +36,25 @@
 		}
 		handle(w, r)
 	}))
-	t.Cleanup(func() {
-		backend.CloseClientConnections()
-		backend.Close()
-	})
 	return backend
 }
 
+// NewServer starts an HTTP server at a host of its own. It stops at the end of the test.
+func NewServer(tb testing.TB, handler http.Handler) *httptest.Server {
+	tb.Helper()
+	listener, err := ListenOnNewHost()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	tb.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server
+}
+
 // Address returns the host and port at which the server listens.
 func (b *Backend) Address() string { return b.Listener.Addr().String() }
 
--- a/internal/testkit/listener.go
+++ b/internal/testkit/listener.go
@@ -3,15 +3,35 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
+	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 )
 
-// Listen starts a TCP listener at a free loopback port. It is closed at the end of the test.
+// hosts counts the loopback hosts that were given out.
+var hosts atomic.Uint32 //nolint:gochecknoglobals // shared by all tests of a process, so that no host is given out twice
+
+// newHost returns a loopback host that nobody else in this process has or had. A node may go on calling a
+// stand-in that has stopped; its calls must not arrive at another one. The second octet tells processes
+// apart that test at the same time.
+func newHost() string {
+	const firstOctet, octets = 16, 111
+	number := hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", firstOctet+os.Getpid()%octets, number>>8&0xff, number&0xff)
+}
+
+// ListenOnNewHost starts a TCP listener at a loopback host of its own. The caller closes it.
+func ListenOnNewHost() (net.Listener, error) {
+	return net.Listen("tcp", net.JoinHostPort(newHost(), "0"))
+}
+
+// Listen starts a TCP listener at a loopback host of its own. It is closed at the end of the test.
 func Listen(t *testing.T) net.Listener {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := ListenOnNewHost()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,7 +55,7 @@
 // FreeAddr returns a loopback address at which nobody listens.
 func FreeAddr(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := ListenOnNewHost()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +79,8 @@
 	}
 	file := os.NewFile(uintptr(fd), "reserved address")
 	t.Cleanup(func() { _ = file.Close() }) // a listener has its own copy of the descriptor
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+	host := newHost()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(host).As4()}); err != nil {
 		t.Fatal(err)
 	}
 	bound, err := syscall.Getsockname(fd)
@@ -67,7 +88,7 @@
 		t.Fatal(err)
 	}
 	port := bound.(*syscall.SockaddrInet4).Port
-	return &ReservedAddr{Address: fmt.Sprintf("127.0.0.1:%d", port), file: file}
+	return &ReservedAddr{Address: net.JoinHostPort(host, strconv.Itoa(port)), file: file}
 }
 
 // Listen starts to accept connections at the address. The caller closes the listener.
--- a/internal/testkit/machine.go
+++ b/internal/testkit/machine.go
@@ -30,7 +30,7 @@
 // stops at the end of the test.
 func NewMachine(tb testing.TB, answer func(r *http.Request) (status int, body string)) *Machine {
 	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := ListenOnNewHost()
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/testkit/registry.go
+++ b/internal/testkit/registry.go
@@ -35,8 +35,7 @@
 	registry := &Registry{
 		endpoints: endpoints, changed: make(chan struct{}), Queries: make(chan string, maxRecordedCalls),
 	}
-	registry.Server = httptest.NewServer(registry)
-	t.Cleanup(registry.Close)
+	registry.Server = NewServer(t, registry)
 	t.Cleanup(func() { registry.update(func() {}) }) // so that Close need not wait for watches
 	return registry
 }
