--- a/cmd/balancer/discovery_stub_test.go
+++ b/cmd/balancer/discovery_stub_test.go
@@ -31,15 +31,24 @@
 	outage      outage
 	timePerCall time.Duration
 	queue       chan chan struct{} // one for each call, closed when it has had its time
+	watches     chan string        // the addresses at which a node with the list watches on
 }
 
-// startDiscovery starts one and returns its address.
-func startDiscovery(t *testing.T, list endpoint.List, outage outage, timePerCall time.Duration) (addr string) {
+// newDiscovery makes one that serves at no address yet.
+func newDiscovery(t *testing.T, list endpoint.List, outage outage, timePerCall time.Duration) *overbookedDiscovery {
 	t.Helper()
 	stub := &overbookedDiscovery{
-		t: t, list: list, outage: outage, timePerCall: timePerCall, queue: make(chan chan struct{}, queueLength),
+		t: t, list: list, outage: outage, timePerCall: timePerCall,
+		queue: make(chan chan struct{}, queueLength), watches: make(chan string, queueLength),
 	}
 	go stub.work()
+	return stub
+}
+
+// startDiscovery starts one and returns its address.
+func startDiscovery(t *testing.T, list endpoint.List, outage outage, timePerCall time.Duration) (addr string) {
+	t.Helper()
+	stub := newDiscovery(t, list, outage, timePerCall)
 	reserved := testkit.ReserveAddr(t)
 	if outage.refuses {
 		go stub.serveAfterOutage(reserved)
@@ -49,6 +58,14 @@
 	return reserved.Address
 }
 
+// address has it serve at a further address.
+func (d *overbookedDiscovery) address() string {
+	d.t.Helper()
+	reserved := testkit.ReserveAddr(d.t)
+	d.serve(reserved)
+	return reserved.Address
+}
+
 // serve begins to accept calls, to the end of the test.
 func (d *overbookedDiscovery) serve(reserved *testkit.ReservedAddr) {
 	listener, err := reserved.Listen()
@@ -92,6 +109,7 @@
 		return
 	}
 	if r.URL.Query().Get("after") == fmt.Sprint(d.list.Generation) {
+		d.watches <- r.Host
 		d.serveNoChange(w, r)
 		return
 	}
