Let no call to discovery leave a dial behind or be cancelled while it is being answered

Seen: no answer within 20 s after 50 s of silence; the list 7.5 and 8.0 s after SIGHUP where a call takes 2.5 s, 4.01 and 4.21 s after four SIGHUPs (0.8 s a call). Cause: discovery.New's dialer had no limit and net/http detaches dials from calls (two of them used up MaxConnsPerHost); addressChangeCallTimeout cancelled the first call at a new address after 2 s, and each SIGHUP moved listDue. Change: connection attempts end with their call and begin anew every 0.5 s (netdial.Stagger); the first call at a new address is hedged after 2 s and not cancelled; the deadline of the first SIGHUP of a series stays in force; idle connections are closed after a failed call.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -7,12 +7,10 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
 	"calicohinge/internal/endpoint"
-	"calicohinge/internal/netdial"
 	"calicohinge/policy"
 )
 
@@ -20,10 +18,6 @@
 // of the list at the new one. The operators' contract gives it, from SIGHUP on.
 const addressChangeDeadline = 4 * time.Second
 
-// maxConnectionsPerHost bounds the connections to the discovery service: that of a call, and that of a
-// cancelled call that is still being closed.
-const maxConnectionsPerHost = 2
-
 // Handler receives what a Client learns. Its methods are called from the goroutine
 // of Client.Run, one at a time.
 type Handler interface {
@@ -57,11 +51,6 @@
 
 // New makes a client. It sends nothing before Run.
 func New(config Config) *Client {
-	var dialer net.Dialer
-	transport := &http.Transport{
-		MaxConnsPerHost: maxConnectionsPerHost,
-		DialContext:     netdial.Repeat(dialer.DialContext),
-	}
 	return &Client{
 		address:        config.Address,
 		cached:         config.Known,
@@ -69,7 +58,7 @@
 		maxBackoff:     maxBackoffFor(config.DrainGrace),
 		watchRequests:  make(chan struct{}, 1),
 		addressChanges: make(chan string, 1),
-		httpClient:     &http.Client{Transport: transport},
+		httpClient:     &http.Client{Transport: newTransport()},
 	}
 }
 
@@ -105,9 +94,7 @@
 		}
 		slog.Info("discovery address changed", "discovery_addr", address)
 		c.httpClient.CloseIdleConnections()
-		current = newFollower(c, handler, address)
-		current.watching = true
-		current.listDue = time.Now().Add(addressChangeDeadline)
+		current = current.moveTo(address, time.Now())
 	}
 }
 
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/policy"
@@ -23,40 +22,56 @@
 	// A call for the complete list gets as long: the service also works off calls that were cancelled, and
 	// would never catch up with a fleet that cancels and repeats its calls earlier.
 	callTimeout = watchWait + watchAnswerMargin
-	// The first call after a change of the address leaves time for another one before the deadline.
-	addressChangeCallTimeout = addressChangeDeadline / 2
 )
 
 // maxListBytes bounds the body of an answer.
 const maxListBytes = 8 << 20
 
-// fetch requests what is newer than the present list and waits for it, or requests the complete list if
-// there is none. Its errors are of type *Error.
+// query is one question to the service, the same for a call and a hedged one.
+type query struct {
+	url      string
+	complete bool // it asks for the complete list
+}
+
+// query returns the question of the next call: what is newer than the present list, or the complete list
+// if there is none.
+func (f *follower) query() query {
+	url := "http://" + f.address + "/registry/instances"
+	if !f.haveList {
+		return query{url: url, complete: true}
+	}
+	return query{url: url + "?after=" + strconv.FormatUint(f.generation, 10) +
+		"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)}
+}
+
+// fetch makes the next call and waits for its answer. Its errors are of type *Error.
 func (f *follower) fetch(ctx context.Context) (endpoint.List, error) {
-	callCtx, cancel := context.WithTimeout(ctx, f.timeout())
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := f.call(f.history.begin(callCtx))
+	trackedCtx := f.history.begin(callCtx)
+	call := func(ctx context.Context, question query) (endpoint.List, error) {
+		return f.client.call(withCall(ctx), question)
+	}
+	var list endpoint.List
+	var err error
+	if f.awaitingFirstList() {
+		list, err = hedge(trackedCtx, call, f.query())
+	} else {
+		list, err = call(trackedCtx, f.query())
+	}
 	if err != nil && f.haveList && ctx.Err() == nil && callCtx.Err() != nil {
 		err = &Error{Kind: Silent, Err: err}
 	}
 	return list, err
 }
 
-// timeout returns how long the next call may take.
-func (f *follower) timeout() time.Duration {
-	if f.awaitingFirstList() {
-		return addressChangeCallTimeout
-	}
-	return callTimeout
-}
-
-// call makes one call.
-func (f *follower) call(ctx context.Context) (endpoint.List, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(), nil)
+// call asks the service a question.
+func (c *Client) call(ctx context.Context, question query) (endpoint.List, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, question.url, nil)
 	if err != nil {
 		return endpoint.List{}, &Error{Kind: Unreachable, Err: err}
 	}
-	response, err := f.client.httpClient.Do(request)
+	response, err := c.httpClient.Do(request)
 	if err != nil {
 		return endpoint.List{}, transportError(err)
 	}
@@ -68,27 +83,17 @@
 	if response.StatusCode != http.StatusOK {
 		return endpoint.List{}, &Error{Kind: BadStatus, Status: response.StatusCode}
 	}
-	return f.decode(body)
-}
-
-// url returns the address of the next call with its query.
-func (f *follower) url() string {
-	url := "http://" + f.address + "/registry/instances"
-	if !f.haveList {
-		return url
-	}
-	return url + "?after=" + strconv.FormatUint(f.generation, 10) +
-		"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+	return question.decode(body)
 }
 
 // decode reads a list from the body of an answer.
-func (f *follower) decode(body []byte) (endpoint.List, error) {
+func (q query) decode(body []byte) (endpoint.List, error) {
 	var list endpoint.List
 	if err := json.Unmarshal(body, &list); err != nil {
 		return endpoint.List{}, &Error{Kind: Malformed, Err: fmt.Errorf("decode endpoint list: %w", err)}
 	}
-	if !f.haveList {
-		list.Reset = true // the complete list was requested
+	if q.complete {
+		list.Reset = true
 	}
 	return list, nil
 }
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -22,6 +22,7 @@
 	haveList   bool      // generation is valid, even if it is 0
 	generation uint64    // of the present list
 	listDue    time.Time // deadline of the first list after a change of the address, else zero
+	formerDue  time.Time // the same of an earlier change, if its list has not arrived either
 	history    history   // for the log
 }
 
@@ -36,11 +37,27 @@
 	}
 }
 
+// moveTo returns a follower of the list at another address, for a follower that has stopped. What that one
+// was still to be notified of keeps its deadline.
+func (f *follower) moveTo(address string, now time.Time) *follower {
+	next := newFollower(f.client, f.handler, address)
+	next.watching = true
+	next.listDue = now.Add(addressChangeDeadline)
+	if f.awaitingFirstList() {
+		next.formerDue = f.nextDue(now)
+	}
+	return next
+}
+
 // run calls the discovery service until the context ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil && f.awaitWatchRequest(ctx) {
 		startedAt := time.Now()
 		list, err := f.fetch(ctx)
+		if err != nil {
+			// One that is left idle may be silent by the time of the next call.
+			f.client.httpClient.CloseIdleConnections()
+		}
 		switch {
 		case err == nil:
 			f.report(list)
@@ -93,12 +110,25 @@
 func (f *follower) reportFailure(err error, startedAt time.Time) {
 	f.logFailure(err)
 	f.watching = false
-	notifiedAt := startedAt.Add(policy.NotificationDeadline)
-	if f.awaitingFirstList() && f.listDue.Before(notifiedAt) {
-		notifiedAt = f.listDue
-	}
 	f.dropStaleWatchRequest()
-	f.handler.WatchFailed(notifiedAt)
+	f.handler.WatchFailed(f.notifiedAt(startedAt, time.Now()))
+}
+
+// notifiedAt returns when the node counts as notified of what a call has missed that failed now.
+func (f *follower) notifiedAt(startedAt, now time.Time) time.Time {
+	deadline := startedAt.Add(policy.NotificationDeadline)
+	if due := f.nextDue(now); f.awaitingFirstList() && due.Before(deadline) {
+		return due
+	}
+	return deadline
+}
+
+// nextDue returns when the first list after changes of the address is due next.
+func (f *follower) nextDue(now time.Time) time.Time {
+	if now.Before(f.formerDue) {
+		return f.formerDue
+	}
+	return f.listDue
 }
 
 // dropStaleWatchRequest removes a request from before the present failure. With it the next call would
