Count a server that is new to a node as just started, whatever the wall clock shows

Cause: startTimes.place believed the start of a process that it did not know; that of a known server's restart was bounded by 6 s before the last answer, most of a short slow start. Change: to a node that follows discovery a process that it did not know has just started; one that was away for less than the slow start keeps its start. On the first list, of few servers that started with the newest one or shortly before none counts as older than the list shows.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -63,7 +63,7 @@
 		events:      make(chan event, eventQueueSize),
 		requests:    map[policy.RequestID]*request{},
 	}
-	l.startTimes = newStartTimes(l.clockOrigin)
+	l.startTimes = newStartTimes(l.clockOrigin, cfg.Policy.Rules.SlowStartDuration)
 	var err error
 	l.balancer, err = policy.New(cfg.Policy, cfg.Seed, l)
 	return l, err
--- a/internal/node/start_times_test.go
+++ b/internal/node/start_times_test.go
@@ -13,7 +13,7 @@
 // wall time of that moment.
 func newTestStartTimes() (starts *startTimes, wall time.Time) {
 	wall = time.Date(2026, 12, 2, 10, 0, 0, 0, time.UTC)
-	return newStartTimes(wall.Add(-clockNow)), wall
+	return newStartTimes(wall.Add(-clockNow), testSlowStart), wall
 }
 
 // process is an endpoint of a server s-0 whose process started at a wall time.
@@ -22,8 +22,9 @@
 }
 
 const (
-	clockNow   = 2 * time.Hour
-	processAge = 3 * time.Second
+	clockNow      = 2 * time.Hour
+	processAge    = 3 * time.Second
+	testSlowStart = 9 * time.Second
 )
 
 // A wall clock is stepped after the node's start, that of all machines, of this one or of the
@@ -49,12 +50,11 @@
 	t.Helper()
 	starts, wall := newTestStartTimes()
 	starts.update(policy.UpdateSnapshot, process(wall.Add(-time.Hour)), clockNow-processAge, wall)
-	starts.answered(clockNow - processAge)
+	starts.answered()
 	list := process(wall.Add(serverStep - processAge))
 	at := starts.update(policy.UpdateDelta, list, clockNow, wall.Add(ownStep))[0]
-	latestAge := processAge + policy.NotificationDeadline
-	if age := clockNow - at; age < 0 || age > latestAge {
-		t.Errorf("the process counts as %v old, want 0 to %v", age, latestAge)
+	if age := clockNow - at; age != 0 {
+		t.Errorf("the process counts as %v old, want 0: its start is not known", age)
 	}
 	for range 2 {
 		if again := starts.update(policy.UpdateSnapshot, list, clockNow+time.Second, wall)[0]; again != at {
@@ -84,19 +84,78 @@
 	}
 }
 
-// A server that leaves and returns as the same process keeps its start.
-func TestStartOfAReturningProcessIsStable(t *testing.T) {
-	starts, wall := newTestStartTimes()
-	list := process(wall.Add(-processAge))
-	first := starts.update(policy.UpdateSnapshot, list, clockNow, wall)[0]
-	gone := process(wall.Add(-processAge))
-	gone[0].Lifecycle = "Gone"
-	starts.update(policy.UpdateDelta, gone, clockNow+time.Second, wall.Add(time.Second))
-	if len(starts.known) > 0 {
-		t.Errorf("%d processes that are gone are kept", len(starts.known))
+// A server with an ID that is new to a node that follows discovery has just started, also if the node's
+// wall clock was wrong from its start on.
+func TestNewServerHasJustStartedWhateverTheWallClockShows(t *testing.T) {
+	for _, ahead := range []time.Duration{0, time.Second, 5 * time.Second, 30 * time.Second, time.Hour, -time.Hour} {
+		starts, wall := newTestStartTimes()
+		starts.origin = starts.origin.Add(ahead)
+		starts.update(policy.UpdateSnapshot, nil, clockNow-processAge, wall.Add(ahead))
+		starts.answered()
+		at := starts.update(policy.UpdateDelta, process(wall.Add(-time.Millisecond)), clockNow, wall.Add(ahead))[0]
+		if at != clockNow {
+			t.Errorf("wall clock ahead by %v: the process counts as %v old, want 0", ahead, clockNow-at)
+		}
+	}
+}
+
+// A node whose wall clock is ahead starts among servers of which a few have just been restarted: they count
+// as young as the list permits. If many were, the wall clock decides, right or wrong.
+func TestFirstListBoundsTheAgeOfFewYoungServers(t *testing.T) {
+	const ahead = time.Hour
+	for _, c := range []struct {
+		young, old int
+		wantAge    time.Duration // of the second youngest, a second older than the youngest
+	}{{2, 8, time.Second}, {2, 6, time.Second}, {2, 5, ahead + time.Second}, {4, 0, ahead + time.Second}} {
+		starts, wall := newTestStartTimes()
+		starts.origin = starts.origin.Add(ahead)
+		var list []endpoint.Endpoint
+		for i := range c.young + c.old {
+			started := wall
+			if i > 0 {
+				started = wall.Add(-time.Second)
+			}
+			e := process(started)[0]
+			e.InstanceID = fmt.Sprintf("s-%d", i)
+			if i >= c.young {
+				e.StartedUnixMilli = 0
+			}
+			list = append(list, e)
+		}
+		ats := starts.update(policy.UpdateSnapshot, list, clockNow, wall.Add(ahead))
+		if age := clockNow - ats[1]; age != c.wantAge {
+			t.Errorf("%d young and %d old servers: age %v, want %v", c.young, c.old, age, c.wantAge)
+		}
+		if c.old > 0 && ats[c.young] != 0 {
+			t.Errorf("a server that started long ago counts as started at %v", ats[c.young])
+		}
 	}
-	again := starts.update(policy.UpdateDelta, list, clockNow+processAge, wall.Add(processAge))[0]
-	if again != first {
-		t.Errorf("the start moved from %v to %v", first, again)
+}
+
+// A server that leaves and returns as the same process keeps its start, unless it was away for long. What is
+// kept of servers that left does not grow for good.
+func TestStartOfAReturningProcessIsStable(t *testing.T) {
+	for away, want := range map[time.Duration]time.Duration{
+		processAge: clockNow - processAge, testSlowStart: clockNow - processAge,
+		testSlowStart + 1: clockNow + testSlowStart + 1,
+	} {
+		starts, wall := newTestStartTimes()
+		list := process(wall.Add(-processAge))
+		starts.update(policy.UpdateSnapshot, list, clockNow, wall)
+		starts.answered()
+		gone := process(wall.Add(-processAge))
+		gone[0].Lifecycle = "Gone"
+		starts.update(policy.UpdateDelta, gone, clockNow, wall)
+		if len(starts.known) > 0 {
+			t.Errorf("%d processes that are gone are known", len(starts.known))
+		}
+		if again := starts.update(policy.UpdateDelta, list, clockNow+away, wall.Add(away))[0]; again != want {
+			t.Errorf("away for %v: started at %v, want %v", away, again, want)
+		}
+		starts.update(policy.UpdateSnapshot, nil, clockNow+away, wall.Add(away))
+		starts.update(policy.UpdateDelta, nil, clockNow+away+testSlowStart+1, wall)
+		if kept := len(starts.known) + len(starts.departed); kept > 0 {
+			t.Errorf("%d processes that are gone are kept", kept)
+		}
 	}
 }
