Add a soak of real processes under seeded faults, checked from what all parties saw

Clock steps, silent and failing discovery, drains, restarts, SIGHUP and SIGTERM in series, hold-ups, crowds; clients send on open connections until the kill.

--- a/cmd/balancer/harness_test.go
+++ b/cmd/balancer/harness_test.go
@@ -29,6 +29,8 @@
 
 func TestMain(m *testing.M) {
 	flag.Int(processesFlag, 10, "how many processes TestRestartedProcessesAreReadyInTime starts at once")
+	flag.Int(soakRunsFlag, 4, "how many seeds TestSoak plays")
+	flag.Int(soakSeedFlag, 1, "the first seed that TestSoak plays")
 	flag.String(baselineFlag, "", "another version's binary, which the benchmarks measure as well")
 	flag.Parse()
 	os.Exit(m.Run())
@@ -78,29 +80,39 @@
 
 // process is a node that was started as a process of its own.
 type process struct {
-	pid  int
-	addr <-chan string // where it serves, once it does; closed without a value if it ends before
+	pid   int
+	addr  <-chan string // where it serves, once it does; closed without a value if it ends before
+	ended <-chan error  // gets how it ended
 
 	configPath string
 }
 
+// processOptions are what a process may be started with beside its configuration.
+type processOptions struct {
+	environment []string
+	logged      func(line string) // called for each line that it logs
+}
+
 // startProcess starts a program with a configuration. It is killed at the end of the test.
 func startProcess(tb testing.TB, config map[string]any, command ...string) process {
 	tb.Helper()
-	return startProcessWith(tb, nil, config, command...)
+	return startProcessWith(tb, processOptions{}, config, command...)
 }
 
-// startProcessWith is startProcess with variables in the environment.
-func startProcessWith(tb testing.TB, environment []string, config map[string]any, command ...string) process {
+// startProcessWith is startProcess with options. It listens at a free port unless the configuration says
+// where.
+func startProcessWith(tb testing.TB, options processOptions, config map[string]any, command ...string) process {
 	tb.Helper()
-	config["listen"] = "127.0.0.1:0"
+	if config["listen"] == nil {
+		config["listen"] = "127.0.0.1:0"
+	}
 	text, err := json.Marshal(config)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	cmd := exec.CommandContext(tb.Context(), command[0], command[1:]...)
 	configPath := writeConfig(tb, text)
-	cmd.Env = append([]string{"BALANCER_CONFIG=" + configPath}, environment...)
+	cmd.Env = append([]string{"BALANCER_CONFIG=" + configPath}, options.environment...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		tb.Fatal(err)
@@ -108,21 +120,22 @@
 	if err := cmd.Start(); err != nil {
 		tb.Fatal(err)
 	}
-	addr, ended := make(chan string, 1), make(chan struct{})
+	addr, ended, waited := make(chan string, 1), make(chan error, 1), make(chan struct{})
 	go func() {
-		defer close(ended)
+		defer close(waited)
 		defer close(addr)
 		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			if options.logged != nil {
+				options.logged(lines.Text())
+			}
 			if at, ok := servingAddr(lines.Text()); ok {
 				addr <- at
 			}
 		}
+		ended <- cmd.Wait()
 	}()
-	tb.Cleanup(func() {
-		<-ended
-		_ = cmd.Wait() // it was killed
-	})
-	return process{pid: cmd.Process.Pid, addr: addr, configPath: configPath}
+	tb.Cleanup(func() { <-waited }) // it was killed
+	return process{pid: cmd.Process.Pid, addr: addr, ended: ended, configPath: configPath}
 }
 
 // servingAddr finds where a node serves in the line that it logs once it does.
--- a/cmd/balancer/silent_discovery_test.go
+++ b/cmd/balancer/silent_discovery_test.go
@@ -36,7 +36,7 @@
 }
 
 // answer answers a call with the complete list; a watch waits for one that is newer.
-func (w *watchedList) answer(r *http.Request) (status int, body string) {
+func (w *watchedList) answer(r *http.Request) testkit.Answer {
 	after := r.URL.Query().Get("after")
 	w.watched <- after
 	w.mu.Lock()
@@ -49,9 +49,9 @@
 	defer w.mu.Unlock()
 	text, err := json.Marshal(w.list)
 	if err != nil {
-		return http.StatusInternalServerError, err.Error()
+		return testkit.Answer{Status: http.StatusInternalServerError, Body: err.Error()}
 	}
-	return http.StatusOK, string(text)
+	return testkit.Answer{Status: http.StatusOK, Body: string(text)}
 }
 
 // awaitWatch waits until a node has the list of a generation and watches for a newer one.
--- a/cmd/balancer/wall_clock_test.go
+++ b/cmd/balancer/wall_clock_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,6 +94,13 @@
 	}
 }
 
+// step steps the clock of a process that runs.
+func (c wallClock) step(t *testing.T, pid int, ahead time.Duration) {
+	t.Helper()
+	c.set(t, ahead)
+	signalProcess(t, pid, syscall.SIGUSR1)
+}
+
 // A process starts on a machine whose wall clock is wrong, and a server starts later: it gets what slow
 // start allows, whatever that clock shows.
 func TestNewServerWarmsUpWhateverTheWallClockShows(t *testing.T) {
@@ -127,7 +135,7 @@
 	}
 	list := newWatchedList(endpoint.List{Generation: 1, Reset: true, Endpoints: endpoints[:warmServers]})
 	machine := testkit.NewMachine(t, list.answer)
-	started := startProcessWith(t, []string{newWallClock(t, ahead).environment()}, map[string]any{
+	started := startProcessWith(t, processOptions{environment: []string{newWallClock(t, ahead).environment()}}, map[string]any{
 		"discovery": machine.Address,
 		"settings": moreSettings(fmt.Sprintf(`"RegistryMode": "pushed", "Contract": {"ColdFrom": %v, "ColdMs": %d}`,
 			slowStartShare, slowStartTime.Milliseconds())),
--- a/internal/testkit/machine.go
+++ b/internal/testkit/machine.go
@@ -17,7 +17,7 @@
 	Address string
 
 	listener *net.TCPListener
-	answer   func(r *http.Request) (status int, body string)
+	answer   func(r *http.Request) Answer
 
 	mu      sync.Mutex
 	away    bool
@@ -26,9 +26,16 @@
 	fillers []net.Conn    // which fill the accept queue while it is away
 }
 
+// Answer is the answer to a call of a Machine.
+type Answer struct {
+	Status int // 0: the call's connection is reset
+	Body   string
+	Sent   func() // called just before it is sent; nil: nobody wants to know
+}
+
 // NewMachine starts a service that answers each call with what the function returns, which may block. It
 // stops at the end of the test.
-func NewMachine(tb testing.TB, answer func(r *http.Request) (status int, body string)) *Machine {
+func NewMachine(tb testing.TB, answer func(r *http.Request) Answer) *Machine {
 	tb.Helper()
 	listener, err := ListenOnNewHost()
 	if err != nil {
@@ -73,13 +80,16 @@
 // ServeHTTP implements http.Handler. A call that lasts until the machine vanishes is reset when it returns.
 func (m *Machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	stay, _ := m.present(r)
-	status, body := m.answer(r)
-	if now, ok := m.present(r); !ok || now != stay {
+	answer := m.answer(r)
+	if now, ok := m.present(r); !ok || now != stay || answer.Status == 0 {
 		resetConnection(w)
 		return
 	}
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, body) // the client may have disconnected
+	if answer.Sent != nil {
+		answer.Sent()
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = io.WriteString(w, answer.Body) // the client may have disconnected
 }
 
 // present waits until the machine is there, and returns in which of its stays it is. It reports false if
--- a/internal/testkit/machine_test.go
+++ b/internal/testkit/machine_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestMachineIsSilentWhileAway(t *testing.T) {
-	machine := NewMachine(t, func(*http.Request) (int, string) { return http.StatusOK, "here" })
+	machine := NewMachine(t, func(*http.Request) Answer { return Answer{Status: http.StatusOK, Body: "here"} })
 	client := http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	get := func() string {
