Keep calls to discovery open until a later one is answered

Cause: a call was cancelled as its patience ended (2 s at a new address, 4.5 s otherwise) and by SIGHUP. What discovery has written counts as notified, also where the node closes the connection before it reads. Change: openCalls; the answer to an earlier call is used unless a later one has been answered, that of a former address until the new one has given its list; six calls at most, 30 s each. TestDiscoveryMoveCancelsCallsInFlight and TestAddressChangeRequestsTheCompleteList wanted the cancellation at SIGHUP, which is the fault: the call has to be open until the new address has answered, and end then.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -41,11 +40,3 @@
 
 // shortDelay returns a delay that only spreads the nodes' calls.
 func shortDelay() time.Duration { return rand.N(initialBackoff) }
-
-// pause returns after a delay, or when the context ends.
-func pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
-	}
-}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -51,6 +52,7 @@
 
 // New makes a client. It sends nothing before Run.
 func New(config Config) *Client {
+	dialer := net.Dialer{Timeout: connectLimit}
 	return &Client{
 		address:        config.Address,
 		cached:         config.Known,
@@ -58,7 +60,7 @@
 		maxBackoff:     maxBackoffFor(config.DrainGrace),
 		watchRequests:  make(chan struct{}, 1),
 		addressChanges: make(chan string, 1),
-		httpClient:     &http.Client{Transport: newTransport()},
+		httpClient:     &http.Client{Transport: newTransport(dialer.DialContext)},
 	}
 }
 
@@ -80,10 +82,13 @@
 }
 
 // Run reports the cached list and follows it until the context ends. After a change of the address it
-// requests the complete list from the new one; the node uses the former list until that arrives.
+// requests the complete list from the new one; the node uses the former list until that arrives, and what
+// the former address still answers.
 func (c *Client) Run(ctx context.Context, handler Handler) {
 	c.reportCached(handler)
-	current := newFollower(c, handler, c.address)
+	calls := newOpenCalls(c.call)
+	defer calls.close()
+	current := newFollower(c, handler, calls, c.address)
 	current.watching = !c.polling
 	current.haveList = len(c.cached.Endpoints) > 0
 	current.generation = c.cached.Generation
--- a/internal/discovery/connect.go
+++ b/internal/discovery/connect.go
@@ -15,17 +15,16 @@
 	connectInterval = policy.NotificationDeadline / 12
 	// connectLimit ends an attempt. A connection that takes longer would be of no use to a watch.
 	connectLimit = 3 * connectInterval
-	// maxConnectionsPerHost bounds the connections to the service: those of a call and of a hedged one, and
-	// those of cancelled calls that are still being closed.
-	maxConnectionsPerHost = 4
+	// maxConnectionsPerHost bounds the connections to the service: those of open calls, and those of
+	// cancelled calls that are still being closed.
+	maxConnectionsPerHost = maxOpenCalls + 2
 )
 
 // newTransport returns a transport whose connection attempts end with their call. net/http detaches them:
 // an attempt to reach a machine that says nothing would outlast its call for as long as the system repeats
 // SYNs, about two minutes, and count against the limit of connections meanwhile.
-func newTransport() *http.Transport {
-	dialer := net.Dialer{Timeout: connectLimit}
-	dial := netdial.Stagger(netdial.Repeat(dialer.DialContext), connectInterval, connectLimit)
+func newTransport(dial netdial.Func) *http.Transport {
+	dial = netdial.Stagger(netdial.Repeat(dial), connectInterval, connectLimit)
 	return &http.Transport{
 		MaxConnsPerHost: maxConnectionsPerHost,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/policy"
@@ -19,18 +20,21 @@
 const (
 	watchWait         = policy.NotificationDeadline / 2 // for which the discovery service is asked to wait
 	watchAnswerMargin = policy.NotificationDeadline / 4 // by which its answer may be late
-	// A call for the complete list gets as long: the service also works off calls that were cancelled, and
-	// would never catch up with a fleet that cancels and repeats its calls earlier.
-	callTimeout = watchWait + watchAnswerMargin
+	// A call for the complete list gets as long: a service that is short of time would never catch up with a
+	// fleet that repeats its calls earlier.
+	callPatience = watchWait + watchAnswerMargin
+	// The first call after a change of the address leaves time for another one before the deadline.
+	addressChangePatience = addressChangeDeadline / 2
 )
 
 // maxListBytes bounds the body of an answer.
 const maxListBytes = 8 << 20
 
-// query is one question to the service, the same for a call and a hedged one.
+// query is one question to the service.
 type query struct {
 	url      string
-	complete bool // it asks for the complete list
+	complete bool   // it asks for the complete list
+	after    uint64 // otherwise for what is newer than this generation
 }
 
 // query returns the question of the next call: what is newer than the present list, or the complete list
@@ -40,29 +44,64 @@
 	if !f.haveList {
 		return query{url: url, complete: true}
 	}
-	return query{url: url + "?after=" + strconv.FormatUint(f.generation, 10) +
-		"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)}
+	return query{
+		url: url + "?after=" + strconv.FormatUint(f.generation, 10) +
+			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10),
+		after: f.generation,
+	}
 }
 
-// fetch makes the next call and waits for its answer. Its errors are of type *Error.
-func (f *follower) fetch(ctx context.Context) (endpoint.List, error) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	trackedCtx := f.history.begin(callCtx)
-	call := func(ctx context.Context, question query) (endpoint.List, error) {
-		return f.client.call(withCall(ctx), question)
+// fetch makes the next call and waits for its answer, for as long as the follower has patience, or for that
+// to an earlier one. It returns the call that was answered. Its errors are of type *Error, or that of ctx.
+func (f *follower) fetch(ctx context.Context) (*openCall, error) {
+	call := f.calls.start(ctx, f.address, f.query())
+	f.history.begin(call.progress)
+	patience := time.NewTimer(f.patience())
+	defer patience.Stop()
+	for {
+		select {
+		case ended := <-f.calls.ended:
+			if ended == call {
+				f.calls.answered(call)
+				return call, call.err
+			}
+			if f.answeredEarlier(ended) {
+				f.leave(call)
+				return ended, nil
+			}
+		case <-patience.C:
+			f.leave(call)
+			return call, f.unanswered()
+		case <-ctx.Done():
+			f.leave(call)
+			return call, ctx.Err()
+		}
 	}
-	var list endpoint.List
-	var err error
+}
+
+// patience returns how long the next call may go without an answer before another one is made.
+func (f *follower) patience() time.Duration {
 	if f.awaitingFirstList() {
-		list, err = hedge(trackedCtx, call, f.query())
-	} else {
-		list, err = call(trackedCtx, f.query())
+		return addressChangePatience
 	}
-	if err != nil && f.haveList && ctx.Err() == nil && callCtx.Err() != nil {
-		err = &Error{Kind: Silent, Err: err}
+	return callPatience
+}
+
+// leave leaves a call open that has no answer yet, unless it has not reached the service: then none can be on
+// its way.
+func (f *follower) leave(call *openCall) {
+	if call.progress.current() < phaseWriting {
+		f.calls.cancel(call)
+	}
+}
+
+// unanswered returns the error of a call that was not answered in time.
+func (f *follower) unanswered() error {
+	err := &Error{Kind: Timeout, Err: context.DeadlineExceeded}
+	if f.haveList {
+		return &Error{Kind: Silent, Err: err}
 	}
-	return list, err
+	return err
 }
 
 // call asks the service a question.
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"calicohinge/internal/endpoint"
@@ -16,6 +17,7 @@
 type follower struct {
 	client     *Client
 	handler    Handler
+	calls      *openCalls
 	address    string
 	backoff    backoff
 	watching   bool      // the next call needs no request; always so where lists are pushed
@@ -27,10 +29,11 @@
 }
 
 // newFollower makes a follower that has no list and waits for a request.
-func newFollower(client *Client, handler Handler, address string) *follower {
+func newFollower(client *Client, handler Handler, calls *openCalls, address string) *follower {
 	return &follower{
 		client:  client,
 		handler: handler,
+		calls:   calls,
 		address: address,
 		backoff: newBackoff(client.maxBackoff),
 		history: history{progress: &callProgress{}},
@@ -40,7 +43,7 @@
 // moveTo returns a follower of the list at another address, for a follower that has stopped. What that one
 // was still to be notified of keeps its deadline.
 func (f *follower) moveTo(address string, now time.Time) *follower {
-	next := newFollower(f.client, f.handler, address)
+	next := newFollower(f.client, f.handler, f.calls, address)
 	next.watching = true
 	next.listDue = now.Add(addressChangeDeadline)
 	if f.awaitingFirstList() {
@@ -53,17 +56,17 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil && f.awaitWatchRequest(ctx) {
 		startedAt := time.Now()
-		list, err := f.fetch(ctx)
+		call, err := f.fetch(ctx)
 		if err != nil {
 			// One that is left idle may be silent by the time of the next call.
 			f.client.httpClient.CloseIdleConnections()
 		}
 		switch {
 		case err == nil:
-			f.report(list)
-			pauseAfterQuickCall(ctx, startedAt)
+			f.report(call)
+			f.pauseAfterQuickCall(ctx, startedAt)
 		case ctx.Err() != nil:
-			return // a cancelled call is no failure
+			return // the call is no failure
 		case f.client.polling:
 			f.reportFailure(err, startedAt)
 		default:
@@ -74,23 +77,65 @@
 
 // awaitWatchRequest returns true once a call may be made, and false if the context ends before.
 func (f *follower) awaitWatchRequest(ctx context.Context) bool {
-	if f.watching {
-		return true
+	for !f.watching {
+		select {
+		case <-f.client.watchRequests:
+			return true
+		case ended := <-f.calls.ended:
+			f.useEarlier(ended)
+		case <-ctx.Done():
+			return false
+		}
 	}
-	select {
-	case <-f.client.watchRequests:
+	return true
+}
+
+// answeredEarlier reports whether an earlier call has ended with a list from the present address. It uses a
+// list from a former one itself.
+func (f *follower) answeredEarlier(call *openCall) bool {
+	switch {
+	case !f.calls.answered(call):
+		return false
+	case call.address == f.address:
 		return true
-	case <-ctx.Done():
+	case !f.haveList: // it is in force until the present address gives its own
+		slog.Info("endpoint list of former address", "discovery_addr", call.address, "generation", call.list.Generation)
+		f.handOver(call.list)
+	}
+	return false
+}
+
+// useEarlier uses the answer to an earlier call, if it has one, between two calls. It reports whether the
+// answer came from the present address, so that the list is followed again.
+func (f *follower) useEarlier(call *openCall) bool {
+	if !f.answeredEarlier(call) {
 		return false
 	}
+	f.report(call)
+	return true
 }
 
-// report hands a list to the handler and keeps its generation for the next call.
-func (f *follower) report(list endpoint.List) {
-	f.logList(list)
+// report hands the list of a call to the handler and keeps its generation for the next call.
+func (f *follower) report(call *openCall) {
 	f.backoff.reset()
 	f.watching = true
-	f.haveList, f.generation = true, list.Generation
+	if f.overtaken(call) {
+		return
+	}
+	f.logList(call.list)
+	f.haveList, f.generation = true, call.list.Generation
+	f.handOver(call.list)
+}
+
+// overtaken reports whether the answer to an earlier call has brought a newer list than this call since it
+// was made. A service whose generation is lower than the one that it is asked for has started anew instead.
+func (f *follower) overtaken(call *openCall) bool {
+	answeredMeanwhile := f.haveList && (call.question.complete || call.question.after != f.generation)
+	return answeredMeanwhile && call.list.Generation < f.generation
+}
+
+// handOver hands a list to the handler.
+func (f *follower) handOver(list endpoint.List) {
 	switch {
 	case list.Reset:
 		f.handler.UpdateEndpoints(policy.UpdateSnapshot, list.Endpoints)
@@ -100,9 +145,27 @@
 	f.handler.EndpointsKnown()
 }
 
-func pauseAfterQuickCall(ctx context.Context, startedAt time.Time) {
+func (f *follower) pauseAfterQuickCall(ctx context.Context, startedAt time.Time) {
 	if time.Since(startedAt) < quickCallPause {
-		pause(ctx, quickCallPause)
+		f.pause(ctx, quickCallPause)
+	}
+}
+
+// pause returns after a delay, when an earlier call is answered or when the context ends.
+func (f *follower) pause(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case ended := <-f.calls.ended:
+			if f.useEarlier(ended) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -144,7 +207,7 @@
 func (f *follower) backOff(ctx context.Context, err error) {
 	delay := f.retryDelay(kindOf(err))
 	f.logFailure(err, "retry_in", delay)
-	pause(ctx, delay)
+	f.pause(ctx, delay)
 }
 
 // retryDelay returns the delay after a failed call. The notification deadline leaves no time for a
--- a/internal/node/discovery_failure_test.go
+++ b/internal/node/discovery_failure_test.go
@@ -60,8 +60,9 @@
 	}
 }
 
-// Discovery moves during a call, at any point of it: the old call is cancelled, whatever it
-// would still bring, and the new address is asked for the full list.
+// Discovery moves during a call, at any point of it: the new address is asked for the full list,
+// and the old call is cancelled once that has arrived, whatever it would still bring. Until then
+// its answer may be on its way, and counts.
 func TestDiscoveryMoveCancelsCallsInFlight(t *testing.T) {
 	for _, mode := range discoveryModes() {
 		t.Run(mode, func(t *testing.T) {
@@ -70,19 +71,29 @@
 			next := testkit.NewScriptedDiscovery(t)
 			n.node.MoveDiscovery(next.Address) // before any list is known
 			queryStarts(t, testkit.Wait(t, next.Calls, "a call to the new address"), "")
-			testkit.Wait(t, first.Context().Done(), "the end of the old call")
+			stillOpen(t, first)
 			next.Answers <- `{"generation":9,"reset":true,"instances":[]}`
 			n.waitReady(http.StatusOK)
+			testkit.Wait(t, first.Context().Done(), "the end of the old call")
 			watch := testkit.Wait(t, next.Calls, "the watch")
 			n.node.MoveDiscovery(old.Address) // and back, during the watch
-			testkit.Wait(t, watch.Context().Done(), "the end of the watch")
 			queryStarts(t, testkit.Wait(t, old.Calls, "a call to the old address"), "")
+			stillOpen(t, watch)
 			old.Answers <- `{"generation":2,"reset":true,"instances":[]}`
+			testkit.Wait(t, watch.Context().Done(), "the end of the watch")
 			queryStarts(t, testkit.Wait(t, old.Calls, "its watch"), "after=2&")
 		})
 	}
 }
 
+// stillOpen fails the test if a call has ended.
+func stillOpen(t *testing.T, call *http.Request) {
+	t.Helper()
+	if err := call.Context().Err(); err != nil {
+		t.Errorf("the call to the former address has ended: %v", err)
+	}
+}
+
 // Discovery moves to an address that resets the first calls: its changes count as notified 4 s
 // after the move, so that the nodes of a large fleet must not back off as after other failures.
 func TestNewDiscoveryAddressIsRetriedQuickly(t *testing.T) {
