Bound the age of a new server by several clocks instead of taking it for just started

Cause: servers that start while discovery is away counted as up to 8 s younger than they are. Change: the age is the least of those by the own wall clock, by the servers' clock as learnt from their starts, and since discovery last answered.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -28,7 +28,7 @@
 
 // EndpointsKnown implements discovery.Handler.
 func (l *loop) EndpointsKnown() {
-	l.startTimes.answered()
+	l.startTimes.answered(l.clock())
 	l.ready.Store(true)
 }
 
--- a/internal/node/start_times.go
+++ b/internal/node/start_times.go
@@ -6,30 +6,35 @@
 	"time"
 
 	"calicohinge/internal/endpoint"
+	"calicohinge/internal/milliseconds"
 	"calicohinge/policy"
 )
 
 // startTimes maps the starts of server processes, which discovery gives in Unix time, onto
 // the loop's clock. That clock is monotonic, while the wall clocks of this machine and of the
-// servers' may be wrong from the beginning, or stepped: what they show is believed only where
-// the node knows nothing better, and where a mistake could not overload a server that is
-// warming up. A start keeps its place on the loop's clock for good, as another would mean a
-// restart.
+// servers' may be wrong from the beginning, or stepped. A process that counts as older than it
+// is could be overloaded while it warms up, so that its age is the least of what several
+// clocks say of it, each of which may be wrong. A start keeps its place on the loop's clock
+// for good, as another would mean a restart.
 //
 // Only the goroutine that reports endpoint updates uses it.
 type startTimes struct {
-	origin    time.Time     // wall time when the clock showed 0
-	slowStart time.Duration // how long a process takes to warm up
-	following bool          // discovery has answered
-	updates   uint32        // so far
-	known     map[policy.ServerID]processStart
-	departed  map[policy.ServerID]departedProcess
+	origin       time.Time     // wall time when the clock showed 0
+	slowStart    time.Duration // how long a process takes to warm up
+	answeredAt   time.Duration // on the clock: when discovery last answered; 0: not yet
+	serverOrigin float64       // the servers' Unix time when the clock showed 0, or earlier: see learnServerClock
+	updates      uint32        // so far
+	known        map[policy.ServerID]processStart
+	departed     map[policy.ServerID]departedProcess
 }
 
 // fewInOne is the part of the servers, as a divisor, that counts as few: package policy learns
 // what a warm server gets while three quarters are warm.
 const fewInOne = 4
 
+// longestSpan is longer than any process lives.
+const longestSpan = 100 * 365 * 24 * time.Hour
+
 // processStart is the start of the process that discovery last listed for a server.
 type processStart struct {
 	unixMilli float64
@@ -45,15 +50,16 @@
 
 func newStartTimes(origin time.Time, slowStart time.Duration) *startTimes {
 	return &startTimes{
-		origin:    origin.Round(0),
-		slowStart: slowStart,
-		known:     map[policy.ServerID]processStart{},
-		departed:  map[policy.ServerID]departedProcess{},
+		origin:       origin.Round(0),
+		slowStart:    slowStart,
+		serverOrigin: math.Inf(-1),
+		known:        map[policy.ServerID]processStart{},
+		departed:     map[policy.ServerID]departedProcess{},
 	}
 }
 
 // answered records that discovery has answered, with or without changes.
-func (s *startTimes) answered() { s.following = true }
+func (s *startTimes) answered(now time.Duration) { s.answeredAt = now }
 
 // update returns the starts of the processes of an endpoint update on the loop's clock, which
 // shows now at the given wall time.
@@ -62,10 +68,13 @@
 ) []time.Duration {
 	s.updates++
 	s.forgetDeparted(now)
-	place := s.placement(list, now, wall)
+	s.learnServerClock(list, now)
+	comparable := s.answeredAt > 0 || s.fewAreYoung(list, now)
 	starts := make([]time.Duration, len(list))
 	for i := range list {
-		starts[i] = s.updateProcess(&list[i], now, place)
+		starts[i] = s.updateProcess(&list[i], func(unixMilli float64) time.Duration {
+			return s.place(unixMilli, now, wall, comparable)
+		}, now)
 	}
 	if kind != policy.UpdateDelta {
 		s.departUnlisted(now)
@@ -75,7 +84,7 @@
 
 // updateProcess returns the start of the process of one endpoint.
 func (s *startTimes) updateProcess(
-	e *endpoint.Endpoint, now time.Duration, place func(unixMilli float64) time.Duration,
+	e *endpoint.Endpoint, place func(unixMilli float64) time.Duration, now time.Duration,
 ) time.Duration {
 	id := e.ServerID()
 	start, known := s.known[id]
@@ -96,31 +105,21 @@
 	return start.at
 }
 
-// placement returns where the start of a process that was not known lies on the loop's clock,
-// 0 for long ago. To a node that follows discovery such a process has just started, whatever
-// its start says in Unix time: the node cannot know how far the clocks are apart.
-func (s *startTimes) placement(
-	list []endpoint.Endpoint, now time.Duration, wall time.Time,
-) func(unixMilli float64) time.Duration {
-	if s.following {
-		return func(unixMilli float64) time.Duration {
-			if unixMilli <= 0 {
-				return 0
-			}
-			return now
-		}
+// place returns where the start of a process that was not known lies on the loop's clock, 0
+// for long ago. Its age is the least that is possible by this machine's wall clock, by the
+// servers' clock if that is comparable, and by when discovery last answered without it.
+func (s *startTimes) place(unixMilli float64, now time.Duration, wall time.Time, comparable bool) time.Duration {
+	if unixMilli <= 0 {
+		return 0
 	}
-	newest := s.newestStart(list)
-	return func(unixMilli float64) time.Duration {
-		if unixMilli <= 0 {
-			return 0
-		}
-		age := s.ageByWallClock(unixMilli, now, wall)
-		if !math.IsInf(newest, 1) {
-			age = min(age, milliseconds(newest-unixMilli))
-		}
-		return max(0, now-age)
+	age := s.ageByWallClock(unixMilli, now, wall)
+	if comparable {
+		age = min(age, s.ageByServerClock(unixMilli, now))
+	}
+	if s.answeredAt > 0 {
+		age = min(age, now-s.answeredAt)
 	}
+	return max(0, now-age)
 }
 
 // ageByWallClock returns the age of a process by this machine's wall clock. If that was stepped
@@ -141,30 +140,37 @@
 	return min(byOrigin, byPresent)
 }
 
-// newestStart returns the latest start of a node's first list, in Unix time. By the servers'
-// clocks no less time has passed, and nothing says that more has if this machine's clock is
-// ahead. Processes that started with the newest one or shortly before count as young as that
-// permits, as long as they are few: if many did, as after a restart of the fleet, the node
-// would shed its load for the sake of a clock that is right nearly always. Then it is +Inf,
-// and the wall clock decides alone.
-func (s *startTimes) newestStart(list []endpoint.Endpoint) float64 {
-	newest, ready, young := 0.0, 0, 0
+// learnServerClock learns the servers' time of day from their starts: no process starts after
+// it is listed. What it learns is early by the age of the newest process as that was listed,
+// so that other processes seem younger by that, never older.
+func (s *startTimes) learnServerClock(list []endpoint.Endpoint, now time.Duration) {
 	for i := range list {
-		newest = max(newest, list[i].StartedUnixMilli)
+		if started := list[i].StartedUnixMilli; started > 0 {
+			s.serverOrigin = max(s.serverOrigin, started-milliseconds.FromDuration(now))
+		}
 	}
+}
+
+// ageByServerClock returns the age of a process by the servers' own clock, at most.
+func (s *startTimes) ageByServerClock(unixMilli float64, now time.Duration) time.Duration {
+	return now + unixSpan(s.serverOrigin-unixMilli)
+}
+
+// fewAreYoung reports whether few servers of a node's first list are warming up by the servers'
+// own clock. If many are, as after a restart of the fleet at any time in the past, the node
+// would shed its load for the sake of a wall clock that is right nearly always, and believes it.
+func (s *startTimes) fewAreYoung(list []endpoint.Endpoint, now time.Duration) bool {
+	ready, young := 0, 0
 	for i := range list {
 		if list[i].State() != policy.Ready {
 			continue
 		}
 		ready++
-		if start := list[i].StartedUnixMilli; start > 0 && milliseconds(newest-start) < s.slowStart {
+		if start := list[i].StartedUnixMilli; start > 0 && s.ageByServerClock(start, now) < s.slowStart {
 			young++
 		}
 	}
-	if young*fewInOne > ready {
-		return math.Inf(1)
-	}
-	return newest
+	return young*fewInOne <= ready
 }
 
 // departUnlisted moves the processes that the present update does not list to the departed ones.
@@ -189,8 +195,10 @@
 	})
 }
 
-// milliseconds converts a span of Unix time; one that is too long for a Duration is the longest.
-func milliseconds(span float64) time.Duration {
-	const longest = float64(math.MaxInt64 / int64(time.Millisecond))
-	return time.Duration(min(max(span, -longest), longest) * float64(time.Millisecond))
+// unixSpan converts a span of Unix time in milliseconds. One that no clock can show is the longest there is.
+func unixSpan(span float64) time.Duration {
+	if d, ok := milliseconds.ToDuration(span); ok {
+		return d
+	}
+	return longestSpan
 }
