Merge the repeated set-up of the tests of late answers, mend a comment on the servers' clock

learnServerClock's comment said that a process never seems older than it is, which does not hold if the clock of one server's machine is ahead. No behaviour, check or expectation changes: the same seven tests run in both modes, internal/discovery under -race passes.

--- a/internal/discovery/late_answer_test.go
+++ b/internal/discovery/late_answer_test.go
@@ -46,31 +46,38 @@
 
 func (r requester) WatchFailed(time.Time) { r.client.RequestWatch() }
 
-// testHeldCalls runs a client that knows generation 3 and whose calls the test answers.
-func testHeldCalls(
-	t *testing.T, poll bool,
-	test func(t *testing.T, client *Client, calls chan *heldCall, updates chan policy.UpdateKind),
-) {
+// heldCallsTest is a test of a client that knows generation 3 and whose calls it answers.
+type heldCallsTest func(t *testing.T, client *Client, calls chan *heldCall, updates chan policy.UpdateKind)
+
+// testHeldCalls runs a test in each way to follow the list.
+func testHeldCalls(t *testing.T, test heldCallsTest) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		transport := holdingTransport{make(chan *heldCall, 10)}
-		client := New(Config{
-			Address: "former", Poll: poll,
-			Known: endpoint.List{Generation: 3, Endpoints: []endpoint.Endpoint{{InstanceID: "s"}}},
+	for name, poll := range map[string]bool{"polled": true, "pushed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test.run(t, poll) })
 		})
-		client.httpClient.Transport = transport
-		handler := requester{newRecorder(), client}
-		client.RequestWatch()
-		ctx, cancel := context.WithCancel(t.Context())
-		stopped := make(chan struct{})
-		go func() { defer close(stopped); client.Run(ctx, handler) }()
-		if kind := testkit.Wait(t, handler.updates, "the cached list"); kind != policy.UpdateCached {
-			t.Errorf("update %v, want the cached list", kind)
-		}
-		test(t, client, transport.calls, handler.updates)
-		cancel()
-		<-stopped
+	}
+}
+
+func (test heldCallsTest) run(t *testing.T, poll bool) {
+	t.Helper()
+	transport := holdingTransport{make(chan *heldCall, 10)}
+	client := New(Config{
+		Address: "former", Poll: poll,
+		Known: endpoint.List{Generation: 3, Endpoints: []endpoint.Endpoint{{InstanceID: "s"}}},
 	})
+	client.httpClient.Transport = transport
+	handler := requester{newRecorder(), client}
+	client.RequestWatch()
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); client.Run(ctx, handler) }()
+	if kind := testkit.Wait(t, handler.updates, "the cached list"); kind != policy.UpdateCached {
+		t.Errorf("update %v, want the cached list", kind)
+	}
+	test(t, client, transport.calls, handler.updates)
+	cancel()
+	<-stopped
 }
 
 func waitCall(t *testing.T, calls <-chan *heldCall) *heldCall {
@@ -86,9 +93,6 @@
 	}
 }
 
-// pollModes are the ways to follow the list.
-func pollModes() map[string]bool { return map[string]bool{"polled": true, "pushed": false} }
-
 const oneServer = `"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"Terminating"}]}`
 
 // expectNoUpdate fails the test if the handler has got a list.
@@ -103,48 +107,38 @@
 // A watch is answered after the client has lost patience and called again, as a slow service or a node that
 // was held up brings about: the node counts as notified of what the service has written, so that it is used.
 func TestAnswerAfterTheNextCallIsUsed(t *testing.T) {
-	for name, poll := range pollModes() {
-		t.Run(name, func(t *testing.T) {
-			testHeldCalls(t, poll, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
-				late, next := waitCall(t, calls), waitCall(t, calls)
-				late.body <- `{"generation":4,` + oneServer
-				if kind := testkit.Wait(t, updates, "an update"); kind != policy.UpdateDelta {
-					t.Errorf("update %v, want changes", kind)
-				}
-				expectWatch(t, calls, "4")
-				if err := next.request.Context().Err(); err != nil {
-					t.Errorf("the next call has ended: %v", err)
-				}
-				next.body <- `{"generation":5,` + oneServer
-				testkit.Wait(t, updates, "an update")
-				expectWatch(t, calls, "5")
-			})
-		})
-	}
+	testHeldCalls(t, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
+		late, next := waitCall(t, calls), waitCall(t, calls)
+		late.body <- `{"generation":4,` + oneServer
+		if kind := testkit.Wait(t, updates, "an update"); kind != policy.UpdateDelta {
+			t.Errorf("update %v, want changes", kind)
+		}
+		expectWatch(t, calls, "4")
+		if err := next.request.Context().Err(); err != nil {
+			t.Errorf("the next call has ended: %v", err)
+		}
+		next.body <- `{"generation":5,` + oneServer
+		testkit.Wait(t, updates, "an update")
+		expectWatch(t, calls, "5")
+	})
 }
 
 // The answers of two calls arrive in the wrong order: the older one is not used.
 func TestOlderAnswerIsNotUsedAfterANewerOne(t *testing.T) {
-	for name, poll := range pollModes() {
-		t.Run(name, func(t *testing.T) {
-			testHeldCalls(t, poll, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
-				late, next := waitCall(t, calls), waitCall(t, calls)
-				next.body <- `{"generation":5,` + oneServer
-				testkit.Wait(t, updates, "an update")
-				testkit.Wait(t, late.request.Context().Done(), "the end of a call")
-				late.body <- `{"generation":4,` + oneServer
-				expectNoUpdate(t, updates)
-			})
-		})
-	}
+	testHeldCalls(t, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
+		late, next := waitCall(t, calls), waitCall(t, calls)
+		next.body <- `{"generation":5,` + oneServer
+		testkit.Wait(t, updates, "an update")
+		testkit.Wait(t, late.request.Context().Done(), "the end of a call")
+		late.body <- `{"generation":4,` + oneServer
+		expectNoUpdate(t, updates)
+	})
 }
 
 // The address changes while a watch is answered: the node counts as notified of what the former address has
 // written. The watch there ends once the new address has given its list.
 func TestAnswerOfTheFormerAddressIsUsedUntilTheNewListArrives(t *testing.T) {
-	for name, poll := range pollModes() {
-		t.Run(name, func(t *testing.T) { testHeldCalls(t, poll, checkFormerAddress) })
-	}
+	testHeldCalls(t, checkFormerAddress)
 }
 
 func checkFormerAddress(t *testing.T, client *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
@@ -172,9 +166,7 @@
 
 // A service answers no call: how many stay open is bounded, and the last ones are kept.
 func TestUnansweredCallsAreBounded(t *testing.T) {
-	for name, poll := range pollModes() {
-		t.Run(name, func(t *testing.T) { testHeldCalls(t, poll, checkUnansweredCalls) })
-	}
+	testHeldCalls(t, checkUnansweredCalls)
 }
 
 func checkUnansweredCalls(t *testing.T, _ *Client, calls chan *heldCall, _ chan policy.UpdateKind) {
@@ -198,30 +190,22 @@
 // A service that has started anew answers with a lower generation than the one that it is asked for: its list
 // is used.
 func TestListOfARestartedServiceIsUsed(t *testing.T) {
-	for name, poll := range pollModes() {
-		t.Run(name, func(t *testing.T) {
-			testHeldCalls(t, poll, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
-				waitCall(t, calls).body <- `{"generation":1,"reset":true,` + oneServer
-				if kind := testkit.Wait(t, updates, "an update"); kind != policy.UpdateSnapshot {
-					t.Errorf("update %v, want the complete list", kind)
-				}
-			})
-		})
-	}
+	testHeldCalls(t, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
+		waitCall(t, calls).body <- `{"generation":1,"reset":true,` + oneServer
+		if kind := testkit.Wait(t, updates, "an update"); kind != policy.UpdateSnapshot {
+			t.Errorf("update %v, want the complete list", kind)
+		}
+	})
 }
 
 // The answer to the present call was written before that to an earlier one, and arrives after it.
 func TestOvertakenAnswerIsNotUsed(t *testing.T) {
-	for name, poll := range pollModes() {
-		t.Run(name, func(t *testing.T) {
-			testHeldCalls(t, poll, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
-				late, next := waitCall(t, calls), waitCall(t, calls)
-				late.body <- `{"generation":5,` + oneServer
-				testkit.Wait(t, updates, "an update")
-				next.body <- `{"generation":4,` + oneServer
-				expectWatch(t, calls, "5")
-				expectNoUpdate(t, updates)
-			})
-		})
-	}
+	testHeldCalls(t, func(t *testing.T, _ *Client, calls chan *heldCall, updates chan policy.UpdateKind) {
+		late, next := waitCall(t, calls), waitCall(t, calls)
+		late.body <- `{"generation":5,` + oneServer
+		testkit.Wait(t, updates, "an update")
+		next.body <- `{"generation":4,` + oneServer
+		expectWatch(t, calls, "5")
+		expectNoUpdate(t, updates)
+	})
 }
--- a/internal/node/start_times.go
+++ b/internal/node/start_times.go
@@ -22,7 +22,7 @@
 	origin       time.Time     // wall time when the clock showed 0
 	slowStart    time.Duration // how long a process takes to warm up
 	answeredAt   time.Duration // on the clock: when discovery last answered; 0: not yet
-	serverOrigin float64       // the servers' Unix time when the clock showed 0, or earlier: see learnServerClock
+	serverOrigin float64       // the servers' Unix time when the clock showed 0, by learnServerClock
 	updates      uint32        // so far
 	known        map[policy.ServerID]processStart
 	departed     map[policy.ServerID]departedProcess
@@ -142,7 +142,8 @@
 
 // learnServerClock learns the servers' time of day from their starts: no process starts after
 // it is listed. What it learns is early by the age of the newest process as that was listed,
-// so that other processes seem younger by that, never older.
+// so that other processes seem younger by that. If the clock of one server's machine is ahead,
+// it is late, and only the other bounds of place hold from then on.
 func (s *startTimes) learnServerClock(list []endpoint.Endpoint, now time.Duration) {
 	for i := range list {
 		if started := list[i].StartedUnixMilli; started > 0 {
@@ -151,7 +152,7 @@
 	}
 }
 
-// ageByServerClock returns the age of a process by the servers' own clock, at most.
+// ageByServerClock returns the age of a process by what is known of the servers' own clock.
 func (s *startTimes) ageByServerClock(unixMilli float64, now time.Duration) time.Duration {
 	return now + unixSpan(s.serverOrigin-unixMilli)
 }
