--- a/review/standin/late/main.go
+++ b/review/standin/late/main.go
@@ -28,6 +28,7 @@
 	oneWay  = flag.Duration("oneway", 1200*time.Microsecond, "one way between the node and the servers")
 	share   = flag.Float64("share", 0.05, "share of the answers that get a second copy")
 	clients = flag.Int("clients", 8, "client connections")
+	away    = flag.Float64("turnaway", 0, "share of the requests that servers turn away unseen, as with a full queue")
 )
 
 func main() {
@@ -75,10 +76,7 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		id := request.Header.Get("X-Request-Id")
-		s.record.Linef("server %s runs %s on %s", s.name, id, conn.RemoteAddr())
-		time.Sleep(time.Duration(2+rand.IntN(6)) * time.Millisecond)
-		body := "answer to " + id + "\n"
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		answer := s.run(id, conn)
 		if _, err := io.WriteString(conn, answer); err != nil {
 			return
 		}
@@ -99,6 +97,31 @@
 	}
 }
 
+// run runs a request, or turns it away, and returns the answer.
+func (s *server) run(id string, conn net.Conn) string {
+	if rand.Float64() < *away {
+		s.record.Linef("server %s turns %s away on %s", s.name, id, conn.RemoteAddr())
+		return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	s.record.Linef("server %s runs %s on %s", s.name, id, conn.RemoteAddr())
+	if strings.HasSuffix(id, "-notify") {
+		runsMu.Lock()
+		if runs[id]++; runs[id] > 1 {
+			s.record.Linef("BROKEN: %s runs %d times", id, runs[id])
+		}
+		runsMu.Unlock()
+	}
+	time.Sleep(time.Duration(2+rand.IntN(6)) * time.Millisecond)
+	body := "answer to " + id + "\n"
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// runs counts how often each request of the side_effect class was run.
+var (
+	runsMu sync.Mutex
+	runs   = map[string]int{}
+)
+
 func run() (int, error) {
 	dir, err := os.MkdirTemp("", "late")
 	if err != nil {
@@ -153,6 +176,9 @@
 			client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{}}
 			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("c%d-%d", c, i)
+				if i%8 == 0 {
+					id += "-notify"
+				}
 				sent.Add(1)
 				status, body := request(client, node.Addr, id, i%8 == 0)
 				record.Linef("client %d sent %s, got %d %q", c, id, status, body)
@@ -174,12 +200,21 @@
 	for _, s := range servers {
 		copies += s.copies.Load()
 	}
-	summary := fmt.Sprintf("sent %d, served with the own answer %d, with a foreign answer %d, other answers %d; second copies %d",
-		sent.Load(), served.Load(), foreign.Load(), other.Load(), copies)
+	twice := 0
+	runsMu.Lock()
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	runsMu.Unlock()
+	summary := fmt.Sprintf("sent %d, served with the own answer %d, with a foreign answer %d, other answers %d; "+
+		"second copies %d; requests of the side_effect class that ran twice %d",
+		sent.Load(), served.Load(), foreign.Load(), other.Load(), copies, twice)
 	record.Linef("%s", summary)
 	fmt.Println(summary)
 	switch {
-	case foreign.Load() > 0:
+	case foreign.Load() > 0 || twice > 0:
 		return 1, nil
 	case served.Load() < sent.Load()/2:
 		return 2, fmt.Errorf("fewer than half of the requests were served")
