Review case 2: crowds that come at once and don't come back

Cause: the case of the first form had bad clients that come back all the time; single crowds show the same fault.

--- a/review/standin/crowd/main.go
+++ b/review/standin/crowd/main.go
@@ -1,5 +1,5 @@
-// Command crowd plays clients that stop in the middle of a request and stay, so many that they fill the descriptors of
-// a node, beside usual clients that send requests.
+// Command crowd plays clients that come by hundreds, stop in the middle of a request and stay, so many that they fill the
+// descriptors of a node, beside usual clients that send requests.
 package main
 
 import (
@@ -25,16 +25,16 @@
 	root    = flag.String("root", ".", "root of the repository")
 	out     = flag.String("record", "record.txt", "file to write the record to")
 	trouble = flag.Bool("trouble", true, "whether there are bad clients")
-	seconds = flag.Int("seconds", 8, "length of the run")
+	seconds = flag.Int("seconds", 10, "length of the run")
 	sockets = flag.Int("sockets", 256, "descriptors of the node")
-	bad     = flag.Int("bad", 400, "bad clients")
-	pause   = flag.Duration("pause", 100*time.Millisecond, "time after which a bad client comes back when it was shut")
-	usual   = flag.Int("usual", 6, "usual clients")
+	bad     = flag.Int("bad", 900, "bad clients that come at once")
+	every   = flag.Duration("every", 3*time.Second, "time between two crowds")
+	usual   = flag.Int("usual", 8, "usual clients")
 )
 
 // Times of a usual request: how long its client waits, and how much later an answer is not lost yet.
 const (
-	patience = 600 * time.Millisecond
+	patience = 400 * time.Millisecond
 	slack    = 500 * time.Millisecond
 )
 
@@ -106,9 +106,14 @@
 	var running sync.WaitGroup
 	var badConns atomic.Int64
 	if *trouble {
-		for range *bad {
-			running.Go(func() { stopInTheMiddle(node.Addr, end, &badConns) })
-		}
+		running.Go(func() {
+			for time.Sleep(time.Second); time.Until(end) > *every/2; time.Sleep(*every) {
+				record.Linef("%d bad clients come", *bad)
+				for range *bad {
+					running.Go(func() { stopInTheMiddle(node.Addr, &badConns) })
+				}
+			}
+		})
 	}
 	counts := &tally{record: record, results: map[string]int{}}
 	for c := range *usual {
@@ -137,19 +142,17 @@
 	return 0, nil
 }
 
-// stopInTheMiddle sends half a request again and again, and stays each time until the node shuts the connection.
-func stopInTheMiddle(addr string, end time.Time, conns *atomic.Int64) {
-	for time.Now().Before(end) {
-		conn, err := net.DialTimeout("tcp", addr, time.Second)
-		if err == nil {
-			conns.Add(1)
-			_, _ = io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: service.internal\r\n")
-			_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
-			_, _ = io.Copy(io.Discard, conn)
-			_ = conn.Close()
-		}
-		time.Sleep(*pause)
+// stopInTheMiddle sends half a request and stays until the node shuts the connection.
+func stopInTheMiddle(addr string, conns *atomic.Int64) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return
 	}
+	defer func() { _ = conn.Close() }()
+	conns.Add(1)
+	_, _ = io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: service.internal\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
+	_, _ = io.Copy(io.Discard, conn)
 }
 
 // Results of a usual request.
