Review: a case's processes end with its script, whatever ends it

Cause: a run.sh that was ended half way left its stand-in and node running until their own time was up.

--- a/review/standin/crowd/main.go
+++ b/review/standin/crowd/main.go
@@ -64,7 +64,7 @@
 }
 
 func run() (int, error) {
-	dir, err := os.MkdirTemp("", "crowd")
+	dir, err := lab.TempDir(100 * time.Second)
 	if err != nil {
 		return 2, err
 	}
--- a/review/standin/late/main.go
+++ b/review/standin/late/main.go
@@ -123,7 +123,7 @@
 )
 
 func run() (int, error) {
-	dir, err := os.MkdirTemp("", "late")
+	dir, err := lab.TempDir(100 * time.Second)
 	if err != nil {
 		return 2, err
 	}
--- a/review/standin/memory/main.go
+++ b/review/standin/memory/main.go
@@ -65,7 +65,7 @@
 }
 
 func run() (int, error) {
-	dir, err := os.MkdirTemp("", "memory")
+	dir, err := lab.TempDir(100 * time.Second)
 	if err != nil {
 		return 2, err
 	}
