node: bound the memory that clients and servers can make a node hold

Cause: nothing bounded the sum of what client connections and attempts hold. cmd/balancer sets the soft limit of the runtime, which bounds garbage and no live data; the limit of client connections followed from descriptors alone. Bodies, bytes read ahead and encoded attempts were unbounded as a sum, and so, worse, were heads: 15 KiB of short header fields need some 20 times that.

Change: planMemory divides memory_mb at the start. Package memorybudget counts the bytes of variable size; heads, read-ahead, bodies and responses reserve theirs first and a request releases them with its last holder. A head has 128 lines at most. A large body is no longer copied for each attempt. A request that finds no memory waits for a quarter of its timeout, then gets a 503.

Evidence: TestMemoryStaysWithinTheLimitUnderFloods, eight floods on five pairs of memory and descriptors.

A vet of requestParser in validation_test.go names its fields now; the test is unchanged.

--- a/cmd/balancer/benchmark_test.go
+++ b/cmd/balancer/benchmark_test.go
@@ -130,11 +130,11 @@
 }
 
 // cpuTime returns the user and system time that a process has used.
-func cpuTime(b *testing.B, pid int) time.Duration {
-	b.Helper()
+func cpuTime(tb testing.TB, pid int) time.Duration {
+	tb.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	const userField, systemField = 11, 12 // indexes of utime and stime among the fields after the "(program name)"
 	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
@@ -142,7 +142,7 @@
 	for _, field := range []int{userField, systemField} {
 		value, err := strconv.Atoi(fields[field])
 		if err != nil {
-			b.Fatal(err)
+			tb.Fatal(err)
 		}
 		ticks += value
 	}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"calicohinge/internal/httphead"
 	"calicohinge/internal/sockstate"
 )
 
@@ -17,13 +18,16 @@
 	overLimit bool // result of OverLimit; set on admission
 
 	// The fields below are guarded by conns.mu.
-	state        connState
-	graceStart   time.Time     // start of the grace period: when the connection was added to its queue
-	queueElement *list.Element // position in the queue for the state; nil if the state has no queue
-	readAhead    []byte        // bytes received while a request was active and not yet returned by Read
-	readErr      error         // read error or errReadAheadFull; nothing is read from the socket after it
-	queueTime    time.Duration // result of QueueTime
-	readBlocked  bool          // whether Read has returned all received bytes of a request and waits for more
+	state             connState
+	graceStart        time.Time     // start of the grace period: when the connection was added to its queue
+	queueElement      *list.Element // position in the queue for the state; nil if the state has no queue
+	readAhead         []byte        // bytes received while a request was active and not yet returned by Read
+	readAheadReserved int           // bytes of Config.ReceiveMemory reserved for readAhead
+	head              httphead.Scanner
+	headReserved      int           // bytes of Config.ReceiveMemory reserved for the head of the current request
+	readErr           error         // read error or errReadAheadFull; nothing is read from the socket after it
+	queueTime         time.Duration // result of QueueTime
+	readBlocked       bool          // whether Read has returned all received bytes of a request and waits for more
 }
 
 // newConn returns a connection that is not admitted yet. Its error is a *connError.
@@ -43,6 +47,21 @@
 	c.conns.markRequestRead(c)
 }
 
+// BeginMemoryWait records that the rest of the request stays unread until memory for it is free. The connection is
+// neither evicted nor shut down before EndMemoryWait is called.
+func (c *Conn) BeginMemoryWait() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.conns.beginMemoryWait(c)
+}
+
+// EndMemoryWait records that the rest of the request is read now, or that the request is rejected.
+func (c *Conn) EndMemoryWait() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.conns.endMemoryWait(c)
+}
+
 // OverLimit reports whether the connection was accepted from the reserve, see Config.ReservedConns. Its
 // request must be rejected.
 func (c *Conn) OverLimit() bool { return c.overLimit }
--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -28,6 +28,10 @@
 			n, err = c.receive(int(fd), p)
 			return n > 0 || err != nil // false: wait until the socket is readable
 		})
+		if errors.Is(err, errNoHeadMemory) {
+			c.rejectForMemory()
+			return 0, errClosed
+		}
 		if waitErr == nil {
 			return n, err
 		}
@@ -106,11 +110,20 @@
 func (c *Conn) receiveRequest(fd int, p []byte) (int, error) {
 	switch {
 	case len(c.readAhead) > 0:
-		return c.takeReadAhead(p), nil
+		n := c.takeReadAhead(limitRead(p))
+		if err := c.scanHead(p[:n]); err != nil {
+			c.readErr = err
+			return 0, err
+		}
+		return n, nil
 	case c.readErr != nil:
 		return 0, c.readErr
 	}
-	n, err := readNonBlocking(fd, p)
+	n, err := readNonBlocking(fd, limitRead(p))
 	c.readErr = err
+	if headErr := c.scanHead(p[:n]); headErr != nil {
+		c.readErr = headErr
+		return 0, headErr
+	}
 	return n, err
 }
--- a/internal/downstream/conn_state.go
+++ b/internal/downstream/conn_state.go
@@ -9,6 +9,9 @@
 //	addConn           accepted              noData       Listener.Accept admits the connection
 //	beginRequest      noData, idle          readingHead  bytes of a request have arrived
 //	markHeadRead      readingHead           readingBody  net/http has read the head (Conns.HandleConnState, StateActive)
+//	beginMemoryWait   readingBody           awaitingMemory
+//	                                                     memory for the body is not free (Conn.BeginMemoryWait)
+//	endMemoryWait     awaitingMemory        readingBody  it is free, or the request is rejected (Conn.EndMemoryWait)
 //	markRequestRead   any but closed        active       the request has been read (Conn.MarkRequestRead)
 //	completeResponse  any but closed        idle         the response is complete (Conns.HandleConnState, StateIdle)
 //	                                        readingHead  the same, and bytes of the next request have arrived
@@ -22,14 +25,15 @@
 
 // The states of a connection.
 const (
-	stateAccepted    connState = iota // not admitted yet and not counted in Conns.open
-	stateNoData                       // admitted; the client has not sent any data
-	stateReadingHead                  // the head of a request is being read
-	stateReadingBody                  // net/http has read the head; the rest of the request is being read
-	stateActive                       // the request has been read; its response is not complete
-	stateLingering                    // the last response has been sent; nothing more is read
-	stateIdle                         // between two requests
-	stateClosed                       // closed by this node and no longer counted in Conns.open
+	stateAccepted       connState = iota // not admitted yet and not counted in Conns.open
+	stateNoData                          // admitted; the client has not sent any data
+	stateReadingHead                     // the head of a request is being read
+	stateReadingBody                     // net/http has read the head; the rest of the request is being read
+	stateAwaitingMemory                  // net/http has read the head; the rest is read once memory is free
+	stateActive                          // the request has been read; its response is not complete
+	stateLingering                       // the last response has been sent; nothing more is read
+	stateIdle                            // between two requests
+	stateClosed                          // closed by this node and no longer counted in Conns.open
 )
 
 // String returns a description of the state for messages.
@@ -43,6 +47,8 @@
 		return "reading head"
 	case stateReadingBody:
 		return "reading body"
+	case stateAwaitingMemory:
+		return "awaiting memory"
 	case stateActive:
 		return "active"
 	case stateLingering:
@@ -55,6 +61,9 @@
 	return "unknown"
 }
 
+// hasClaimToResponse reports whether the client is owed the response to a request: the connection is never evicted.
+func (s connState) hasClaimToResponse() bool { return s == stateAwaitingMemory || s == stateActive }
+
 // awaitsRequest reports whether no byte of the next request has been read yet.
 func (s connState) awaitsRequest() bool { return s == stateNoData || s == stateIdle }
 
@@ -80,6 +89,21 @@
 func (cs *Conns) markHeadRead(c *Conn) {
 	if c.state == stateReadingHead {
 		c.state = stateReadingBody
+		c.head.SetComplete()
+	}
+}
+
+// beginMemoryWait records that the body of a request is not read until memory is free. The caller holds cs.mu.
+func (cs *Conns) beginMemoryWait(c *Conn) {
+	if c.state == stateReadingBody {
+		cs.setState(c, stateAwaitingMemory)
+	}
+}
+
+// endMemoryWait records that the body of a request is read from now on. The caller holds cs.mu.
+func (cs *Conns) endMemoryWait(c *Conn) {
+	if c.state == stateAwaitingMemory {
+		cs.setState(c, stateReadingBody)
 	}
 }
 
@@ -95,6 +119,7 @@
 // cs.mu.
 func (cs *Conns) completeResponse(c *Conn) bool {
 	c.queueTime = 0
+	c.releaseHead()
 	switch {
 	case c.state == stateClosed:
 		return false
@@ -123,7 +148,8 @@
 	if c.state == stateClosed {
 		return false
 	}
-	c.readAhead = nil
+	c.releaseReadAhead()
+	c.releaseHead()
 	cs.open--
 	cs.setState(c, stateClosed)
 	return true
@@ -145,10 +171,10 @@
 	if c.queueElement != nil {
 		cs.queue(c.state).remove(c)
 	}
-	if c.state == stateActive {
+	if c.state.hasClaimToResponse() {
 		cs.active--
 	}
-	if next == stateActive {
+	if next.hasClaimToResponse() {
 		cs.active++
 	}
 	c.state, c.graceStart = next, time.Now()
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -15,6 +15,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"calicohinge/internal/memorybudget"
 )
 
 // DefaultLingerTimeout is the time allowed for a client to close its connection after the last
@@ -32,6 +34,9 @@
 	// its request is active. It must be large enough for one request of maximum size; a client
 	// that sends more is treated as disconnected.
 	MaxReadAheadBytes int
+	// ReceiveMemory is the memory for heads that exceed headAllowance, and for bytes read ahead that exceed
+	// readAheadChunkSize, of all connections together.
+	ReceiveMemory *memorybudget.Budget
 	// ReadTimeout is the time allowed between the first and the last byte of a request.
 	ReadTimeout time.Duration
 	// LingerTimeout is the longest time that Conn.LingeringClose waits, see DefaultLingerTimeout.
@@ -45,7 +50,7 @@
 
 	mu        sync.Mutex
 	open      int       // number of connections that are admitted and not closed
-	active    int       // number of connections in stateActive
+	active    int       // number of connections in stateAwaitingMemory or stateActive
 	noData    connQueue // connections in stateNoData
 	partial   connQueue // connections in stateReadingHead or stateReadingBody
 	idle      connQueue // connections in stateIdle
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -10,6 +10,7 @@
 
 	"calicohinge/internal/config"
 	"calicohinge/internal/downstream"
+	"calicohinge/internal/memorybudget"
 )
 
 const (
@@ -43,7 +44,7 @@
 }
 
 func newHandler(cfg *config.Config, loop *loop, conns *downstream.Conns) *handler {
-	return &handler{cfg: cfg, parser: requestParser{cfg, loop.clock}, loop: loop, conns: conns}
+	return &handler{cfg: cfg, parser: requestParser{cfg: cfg, clock: loop.clock}, loop: loop, conns: conns}
 }
 
 // server returns an HTTP server that serves the connections of h.conns.
@@ -118,13 +119,18 @@
 	writeText(w, http.StatusOK, "ready")
 }
 
-// forward parses a request, forwards it and writes its final response. The error is that of requestParser.parse or
-// submit.
+// forward parses a request, forwards it and writes its final response. It rejects a request for which no memory is
+// free. The error is that of requestParser.parse or submit.
 func (h *handler) forward(w http.ResponseWriter, r *http.Request) error {
 	parsed, err := h.parser.parse(r)
+	if errors.Is(err, memorybudget.ErrExhausted) {
+		h.rejectForCapacity(w)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
+	defer parsed.Memory.Release()
 	conn := clientConnection(r)
 	if conn == nil {
 		parsed.client = contextConn{r.Context().Done()}
@@ -133,14 +139,15 @@
 	parsed.client = conn
 	conn.MarkRequestRead()
 	if conn.OverLimit() {
-		h.rejectOverLimit(w)
+		h.rejectForCapacity(w)
 		return nil
 	}
 	return h.submit(w, r, parsed)
 }
 
-// rejectOverLimit rejects a request on a connection that exceeds the limit of client connections.
-func (h *handler) rejectOverLimit(w http.ResponseWriter) {
+// rejectForCapacity rejects a request for which the node has no capacity: its connection exceeds the limit of client
+// connections, or no memory is free for its body.
+func (h *handler) rejectForCapacity(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
 	h.writeFinal(w, response{
 		status: http.StatusServiceUnavailable, retryAfter: h.cfg.Policy.Limits.MaxRetryAfter,
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -49,7 +49,9 @@
 	}
 	h.limitToKeyRetention(req, index)
 	deadline := h.clock.toTime(req.deadline)
+	req.Memory.Hold()
 	h.sends.Go(func() {
+		defer req.Memory.Release()
 		result := h.pool.Send(started.call, server, &req.Request, deadline)
 		h.queue.post(outcomeReceived{req, index, result})
 	})
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -94,7 +94,9 @@
 // new request is rejected, and a request that was active gets responseAfterLoopEnd.
 func (l *loop) submit(ctx context.Context, req *request) (response, error) {
 	req.completion = make(chan completion, 1)
+	req.Memory.Hold()
 	if !l.queue.post(requestArrived{req}) {
+		req.Memory.Release()
 		return l.terminationResponse(), nil
 	}
 	select {
@@ -133,6 +135,7 @@
 	req.activate(l.requests.newID())
 	if l.terminated {
 		req.complete(completion{response: l.terminationResponse()})
+		req.Memory.Release()
 		return
 	}
 	l.requests.add(req)
@@ -199,6 +202,7 @@
 func (l *loop) release(req *request) {
 	if req.release() {
 		l.requests.remove(req)
+		req.Memory.Release()
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,8 @@
 	// reserveDivisor determines the number of descriptors that are reserved for client connections over the limit,
 	// whose requests are rejected: the remaining descriptors divided by reserveDivisor.
 	reserveDivisor = 20
+	// minClientConns is the smallest limit of client connections, however little memory is configured.
+	minClientConns = 16
 )
 
 // Node is one load balancer node. Listen creates it, and Run serves requests.
@@ -106,13 +108,20 @@
 
 func newService(ctx context.Context, n *Node) (*service, error) {
 	limits := divideDescriptors(n.cfg.Limits.Sockets)
-	pool := upstream.NewPool(upstreamConfig(n.cfg, limits.upstream))
+	memory := planMemory(n.cfg, limits)
+	limits = limits.withClientConns(memory.clientConns)
+	poolConfig := upstreamConfig(n.cfg, limits.upstream)
+	poolConfig.ResponseMemory = memory.responses
+	pool := upstream.NewPool(poolConfig)
 	loop, err := newLoop(ctx, n.cfg, pool, n.discovery)
 	if err != nil {
 		return nil, err
 	}
-	conns := downstream.NewConns(downstreamConfig(limits.downstream, limits.reserve))
+	connsConfig := downstreamConfig(limits.downstream, limits.reserve)
+	connsConfig.ReceiveMemory = memory.receiving
+	conns := downstream.NewConns(connsConfig)
 	handler := newHandler(n.cfg, loop, conns)
+	handler.parser.bodyMemory = memory.bodies
 	return &service{
 		cfg:         n.cfg,
 		listener:    conns.NewListener(n.listener),
@@ -170,6 +179,20 @@
 	return connectionLimits{upstream: upstreamLimit, downstream: available - upstreamLimit - reserve, reserve: reserve}
 }
 
+// withClientConns returns limits with at most the given number of client connections, those of the reserve included.
+// Connections to servers are limited to what the attempts of these clients need.
+func (l connectionLimits) withClientConns(clientConns int) connectionLimits {
+	if l.downstream+l.reserve <= clientConns {
+		return l
+	}
+	reserve := clientConns * l.reserve / (l.downstream + l.reserve)
+	return connectionLimits{
+		upstream:   min(l.upstream, upstreamConnsPerClient*clientConns),
+		downstream: clientConns - reserve,
+		reserve:    reserve,
+	}
+}
+
 func upstreamConfig(cfg *config.Config, maxOpen int) upstream.Config {
 	return upstream.Config{
 		MaxOpen: maxOpen, IdleTimeout: cfg.IdleTimeout, ConnectTimeout: cfg.ConnectTimeout,
--- a/internal/node/request_parser.go
+++ b/internal/node/request_parser.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"calicohinge/internal/config"
+	"calicohinge/internal/memorybudget"
 	"calicohinge/policy"
 )
 
@@ -22,12 +23,13 @@
 
 // requestParser validates the HTTP requests of clients and converts them into type request.
 type requestParser struct {
-	cfg   *config.Config
-	clock *clock
+	cfg        *config.Config
+	clock      *clock
+	bodyMemory *memorybudget.Budget // memory for bodies that exceed smallBody
 }
 
 // parse validates a request and reads its body. checkFraming must have succeeded. The error is a *rejectionError, or
-// that of readBody.
+// that of reserveBody or readBody. The caller releases the Memory of the request.
 func (p *requestParser) parse(r *http.Request) (*request, error) {
 	classIndex, err := p.parseClass(r)
 	if err != nil {
@@ -48,16 +50,23 @@
 	if err := checkClassRules(r, class.Idempotency); err != nil {
 		return nil, err
 	}
+	allowed := min(timeout, class.Deadline)
+	memory := memorybudget.NewLease()
+	waited, err := p.reserveBody(r, memory, allowed)
+	if err != nil {
+		return nil, err
+	}
 	body, err := readBody(r)
 	if err != nil {
+		memory.Release()
 		return nil, err
 	}
 	return &request{
-		Request:  newUpstreamRequest(r, body, class),
+		Request:  newUpstreamRequest(r, body, class, memory),
 		class:    classIndex,
 		tenant:   tenant,
 		costHint: parseCostHint(r),
-		deadline: p.clock.now() + min(timeout, class.Deadline) - responseMargin - timeInQueue(r),
+		deadline: p.clock.now() + allowed - responseMargin - timeInQueue(r) - waited,
 	}, nil
 }
 
--- a/internal/node/upstream_request.go
+++ b/internal/node/upstream_request.go
@@ -1,13 +1,12 @@
 package node
 
 import (
-	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"calicohinge/internal/httpheader"
+	"calicohinge/internal/memorybudget"
 	"calicohinge/internal/upstream"
 	"calicohinge/policy"
 )
@@ -22,7 +21,9 @@
 )
 
 // newUpstreamRequest returns the request to send to servers, without hop-by-hop header fields.
-func newUpstreamRequest(r *http.Request, body []byte, class *policy.Class) upstream.Request {
+func newUpstreamRequest(
+	r *http.Request, body []byte, class *policy.Class, memory *memorybudget.Lease,
+) upstream.Request {
 	return upstream.Request{
 		Method: r.Method,
 		URL: &url.URL{
@@ -32,6 +33,7 @@
 		Header:              httpheader.EndToEnd(r.Header),
 		Body:                body,
 		ResponseReadTimeout: responseReadTimeout(class),
+		Memory:              memory,
 	}
 }
 
@@ -44,15 +46,3 @@
 	}
 	return min(maxResponseReadTimeout, objective/responseReadDivisor)
 }
-
-// readBody reads the body of a request. checkFraming has bounded its length, and the read timeout applies.
-func readBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	return body, nil
-}
--- a/internal/node/validation_test.go
+++ b/internal/node/validation_test.go
@@ -175,7 +175,7 @@
 func TestResponseReadTimeoutLeavesTimeForARetry(t *testing.T) {
 	for objective, want := range map[int]time.Duration{60: 30 * time.Millisecond, 2000: maxResponseReadTimeout} {
 		cfg := testConfig(t, testkit.NewFakeDiscovery(t), withDeadlines(objective*4/3))
-		parser := requestParser{cfg, newClock()}
+		parser := requestParser{cfg: cfg, clock: newClock()}
 		n := &testNode{t: t, addr: "x"}
 		parsed, err := parser.parse(n.newRequest("read"))
 		if err != nil {
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -7,6 +7,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a socket at the time at which Peek was called.
@@ -50,6 +52,19 @@
 	return state
 }
 
+// PeerClosed reports whether the peer of a socket has closed its sending side or reset the connection, also if unread
+// bytes have arrived before that. It reports false where the system does not tell.
+func PeerClosed(fd int) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(poll, 0)
+		if errors.Is(err, unix.EINTR) {
+			continue // interrupted by a signal; the socket's state is still unknown
+		}
+		return err == nil && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+}
+
 // peek returns the state of the socket with the given file descriptor.
 func peek(fd int) State {
 	var buffer [1]byte
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"calicohinge/internal/httphead"
 	"calicohinge/internal/sockstate"
 )
 
@@ -15,10 +16,12 @@
 	server            *server
 	reader            *bufio.Reader // reads from connection.Read
 	responseBytesLeft int           // number of bytes that the current response may still take
-	readErr           error         // error of the last read from the socket, or nil
-	reusable          bool          // the pool may keep the connection for another request
-	reused            bool          // the pool has kept the connection before
-	idleSince         time.Time     // when the connection last became idle
+	responseMemory    *responseMemory
+	head              httphead.Scanner
+	readErr           error     // error of the last read from the socket, or nil
+	reusable          bool      // the pool may keep the connection for another request
+	reused            bool      // the pool has kept the connection before
+	idleSince         time.Time // when the connection last became idle
 }
 
 func newConnection(socket net.Conn, target *server) *connection {
@@ -28,17 +31,34 @@
 }
 
 // Read implements io.Reader. It returns errResponseTooLarge when the current response has reached its
-// maximum size.
+// maximum size, and another error if its head has too many lines or needs memory that is not free.
 func (c *connection) Read(buffer []byte) (int, error) {
 	if c.responseBytesLeft <= 0 {
 		return 0, errResponseTooLarge
 	}
-	n, err := c.Conn.Read(buffer[:min(len(buffer), c.responseBytesLeft)])
+	limit := min(len(buffer), c.responseBytesLeft)
+	if !c.head.Complete() {
+		limit = min(limit, httphead.MaxReadSize)
+	}
+	n, err := c.Conn.Read(buffer[:limit])
 	c.responseBytesLeft -= n
 	c.readErr = err
+	if headErr := c.scanHead(buffer[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// scanHead accounts for received bytes of a response. It returns an error if its head has too many lines, or needs
+// memory that is not free.
+func (c *connection) scanHead(received []byte) error {
+	c.head.Scan(received)
+	if c.head.TooManyLines() {
+		return errTooManyHeadLines
+	}
+	return c.responseMemory.ensure(c.head.Memory())
+}
+
 // readyForRequest reports whether the connection is open and has no unread bytes. Bytes that arrive
 // before a request is written cannot belong to its response.
 func (c *connection) readyForRequest() bool { return sockstate.Peek(c.Conn) == sockstate.Idle }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,12 +1,14 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"calicohinge/internal/httphead"
 	"calicohinge/internal/httpheader"
 	"calicohinge/policy"
 )
@@ -24,15 +26,16 @@
 // connection is reusable afterwards only if the response is complete and no further bytes were read.
 func (c *connection) exchange(request *encodedRequest) Result {
 	c.reusable = false
-	if _, err := c.Write(request.message); err != nil {
+	if err := c.write(request); err != nil {
 		return Result{Status: policy.StatusConnectFailed} // the last byte was not written
 	}
 	c.responseBytesLeft = maxResponseBytes
+	c.responseMemory = request.memory
 	response, err := c.readFinalHead(request)
 	if err != nil {
 		return Result{Status: c.failureStatus(err)}
 	}
-	body, err := readBody(response)
+	body, err := c.readBody(response)
 	if err != nil {
 		return Result{Status: c.failureStatus(err)}
 	}
@@ -42,6 +45,18 @@
 	return classify(response, body)
 }
 
+// write writes a request.
+func (c *connection) write(request *encodedRequest) error {
+	if _, err := c.Write(request.message); err != nil {
+		return err
+	}
+	if len(request.body) == 0 {
+		return nil
+	}
+	_, err := c.Write(request.body)
+	return err
+}
+
 // readFinalHead skips interim responses and returns the final response, of which only the head
 // has been read.
 func (c *connection) readFinalHead(request *encodedRequest) (*http.Response, error) {
@@ -53,6 +68,7 @@
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitchingProtocols
 		case response.StatusCode/100 != 1:
+			c.head.SetComplete()
 			return response, nil
 		}
 	}
@@ -64,6 +80,7 @@
 // otherwise a server that stops in the middle of a response would use up the time for a retry.
 func (c *connection) readHead(request *encodedRequest) (*http.Response, error) {
 	c.setReadDeadline(time.Time{})
+	c.head = httphead.Scanner{}
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
@@ -82,18 +99,43 @@
 // the connection (RFC 9112, section 6.3), and incomplete after a reset. readBody does not close
 // response.Body: Close would read the body to its end, whatever its length. A connection whose
 // response was not read to the end is closed instead.
-func readBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxBodyBytes {
+func (c *connection) readBody(response *http.Response) ([]byte, error) {
+	size := int(response.ContentLength)
+	switch {
+	case response.ContentLength > maxBodyBytes:
 		return nil, errBodyTooLarge
+	case size < 0:
+		return c.readBodyOfUnknownSize(response.Body)
+	}
+	if err := c.responseMemory.ensure(c.head.Memory() + size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(response.Body, body)
+	return body, err
+}
+
+// readBodyOfUnknownSize reads a body to its end. It reserves memory for a body of maximum size if the body turns out to
+// be larger than responseAllowance.
+func (c *connection) readBodyOfUnknownSize(body io.Reader) ([]byte, error) {
+	start, err := io.ReadAll(io.LimitReader(body, responseAllowance+1))
+	if err != nil || len(start) <= responseAllowance {
+		return start, err
+	}
+	if err := c.responseMemory.ensure(c.head.Memory() + maxBodyBytes); err != nil {
+		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
+	// bytes.Buffer.ReadFrom needs bytes.MinRead bytes of room, also at the end.
+	whole := bytes.NewBuffer(make([]byte, 0, maxBodyBytes+1+bytes.MinRead))
+	_, _ = whole.Write(start) // never fails
+	_, err = whole.ReadFrom(io.LimitReader(body, int64(maxBodyBytes+1-len(start))))
 	switch {
 	case err != nil:
 		return nil, err
-	case len(body) > maxBodyBytes:
+	case whole.Len() > maxBodyBytes:
 		return nil, errBodyTooLarge
 	}
-	return body, nil
+	return whole.Bytes(), nil
 }
 
 // classify returns the result of an attempt with a complete response.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"calicohinge/internal/memorybudget"
 	"calicohinge/internal/netdial"
 	"calicohinge/policy"
 )
@@ -47,6 +48,8 @@
 	IdleTimeout    time.Duration // idle time after which servers close a connection
 	ConnectTimeout time.Duration // maximum time for opening a connection
 	ReuseDelay     time.Duration // see DefaultReuseDelay
+	// ResponseMemory is the memory for the responses of all attempts that exceed responseAllowance.
+	ResponseMemory *memorybudget.Budget
 }
 
 // Pool holds the addresses of the servers and the idle connections to them. It does not use
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"calicohinge/internal/memorybudget"
 )
 
 // timeoutHeader is the header field that holds the time for which the client will still wait, in milliseconds.
@@ -21,27 +22,37 @@
 	Body   []byte
 	// ResponseReadTimeout is the maximum time from the first byte of a response to its last.
 	ResponseReadTimeout time.Duration
+	// Memory holds the reservations for the responses; it may be nil.
+	Memory *memorybudget.Lease
 }
 
 // encodedRequest is a serialized request.
 type encodedRequest struct {
 	http                *http.Request // the request, which the response parser needs
-	message             []byte        // the bytes to write
+	message             []byte        // the bytes to write first: the head, and the body if it is small
+	body                []byte        // the bytes to write after message: the body if it is not small
 	responseReadTimeout time.Duration
+	memory              *responseMemory
 }
 
 // encode serializes the request for one attempt, with a header field that tells the server the timeout.
 func (r *Request) encode(timeout time.Duration) (*encodedRequest, error) {
 	request := r.httpRequest(timeout)
-	var message bytes.Buffer
-	if err := request.Write(&message); err != nil {
+	var writer headWriter
+	if len(r.Body) > 0 {
+		request.Body = &announcedBody{reader: bytes.NewReader(r.Body), started: &writer.complete}
+	}
+	if err := request.Write(&writer); err != nil {
 		return nil, err
 	}
-	return &encodedRequest{
-		http:                request,
-		message:             message.Bytes(),
-		responseReadTimeout: r.ResponseReadTimeout,
-	}, nil
+	encoded := &encodedRequest{http: request, responseReadTimeout: r.ResponseReadTimeout}
+	if len(r.Body) <= maxBodyWithHead {
+		_, _ = writer.head.Write(r.Body) // never fails
+	} else {
+		encoded.body = r.Body
+	}
+	encoded.message = writer.head.Bytes()
+	return encoded, nil
 }
 
 // httpRequest returns the request to a server. Its timeout header field holds the timeout in whole
@@ -55,9 +66,6 @@
 		Body:          http.NoBody,
 		ContentLength: int64(len(r.Body)),
 	}
-	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
 	if request.Header["User-Agent"] == nil {
 		request.Header.Set("User-Agent", "") // otherwise http.Request.Write adds its default value
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -33,6 +33,7 @@
 			p.release(conn)
 			return Result{Status: policy.StatusNotSent}
 		}
+		encoded.memory = newResponseMemory(call.ctx, p.config.ResponseMemory, request)
 		if conn.readyForRequest() {
 			return p.sendOn(conn, call, encoded)
 		}
