upstream: use a connection again only when no second response can come

Cause: a connection was used again 1 ms after a response. A copy that comes between the next request's write and its response is taken for the response, and the connection stays off by one.

Change: the reuse delay is 10 ms, what "some milliseconds" can mean. An attempt that finds no connection past its delay waits for the one that is nearest to it, 10 ms at most, in place of opening a new one. A server that has sent surplus bytes has five times the delay for 30 s; the log says so.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -20,6 +20,7 @@
 	head              httphead.Scanner
 	readErr           error     // error of the last read from the socket, or nil
 	reusable          bool      // the pool may keep the connection for another request
+	surplus           bool      // the server has sent bytes that belong to no request
 	reused            bool      // the pool has kept the connection before
 	idleSince         time.Time // when the connection last became idle
 }
@@ -60,8 +61,12 @@
 }
 
 // readyForRequest reports whether the connection is open and has no unread bytes. Bytes that arrive
-// before a request is written cannot belong to its response.
-func (c *connection) readyForRequest() bool { return sockstate.Peek(c.Conn) == sockstate.Idle }
+// before a request is written cannot belong to its response: they are surplus.
+func (c *connection) readyForRequest() bool {
+	state := sockstate.Peek(c.Conn)
+	c.surplus = state == sockstate.Readable
+	return state == sockstate.Idle
+}
 
 // setReadDeadline sets the time after which reads fail. The zero time removes the deadline.
 func (c *connection) setReadDeadline(deadline time.Time) {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -9,13 +9,16 @@
 )
 
 // acquire returns an idle or a new connection to a server. Its error is errUnknownServer,
-// errPoolExhausted or the error of the dialer.
+// errPoolExhausted, or the error of ctx or of the dialer.
 func (p *Pool) acquire(ctx context.Context, id policy.ServerID) (*connection, error) {
 	reserved, err := p.reserve(id)
 	if err != nil {
 		return nil, err
 	}
 	if reserved.idle != nil {
+		if err := p.settle(ctx, reserved); err != nil {
+			return nil, err
+		}
 		return reserved.idle, nil
 	}
 	conn, err := p.connect(ctx, reserved.server)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,7 +41,8 @@
 	}
 	c.setReadDeadline(time.Time{})
 	// Bytes after the response could be mistaken for the next response.
-	c.reusable = !response.Close && c.reader.Buffered() == 0
+	c.surplus = c.reader.Buffered() > 0
+	c.reusable = !response.Close && !c.surplus
 	return classify(response, body)
 }
 
--- a/internal/upstream/idle_timeout.go
+++ b/internal/upstream/idle_timeout.go
@@ -34,6 +34,9 @@
 	for _, s := range p.servers {
 		expired := 0
 		for expired < len(s.idle) && time.Since(s.idle[expired].idleSince) > p.maxIdleTime {
+			if !s.idle[expired].readyForRequest() && s.idle[expired].surplus {
+				p.recordSurplusLocked(s)
+			}
 			p.closeLocked(s.idle[expired])
 			expired++
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -31,12 +31,6 @@
 	maxIdlePerServer = 32
 )
 
-// DefaultReuseDelay is the minimum time between a response and the next request on the same
-// connection. A server may close the connection after a response or send surplus bytes, and a moment
-// passes before this node can detect that. A longer delay leaves more connections idle, and servers
-// then reset more of them.
-const DefaultReuseDelay = time.Millisecond
-
 var (
 	errUnknownServer = errors.New("server is not on the endpoint list")
 	errPoolExhausted = errors.New("connection limit reached and no connection is idle")
@@ -47,7 +41,7 @@
 	MaxOpen        int           // maximum number of connections to all servers
 	IdleTimeout    time.Duration // idle time after which servers close a connection
 	ConnectTimeout time.Duration // maximum time for opening a connection
-	ReuseDelay     time.Duration // see DefaultReuseDelay
+	ReuseDelay     time.Duration // see DefaultReuseDelay; 0: connections are reused at once
 	// ResponseMemory is the memory for the responses of all attempts that exceed responseAllowance.
 	ResponseMemory *memorybudget.Budget
 }
@@ -70,6 +64,7 @@
 	address   string
 	startedAt time.Time     // start time of the server's process, by the wall clock of its machine
 	idle      []*connection // idle connections in the order of their release, oldest first
+	surplusAt time.Time     // when the server last turned out to have sent surplus bytes; zero if it never has
 	// removed is true if the server is no longer listed or was replaced by another incarnation. Its
 	// connections are then closed when they are released.
 	removed bool
@@ -78,7 +73,8 @@
 // reservation permits its holder to use one connection to a server.
 type reservation struct {
 	server *server
-	idle   *connection // nil if a new connection is to be opened, which Pool.open already counts
+	idle   *connection   // nil if a new connection is to be opened, which Pool.open already counts
+	wait   time.Duration // time until the reuse delay of idle ends; not positive if it has ended
 }
 
 // NewPool returns a pool without servers. UpdateEndpoints adds them.
@@ -92,9 +88,9 @@
 	}
 }
 
-// reserve reserves an idle connection to a server, or the capacity for a new one. At the
-// connection limit it makes room by closing an idle connection to any server. Its error is
-// errUnknownServer or errPoolExhausted.
+// reserve reserves an idle connection to a server, or the capacity for a new one. An idle connection may have a part of
+// its reuse delay left. At the connection limit reserve makes room by closing an idle connection to any server. Its error
+// is errUnknownServer or errPoolExhausted.
 func (p *Pool) reserve(id policy.ServerID) (reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,6 +101,9 @@
 	if conn := p.takeIdleLocked(target); conn != nil {
 		return reservation{server: target, idle: conn}, nil
 	}
+	if conn, wait := p.takeSettlingLocked(target); conn != nil {
+		return reservation{server: target, idle: conn, wait: wait}, nil
+	}
 	if p.open >= p.config.MaxOpen && !p.evictLocked() {
 		return reservation{}, errPoolExhausted
 	}
@@ -121,12 +120,11 @@
 
 // takeIdleLocked removes an idle connection from the pool and returns it, or nil if there is none.
 // It takes the connection that was released last, among those idle for at least the reuse delay.
-// On a connection that is reused before that delay has passed, a request may be lost or be answered
-// with bytes that belong to the previous response, because a response does not identify its request.
 func (p *Pool) takeIdleLocked(target *server) *connection {
+	delay := p.reuseDelayLocked(target)
 	for i, conn := range slices.Backward(target.idle) {
 		idleFor := time.Since(conn.idleSince)
-		if idleFor < p.config.ReuseDelay {
+		if idleFor < delay {
 			continue
 		}
 		target.idle = slices.Delete(target.idle, i, i+1)
@@ -164,6 +162,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	target := conn.server
+	if conn.surplus {
+		p.recordSurplusLocked(target)
+	}
 	if !conn.reusable || target.removed || len(target.idle) >= maxIdlePerServer {
 		p.closeLocked(conn)
 		return
