node: answer every request that was read, and take its age from its own socket

Cause: (1) the deadline for writing a response was the request's deadline and 0.5 s; for a request that is read later it was past, and the 503 was never written. (2) A crowd joins the waits for admission to one pause, and each new connection counted as delayed since its beginning.

Change: (1) the write deadline is 0.5 s after the request's deadline or after the response is known, whichever is later. (2) The age of a request is the time since its last data arrived, which the kernel keeps (TCP_INFO); it includes the accept queue, pauses and the wait for memory. Where the system does not tell it, the bound by pauses stays.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -74,6 +74,10 @@
 	return c.queueTime
 }
 
+// SinceLastData returns the time since the client last sent bytes that have arrived, whether or not they have been read.
+// It reports false if the system does not tell; QueueTime is an upper bound of a part of that time then.
+func (c *Conn) SinceLastData() (time.Duration, bool) { return sockstate.SinceLastData(c.Conn) }
+
 // setQueueTime sets the QueueTime of the first request.
 func (c *Conn) setQueueTime(d time.Duration) {
 	c.conns.mu.Lock()
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -22,8 +22,8 @@
 	readTimeout = 2 * time.Second
 	// idleTimeout limits how long a client connection may be idle between requests.
 	idleTimeout = 10 * time.Second
-	// writeTimeout limits how long after a request's deadline the response may still be written. Without it, a
-	// client that does not read would keep its connection open.
+	// writeTimeout limits how long after a request's deadline, or after its response is known if that is later, the
+	// response may still be written. Without it, a client that does not read would keep its connection open.
 	writeTimeout = 500 * time.Millisecond
 	// readinessPath is the path of the health check.
 	readinessPath = "/health/ready"
@@ -171,8 +171,7 @@
 	if err != nil {
 		return err
 	}
-	// The error is ignored: if the connection is broken, the write fails as well.
-	_ = controller.SetWriteDeadline(time.Now().Add(parsed.deadline - h.loop.clock.now() + writeTimeout))
+	final.writeUntil = h.loop.clock.toTime(parsed.deadline)
 	h.writeFinal(w, final)
 	return nil
 }
--- a/internal/node/request_parser.go
+++ b/internal/node/request_parser.go
@@ -66,17 +66,22 @@
 		class:    classIndex,
 		tenant:   tenant,
 		costHint: parseCostHint(r),
-		deadline: p.clock.now() + allowed - responseMargin - timeInQueue(r) - waited,
+		deadline: p.clock.now() + allowed - responseMargin - requestAge(r, waited),
 	}, nil
 }
 
-// timeInQueue returns the longest time for which a request may have waited until its connection was accepted. The
-// client's timeout includes this time.
-func timeInQueue(r *http.Request) time.Duration {
-	if conn := clientConnection(r); conn != nil {
-		return conn.QueueTime()
-	}
-	return 0
+// requestAge returns the time since the last byte of a request arrived, which has just been read. The client's timeout
+// includes this time. Where the system does not tell it, requestAge returns the longest time for which the request may have
+// waited until its connection was accepted and until memory for its body was free.
+func requestAge(r *http.Request, waitedForMemory time.Duration) time.Duration {
+	conn := clientConnection(r)
+	if conn == nil {
+		return waitedForMemory
+	}
+	if age, known := conn.SinceLastData(); known {
+		return age
+	}
+	return conn.QueueTime() + waitedForMemory
 }
 
 // parseClass returns the index of the class named by the first segment of the path.
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -13,10 +13,24 @@
 	header     http.Header   // end-to-end header fields
 	body       []byte        // complete: responses are not streamed
 	retryAfter time.Duration // value of Retry-After; 0 omits the header field
+	writeUntil time.Time     // deadline of the request; zero if the response does not depend on it
+}
+
+// setWriteDeadline sets the time after which a response is not written any more. It is never past: a response that is known
+// only after the deadline of its request is owed to the client too. It also replaces the deadline of the connection's
+// previous response, which may be past.
+func setWriteDeadline(w http.ResponseWriter, final response) {
+	latest := time.Now()
+	if final.writeUntil.After(latest) {
+		latest = final.writeUntil
+	}
+	// The error is ignored: if the connection is broken, the write fails as well.
+	_ = http.NewResponseController(w).SetWriteDeadline(latest.Add(writeTimeout))
 }
 
 // writeResponse writes a final response to w.
 func writeResponse(w http.ResponseWriter, final response) {
+	setWriteDeadline(w, final)
 	header := w.Header()
 	maps.Copy(header, final.header)
 	if final.retryAfter > 0 {
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -65,6 +66,29 @@
 	}
 }
 
+// SinceLastData returns the time since bytes last arrived at a TCP socket, whether or not they have been read. It reports
+// false if the system does not tell.
+func SinceLastData(conn net.Conn) (time.Duration, bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	// A system that has no such record, or an emulation of sockets, leaves the fields at zero.
+	if err != nil || infoErr != nil || info.Bytes_received == 0 {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // peek returns the state of the socket with the given file descriptor.
 func peek(fd int) State {
 	var buffer [1]byte
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"calicohinge/internal/testkit"
 )
@@ -144,3 +145,61 @@
 		}
 	}
 }
+
+// Guards against an age of a request that does not include the time for which its bytes lay unread.
+func TestSinceLastDataIncludesTheTimeBeforeTheRead(t *testing.T) {
+	const (
+		unreadFor = 50 * time.Millisecond
+		clockTick = 10 * time.Millisecond // the longest tick of the kernel's clock
+	)
+	conn, peer := connectLoopback(t)
+	if since, known := SinceLastData(conn); known {
+		t.Errorf("SinceLastData before any data: got %v, want an unknown time", since)
+	}
+	if _, err := io.WriteString(peer, "x"); err != nil {
+		t.Fatal(err)
+	}
+	testkit.WaitUntil(t, "the byte to arrive", func() bool { return Peek(conn) == Readable })
+	arrivedAt := time.Now()
+	testkit.WaitUntil(t, "the byte to lie unread for a while", func() bool { return time.Since(arrivedAt) > unreadFor })
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if since, known := SinceLastData(conn); !known || since < unreadFor-clockTick {
+		t.Errorf("SinceLastData: got %v, known %v; want %v at least", since, known, unreadFor-clockTick)
+	}
+}
+
+func TestSinceLastDataIsUnknownWithoutASocket(t *testing.T) {
+	conn, peer := net.Pipe()
+	defer closeIgnoringError(conn)
+	defer closeIgnoringError(peer)
+	if since, known := SinceLastData(conn); known {
+		t.Errorf("SinceLastData of a pipe: got %v, want an unknown time", since)
+	}
+}
+
+// Guards against a disconnect that stays unseen behind bytes for which no memory is free.
+func TestPeerClosedSeesACloseBehindUnreadBytes(t *testing.T) {
+	conn, peer := connectLoopback(t)
+	if _, err := io.WriteString(peer, "x"); err != nil {
+		t.Fatal(err)
+	}
+	testkit.WaitUntil(t, "the byte to arrive", func() bool { return Peek(conn) == Readable })
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	peerClosed := func() bool {
+		closed := false
+		if err := raw.Control(func(fd uintptr) { closed = PeerClosed(int(fd)) }); err != nil {
+			t.Fatal(err)
+		}
+		return closed
+	}
+	if peerClosed() {
+		t.Error("PeerClosed of an open connection = true, want false")
+	}
+	closeIgnoringError(peer)
+	testkit.WaitUntil(t, "the close to be seen", peerClosed)
+}
