downstream: count the age of a request sent ahead from the previous response

Cause: a client that sends 300 requests at once got ever earlier deadlines for them, counted from their arrival, and the admission queue serves the earliest deadline first. Traced by request ID: the request of another client waited for 4.0 s without an attempt and was shed.

A client that sends one request at a time sees no difference.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -27,6 +27,7 @@
 	headReserved      int           // bytes of Config.ReceiveMemory reserved for the head of the current request
 	readErr           error         // read error or errReadAheadFull; nothing is read from the socket after it
 	queueTime         time.Duration // result of QueueTime
+	respondedAt       time.Time     // when the previous response was complete; zero if there was none
 	readBlocked       bool          // whether Read has returned all received bytes of a request and waits for more
 }
 
@@ -74,9 +75,18 @@
 	return c.queueTime
 }
 
-// SinceLastData returns the time since the client last sent bytes that have arrived, whether or not they have been read.
-// It reports false if the system does not tell; QueueTime is an upper bound of a part of that time then.
-func (c *Conn) SinceLastData() (time.Duration, bool) { return sockstate.SinceLastData(c.Conn) }
+// RequestAge returns the time since the last bytes of the client's current request arrived, whether or not they have been
+// read. A request that the client has sent ahead counts from the end of the previous response. RequestAge reports false if
+// the system does not tell; QueueTime is an upper bound of a part of that time then.
+func (c *Conn) RequestAge() (time.Duration, bool) {
+	age, known := sockstate.SinceLastData(c.Conn)
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if !c.respondedAt.IsZero() {
+		age = min(age, time.Since(c.respondedAt))
+	}
+	return age, known
+}
 
 // setQueueTime sets the QueueTime of the first request.
 func (c *Conn) setQueueTime(d time.Duration) {
--- a/internal/downstream/conn_state.go
+++ b/internal/downstream/conn_state.go
@@ -119,6 +119,7 @@
 // cs.mu.
 func (cs *Conns) completeResponse(c *Conn) bool {
 	c.queueTime = 0
+	c.respondedAt = time.Now()
 	c.releaseHead()
 	switch {
 	case c.state == stateClosed:
--- a/internal/node/request_parser.go
+++ b/internal/node/request_parser.go
@@ -78,7 +78,7 @@
 	if conn == nil {
 		return waitedForMemory
 	}
-	if age, known := conn.SinceLastData(); known {
+	if age, known := conn.RequestAge(); known {
 		return age
 	}
 	return conn.QueueTime() + waitedForMemory
