downstream: reset a connection that is evicted before any data has come

Their clients found the end of the stream 0.0 ms after their write, and the node had neither served nor rejected these requests: it had closed the connections after 20 ms without data, before the requests came.

Cause: an orderly close looks to the client like a request that was read and not answered.

Change: such a connection is reset, which tells that nothing was read.

--- a/internal/downstream/admission.go
+++ b/internal/downstream/admission.go
@@ -30,6 +30,7 @@
 	decision decision
 	// For decisionEvict: the connection to evict. It is marked closed, but its socket is still open.
 	victim *Conn
+	unread bool // for decisionEvict: whether no byte of victim has been read
 	// For decisionWait: the time until a connection may be evicted (0 if all are active) and a
 	// channel that is closed at the next change of a connection.
 	wait    time.Duration
@@ -48,6 +49,9 @@
 		case decisionAdmit:
 			return true
 		case decisionEvict:
+			if step.unread {
+				step.victim.resetOnClose()
+			}
 			_ = step.victim.Conn.Close() // a failed close is ignored, there is no recovery
 		case decisionWait:
 			if !cs.awaitCapacity(step) {
@@ -81,8 +85,9 @@
 		return admissionStep{decision: decisionWait, wait: wait, changed: cs.nextChange()}
 	}
 	cs.evicted++
+	unread := candidate.state == stateNoData
 	cs.markClosed(candidate)
-	return admissionStep{decision: decisionEvict, victim: candidate}
+	return admissionStep{decision: decisionEvict, victim: candidate, unread: unread}
 }
 
 // awaitCapacity waits until a connection changes or may be evicted. It returns false if the listener
--- a/internal/downstream/conn_close.go
+++ b/internal/downstream/conn_close.go
@@ -27,6 +27,15 @@
 	return nil
 }
 
+// resetOnClose makes the close of the socket reset the connection. A reset tells a client that is about to send its first
+// request that nothing of it was read. After an orderly close the client could not tell this from a request that was read
+// and not answered.
+func (c *Conn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // after an error the close is an orderly one
+	}
+}
+
 // LingeringClose shuts down the sending direction after the last response and gives the client time
 // to close the connection: it returns when ctx is done or after Config.LingerTimeout. Closing the
 // connection while bytes arrive would reset it, and the client could lose a part of the response.
