review: case 9, requests to a draining server after a silent watch and two refused calls

Cause: after a failed call the time within which the next one has to come counts from that call, not from the silence of the watch before it.

--- a/review/standin2/lab/discovery.go
+++ b/review/standin2/lab/discovery.go
@@ -40,9 +40,14 @@
 	generation uint64
 	endpoints  []Endpoint
 	changed    chan struct{}
-	// OnCall, if set, is called when a call has arrived, without the lock. It returns a delay before the call is
-	// looked at, and whether the call is never answered.
-	OnCall func(watch bool) (delay time.Duration, silent bool)
+	OnCall     func(watch bool) Fate // if set, is asked when a call has arrived
+}
+
+// Fate is what becomes of a call. The zero value is an answer without delay.
+type Fate struct {
+	Delay   time.Duration // before the call is looked at
+	Silent  bool          // the call is never answered
+	Refused bool          // the call is answered with 503
 }
 
 // NewDiscovery starts discovery with a list.
@@ -101,13 +106,18 @@
 	watch := err == nil
 	d.c.Log("discovery: call %s", r.URL.RequestURI())
 	if d.OnCall != nil {
-		delay, silent := d.OnCall(watch)
-		if silent {
+		fate := d.OnCall(watch)
+		switch {
+		case fate.Silent:
 			d.c.Log("discovery: call %s gets no answer", r.URL.RequestURI())
 			<-r.Context().Done()
 			return
+		case fate.Refused:
+			d.c.Log("discovery: call %s is answered with 503", r.URL.RequestURI())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
-		time.Sleep(delay)
+		time.Sleep(fate.Delay)
 	}
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	limit := time.After(max(0, time.Duration(wait)*time.Millisecond-time.Since(arrived)))
--- a/review/standin2/staledrain/main.go
+++ b/review/standin2/staledrain/main.go
@@ -1,5 +1,5 @@
-// Command staledrain: a watch of the list falls silent as a server begins to drain, and discovery answers the calls that
-// follow slowly.
+// Command staledrain: a watch of the list falls silent as a server begins to drain. Then discovery either answers slowly, or
+// refuses two calls and answers all others at once, as DISCOVERY says: "slow" or "refuses".
 package main
 
 import (
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 
 	// slow is how long discovery takes for a call after the silence began. A call fails after 3 s at the site.
 	slow = 2800 * time.Millisecond
+	// refused is how many calls discovery refuses after the silence began.
+	refused = 2
 	// told is the time from which the node counts as told of what a silent watch misses.
 	told  = 6 * time.Second
 	grace = lab.DrainGraceMs * time.Millisecond
@@ -36,10 +39,12 @@
 type drain struct {
 	c         *lab.Case
 	discovery *lab.Discovery
+	refuses   bool        // discovery refuses calls instead of being slow
 	armed     atomic.Bool // the next watch falls silent
 
 	mu          sync.Mutex
 	silentSince time.Time // zero before the disruption
+	calls       int       // calls after it
 	began       chan struct{}
 	allowed     int // requests to the draining server within the grace
 	late        int // and after it
@@ -47,7 +52,7 @@
 }
 
 func play(c *lab.Case) int {
-	d := &drain{c: c, began: make(chan struct{})}
+	d := &drain{c: c, refuses: os.Getenv("DISCOVERY") == "refuses", began: make(chan struct{})}
 	var listeners []net.Listener
 	for i := range servers {
 		listeners = append(listeners, lab.Listen())
@@ -80,23 +85,30 @@
 		d.allowed, told+grace+slack, d.late, d.last)
 }
 
-// onCall disrupts the first watch that arrives when armed, which the node has written a moment ago, and slows the calls
-// after it.
-func (d *drain) onCall(watch bool) (time.Duration, bool) {
+// onCall disrupts the first watch that arrives when armed, which the node has written a moment ago, and the calls after it.
+func (d *drain) onCall(watch bool) lab.Fate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.silentSince.IsZero() {
-		if d.c.Trouble {
-			return slow, false
-		}
-		return 0, false
-	}
-	if !watch || !d.armed.Load() {
-		return 0, false
+	switch {
+	case !d.silentSince.IsZero():
+		d.calls++
+		return d.fateAfterSilence()
+	case !watch || !d.armed.Load():
+		return lab.Fate{}
 	}
 	d.silentSince = time.Now()
 	close(d.began)
-	return 0, d.c.Trouble
+	return lab.Fate{Silent: d.c.Trouble}
+}
+
+func (d *drain) fateAfterSilence() lab.Fate {
+	switch {
+	case !d.c.Trouble:
+		return lab.Fate{}
+	case d.refuses:
+		return lab.Fate{Refused: d.calls <= refused}
+	}
+	return lab.Fate{Delay: slow}
 }
 
 // count counts a request to the server that drains.
