--- a/review/standin2/lab/settings.go
+++ b/review/standin2/lab/settings.go
@@ -1,6 +1,9 @@
 package lab
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // settings are those of brisbane-calc, with two nodes, as the wire page prints them.
 const settings = `{
@@ -30,8 +33,9 @@
 	}
 }
 
-// WithEffect returns the settings with another effect of a class, as the short days may have it.
-func WithEffect(name, effect string) any {
+// WithEffect returns the settings with another effect of a class and another window for repeats, as the short days may
+// have them.
+func WithEffect(name, effect string, window time.Duration) any {
 	var all map[string]any
 	if err := json.Unmarshal([]byte(settings), &all); err != nil {
 		Fail("settings: %v", err)
@@ -39,7 +43,7 @@
 	classes, _ := all["Classes"].([]any)
 	for _, class := range classes {
 		if fields, ok := class.(map[string]any); ok && fields["Name"] == name {
-			fields["Effect"] = effect
+			fields["Effect"], fields["KeyTtlMs"] = effect, window.Milliseconds()
 		}
 	}
 	return all
