--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Plays the case once and writes record.txt. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
-# TROUBLE=0 plays the same without the disruption.
+# TROUBLE=0 plays the same without the disruption. The script becomes the stand-in, which ends its node in any case.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 program=$root/bin/review2/staledrain
@@ -8,9 +8,5 @@
     echo "build first: the command of deploy/balancer.toml, then review/build-2.sh"
     exit 2
 fi
-DISCOVERY=slow timeout -k 2 100 "$program" "$root" "$here"
-code=$?
-case $code in
-0 | 1) exit $code ;;
-*) exit 2 ;;
-esac
+export DISCOVERY=slow
+exec "$program" "$root" "$here"
--- a/review/standin2/lab/lab.go
+++ b/review/standin2/lab/lab.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -26,6 +27,9 @@
 	CannotRun = 2 // the case could not run
 )
 
+// timeLimit is how long a case may run.
+const timeLimit = 100 * time.Second
+
 // Case is one run of a case.
 type Case struct {
 	Trouble bool   // false: TROUBLE=0, the same run without the disruption
@@ -62,6 +66,7 @@
 	}
 	defer record.Close()
 	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Dir: dir, root: root, began: time.Now(), record: record}
+	go c.abortOnSignal()
 	defer c.stopNodes()
 	defer func() {
 		if failure := recover(); failure != nil {
@@ -76,6 +81,23 @@
 	return code
 }
 
+// abortOnSignal ends the case and all that it has started when a signal asks for it, or when the case takes too long. A case
+// that is killed takes its nodes with it, see StartNode.
+func (c *Case) abortOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	c.mu.Lock() // for good: no further node is started
+	for _, node := range c.nodes {
+		_ = node.cmd.Process.Kill()
+	}
+	_ = os.RemoveAll(c.Dir)
+	os.Exit(CannotRun)
+}
+
 // Log writes a line to the record, with the milliseconds since the start.
 func (c *Case) Log(format string, args ...any) {
 	c.mu.Lock()
@@ -158,12 +180,14 @@
 	if err != nil {
 		Fail("standard error: %v", err)
 	}
-	if err := node.cmd.Start(); err != nil {
-		Fail("start of the node: %v", err)
-	}
 	c.mu.Lock()
-	c.nodes = append(c.nodes, node)
+	if err = node.cmd.Start(); err == nil {
+		c.nodes = append(c.nodes, node)
+	}
 	c.mu.Unlock()
+	if err != nil {
+		Fail("start of the node: %v", err)
+	}
 	go node.follow(name, stderr)
 	node.awaitReady()
 	c.Log("%s is ready at %s", name, node.Addr)
