review: case 9 becomes a restart beside a slow discovery, where lists are pushed

Cause: where lists are pushed, what the agent has counts as told from the first moment of a new process. A node is ready as soon as it has its cached list (Client.reportCached, Handler.Synced), and serves by that list until discovery's first answer. If that takes longer than the grace of a drain, requests begin at a server that drained while the node was down.

Change: review/9 plays that, with the settings of hobart-ledger and one disruption.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,10 +3,9 @@
 # TROUBLE=0 plays the same without the disruption. The script becomes the stand-in, which ends its node in any case.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program=$root/bin/review2/staledrain
+program=$root/bin/review2/restartlist
 if [ ! -x "$program" ] || [ ! -x "$root/bin/balancer" ]; then
     echo "build first: the command of deploy/balancer.toml, then review/build-2.sh"
     exit 2
 fi
-export DISCOVERY=slow
 exec "$program" "$root" "$here"
--- a/review/standin2/lab/settings.go
+++ b/review/standin2/lab/settings.go
@@ -48,3 +48,25 @@
 	}
 	return all
 }
+
+// pushedSettings are those of hobart-ledger, where lists are pushed, with two nodes.
+const pushedSettings = `{
+"Accounts": [{"Name": "retail-desk", "QuotaPerS": 60.0, "Share": 0.7}, {"Name": "trust-office", "QuotaPerS": 26.0, "Share": 0.3}],
+"Balancers": 2,
+"Classes": [
+ {"DeadlineMs": 9000.0, "DedupScope": "all", "Effect": "pure", "Importance": 2.0, "KeyTtlMs": 6000.0, "LateWorth": 0.5, "Name": "statement", "PromiseMs": 2500.0, "Streaming": false},
+ {"DeadlineMs": 5000.0, "DedupScope": "all", "Effect": "side_effect", "Importance": 8.0, "KeyTtlMs": 6000.0, "LateWorth": 0.3, "Name": "posting", "PromiseMs": 1500.0, "Streaming": false},
+ {"DeadlineMs": 2000.0, "DedupScope": "all", "Effect": "token", "Importance": 1.0, "KeyTtlMs": 6000.0, "LateWorth": 0.0, "Name": "lookup", "PromiseMs": 600.0, "Streaming": false}],
+"Clients": {"MarksRetry": false},
+"Contract": {"ColdFrom": 0.31, "ColdMs": 8800.0, "DrainGraceMs": 500.0, "FallMs": 1000.0, "FallMultiple": 3.0, "GraceToAnswerMs": 20.0, "MustAskInMs": 10000.0},
+"CountedBy": "request",
+"Kinds": ["m-large", "m-medium", "m-small"],
+"Limits": {"Cancel": true, "ConnIdleMs": 30000.0, "ConnectTimeoutMs": 900.0, "MaxAttempts": 3, "MaxOpen": 20000, "MaxRetryAfterMs": 3000.0, "PeerMessages": false, "Probes": false, "RetryAfter": true, "SecondCopies": false, "StreamsPerConn": 1},
+"Locality": 0, "Me": 0, "OverShareWorth": 0.2, "RegistryMode": "pushed", "TickMs": 5.0, "Tier": 0, "Weights": "nominal",
+"Zones": ["sandy-bay", "glenorchy", "kingston"]}`
+
+// PushedDrainGraceMs is a figure of the settings of the site whose lists are pushed.
+const PushedDrainGraceMs = 500
+
+// Pushed returns the settings of the site whose lists are pushed.
+func Pushed() any { return json.RawMessage(pushedSettings) }
