Idle connections to servers and queued events keep no data of released requests

Cause: an idle connection referred to the memory reservation of its last attempt, and through it to the request and its body, which the budget counted as free. The same shape elsewhere: a result in the event queue outlived its reservation, and stopped timers and queued events referred to the request with its body.

Change: an exchange is a type of its own that ends with its attempt; a connection has no field for it, and read buffers are pooled. The last holder of a lease drops the data before it releases the reservations. The event with an attempt's result holds the lease. The memory plan counts idle connections.

--- a/internal/memorybudget/memorybudget_test.go
+++ b/internal/memorybudget/memorybudget_test.go
@@ -35,6 +35,30 @@
 	requireFree(t, budget, 100)
 }
 
+// Guards against data that a forgotten reference keeps in memory after its reservation is released: the last holder drops
+// the data first.
+func TestLastHolderDropsTheDataBeforeItsReservation(t *testing.T) {
+	budget, lease := New(100), NewLease()
+	if !lease.TryReserve(budget, 60) {
+		t.Fatal("TryReserve of 60 of 100 bytes = false, want true")
+	}
+	drops := 0
+	lease.DropOnRelease(func() {
+		drops++
+		requireFree(t, budget, 40)
+	})
+	lease.Hold()
+	lease.Release()
+	if drops != 0 {
+		t.Errorf("drops while the lease has a holder: got %d, want 0", drops)
+	}
+	lease.Release()
+	if drops != 1 {
+		t.Errorf("drops after the last holder has released the lease: got %d, want 1", drops)
+	}
+	requireFree(t, budget, 100)
+}
+
 func TestReserveEndsWithItsContext(t *testing.T) {
 	budget := New(100)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -31,8 +31,8 @@
 
 func (e deadlineExpired) handle(l *loop, now time.Duration) { l.expireDeadline(now, e.request) }
 
-// outcomeReceived is posted by the goroutine that carries out an attempt and by the attempt's timer. It is deferred by
-// policyHost.Cancel, and by policyHost.Send for an attempt that must not be sent.
+// outcomeReceived is posted by an attempt's timer. It is deferred by policyHost.Cancel, and by policyHost.Send for an
+// attempt that must not be sent. Its result has no body.
 type outcomeReceived struct {
 	request *request
 	index   int // index in request.attempts
@@ -43,6 +43,15 @@
 	l.receiveOutcome(now, e.request, e.index, e.result)
 }
 
+// attemptReturned is posted by the goroutine that has carried out an attempt. The result may hold a response, so the event
+// is a holder of the request's memory.
+type attemptReturned struct{ outcome outcomeReceived }
+
+func (e attemptReturned) handle(l *loop, now time.Duration) {
+	defer e.outcome.request.Memory.Release()
+	e.outcome.handle(l, now)
+}
+
 // keyRetentionExpired is posted by an attempt's timer when servers may have discarded the request's idempotency key.
 type keyRetentionExpired struct {
 	request *request
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -51,9 +51,10 @@
 	deadline := h.clock.toTime(req.deadline)
 	req.Memory.Hold()
 	h.sends.Go(func() {
-		defer req.Memory.Release()
 		result := h.pool.Send(started.call, server, &req.Request, deadline)
-		h.queue.post(outcomeReceived{req, index, result})
+		if !h.queue.post(attemptReturned{outcomeReceived{req, index, result}}) {
+			req.Memory.Release()
+		}
 	})
 }
 
--- a/internal/node/memory_plan.go
+++ b/internal/node/memory_plan.go
@@ -22,6 +22,8 @@
 	// response. It includes the stacks of the handler and of an attempt, the connection to a server, and all that a
 	// connection may use without a reservation: the allowances of downstream and upstream, and smallBody.
 	clientConnMemory = 48 << 10
+	// idleConnMemory is the live memory, in bytes, for an idle connection to a server. It has no buffer and no goroutine.
+	idleConnMemory = 1 << 10
 	// upstreamConnsPerClient is the number of attempts that a request may have in flight.
 	upstreamConnsPerClient = 2
 	// clientConnsShare is the largest share of the memory for requests that the limit of client connections uses. The
@@ -52,9 +54,11 @@
 	}
 	available := int(liveMemoryShare*float64(cfg.Limits.MemoryMB*bytesPerMB)) - baseMemory -
 		serverMemory*len(cfg.CachedList.Endpoints) - tenantMemory*len(cfg.Policy.Tenants)
-	affordable := int(clientConnsShare*float64(available)) / clientConnMemory
+	// All connections to servers may be idle while each client has a request.
+	const memoryPerClient = clientConnMemory + upstreamConnsPerClient*idleConnMemory
+	affordable := int(clientConnsShare*float64(available)) / memoryPerClient
 	clientConns = max(min(clientConns, affordable), minClientConns)
-	variable := float64(available - clientConns*clientConnMemory)
+	variable := float64(available - clientConns*memoryPerClient)
 	return memoryPlan{
 		clientConns: clientConns,
 		bodies:      newBudget(variable * bodiesShare),
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -128,6 +128,51 @@
 	})
 }
 
+// Guards against data of a request that is kept in memory after its reservation is released, by whatever refers to the
+// request for longer: a stopped timer, a queued event or an idle connection.
+func TestReleasedRequestHasNoData(t *testing.T) {
+	received := make(chan struct{}, 1)
+	s, memory := startHandlerWithBodyMemory(t, testkit.NewRecordingServer(t, testkit.Unresponsive(received)))
+	conn := s.dial()
+	setTestDeadline(conn)
+	sendRequest(conn, s.newLargeRequest())
+	s.loop.awaitRequests(1, 1)
+	resume := s.loop.pause()
+	kept := s.loop.lastRequest()
+	resume()
+	closeQuietly(conn)
+	requireAllFree(t, memory)
+	if kept.Body != nil || kept.Header != nil || kept.URL != nil || kept.completion != nil {
+		t.Errorf("request after its release: got a body of %d bytes, header %v, URL %v, completion %v; want none of them",
+			len(kept.Body), kept.Header, kept.URL, kept.completion)
+	}
+}
+
+// Guards against a response that waits in the event queue while its reservation is already released.
+func TestQueuedResponseKeepsItsMemoryReserved(t *testing.T) {
+	l := startLoop(t, testkit.NewRecordingServer(t, testkit.Unresponsive(nil)).Endpoint("s-0"))
+	memory := memorybudget.New(largeBodySize)
+	r := l.newRequest(classPay, neverDisconnected)
+	r.Memory = memorybudget.NewLease()
+	if !r.Memory.TryReserve(memory, largeBodySize) {
+		t.Fatal("TryReserve of all memory = false, want true")
+	}
+	done := l.submitAsync(t.Context(), r)
+	l.awaitRequests(1, 1)
+	l.runInLoop(func() {
+		l.host.Fail(r.id)
+		l.expireDeadline(l.clock.now(), r) // ends the attempt and releases the request
+		r.Memory.Release()                 // as the handler does
+		l.host.sends.Wait()                // the result of the attempt is queued now
+		if memory.TryReserve(1) {
+			t.Error("memory while the result of an attempt is queued: got a part of it free, want all of it reserved")
+			memory.Release(1)
+		}
+	})
+	l.wantResponseStatus(done, http.StatusBadGateway)
+	requireAllFree(t, memory)
+}
+
 // Guards against limits and budgets whose sum exceeds the memory, or that leave no room for one large request.
 func TestMemoryPlanFitsIntoTheMemory(t *testing.T) {
 	for _, memoryMB := range []int{32, 48, 64, 80, 96, 128, 192, 2048} {
@@ -149,7 +194,7 @@
 	if limited.downstream > limits.downstream || limited.upstream > limits.upstream {
 		t.Errorf("limits: got %+v, want at most %+v", limited, limits)
 	}
-	sum := baseMemory + (limited.downstream+limited.reserve)*clientConnMemory
+	sum := baseMemory + (limited.downstream+limited.reserve)*clientConnMemory + limited.upstream*idleConnMemory
 	for _, budget := range []*memorybudget.Budget{plan.bodies, plan.receiving, plan.responses} {
 		size := sizeOf(budget)
 		sum += size
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -31,6 +31,13 @@
 	deadlineTimer *time.Timer
 }
 
+// dropData drops the references to all data of the client and of servers. Nothing that still refers to the request,
+// for example a stopped timer, keeps the data in memory then. It is called when the last holder of Memory releases it.
+func (r *request) dropData() {
+	r.URL, r.Header, r.Body = nil, nil, nil
+	r.completion = nil
+}
+
 // completion is a request's result for its client: the final response, or an error if there is none.
 type completion struct {
 	response response
--- a/internal/node/request_parser.go
+++ b/internal/node/request_parser.go
@@ -61,13 +61,15 @@
 		memory.Release()
 		return nil, err
 	}
-	return &request{
+	parsed := &request{
 		Request:  newUpstreamRequest(r, body, class, memory),
 		class:    classIndex,
 		tenant:   tenant,
 		costHint: parseCostHint(r),
 		deadline: p.clock.now() + allowed - responseMargin - requestAge(r, waited),
-	}, nil
+	}
+	memory.DropOnRelease(parsed.dropData)
+	return parsed, nil
 }
 
 // requestAge returns the time since the last byte of a request arrived, which has just been read. The client's timeout
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -21,55 +22,106 @@
 	notProcessedHeader = "X-Not-Processed"
 )
 
+// exchange is one request and its response on a connection. It holds all that an attempt needs beside the connection,
+// so that a connection that becomes idle keeps nothing of its last request alive.
+type exchange struct {
+	conn              *connection
+	reader            *bufio.Reader // reads from exchange.Read
+	responseBytesLeft int           // number of bytes that the current response may still take
+	memory            *responseMemory
+	head              httphead.Scanner
+	readErr           error // error of the last read from the socket, or nil
+}
+
 // exchange writes a request and reads its response. A server cannot execute the request before the
 // last byte of the request is written, but may have executed it at any time after that. The
 // connection is reusable afterwards only if the response is complete and no further bytes were read.
-func (c *connection) exchange(request *encodedRequest) Result {
-	c.reusable = false
-	if err := c.write(request); err != nil {
+func (p *Pool) exchange(conn *connection, request *encodedRequest) Result {
+	conn.reusable = false
+	reader := p.readers.Get().(*bufio.Reader)
+	current := &exchange{
+		conn: conn, reader: reader, responseBytesLeft: maxResponseBytes, memory: request.memory,
+	}
+	reader.Reset(current)
+	result := current.run(request)
+	reader.Reset(nil) // the pooled reader must not keep the exchange in memory
+	p.readers.Put(reader)
+	return result
+}
+
+// run writes the request and reads its response.
+func (x *exchange) run(request *encodedRequest) Result {
+	if err := x.write(request); err != nil {
 		return Result{Status: policy.StatusConnectFailed} // the last byte was not written
 	}
-	c.responseBytesLeft = maxResponseBytes
-	c.responseMemory = request.memory
-	response, err := c.readFinalHead(request)
+	response, err := x.readFinalHead(request)
 	if err != nil {
-		return Result{Status: c.failureStatus(err)}
+		return Result{Status: x.failureStatus(err)}
 	}
-	body, err := c.readBody(response)
+	body, err := x.readBody(response)
 	if err != nil {
-		return Result{Status: c.failureStatus(err)}
+		return Result{Status: x.failureStatus(err)}
 	}
-	c.setReadDeadline(time.Time{})
+	x.conn.setReadDeadline(time.Time{})
 	// Bytes after the response could be mistaken for the next response.
-	c.surplus = c.reader.Buffered() > 0
-	c.reusable = !response.Close && !c.surplus
+	x.conn.surplus = x.reader.Buffered() > 0
+	x.conn.reusable = !response.Close && !x.conn.surplus
 	return classify(response, body)
 }
 
 // write writes a request.
-func (c *connection) write(request *encodedRequest) error {
-	if _, err := c.Write(request.message); err != nil {
+func (x *exchange) write(request *encodedRequest) error {
+	if _, err := x.conn.Write(request.message); err != nil {
 		return err
 	}
 	if len(request.body) == 0 {
 		return nil
 	}
-	_, err := c.Write(request.body)
+	_, err := x.conn.Write(request.body)
 	return err
 }
 
+// Read implements io.Reader for the response. It returns errResponseTooLarge when the current response has reached its
+// maximum size, and another error if its head has too many lines or needs memory that is not free.
+func (x *exchange) Read(buffer []byte) (int, error) {
+	if x.responseBytesLeft <= 0 {
+		return 0, errResponseTooLarge
+	}
+	limit := min(len(buffer), x.responseBytesLeft)
+	if !x.head.Complete() {
+		limit = min(limit, httphead.MaxReadSize)
+	}
+	n, err := x.conn.Read(buffer[:limit])
+	x.responseBytesLeft -= n
+	x.readErr = err
+	if headErr := x.scanHead(buffer[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
+// scanHead accounts for received bytes of a response. It returns an error if its head has too many lines, or needs
+// memory that is not free.
+func (x *exchange) scanHead(received []byte) error {
+	x.head.Scan(received)
+	if x.head.TooManyLines() {
+		return errTooManyHeadLines
+	}
+	return x.memory.ensure(x.head.Memory())
+}
+
 // readFinalHead skips interim responses and returns the final response, of which only the head
 // has been read.
-func (c *connection) readFinalHead(request *encodedRequest) (*http.Response, error) {
+func (x *exchange) readFinalHead(request *encodedRequest) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
-		response, err := c.readHead(request)
+		response, err := x.readHead(request)
 		switch {
 		case err != nil:
 			return nil, err
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitchingProtocols
 		case response.StatusCode/100 != 1:
-			c.head.SetComplete()
+			x.head.SetComplete()
 			return response, nil
 		}
 	}
@@ -79,36 +131,36 @@
 // readHead reads the head of an interim or final response. It sets no time limit for the first
 // byte. The rest of the response must arrive within responseReadTimeout after the first byte:
 // otherwise a server that stops in the middle of a response would use up the time for a retry.
-func (c *connection) readHead(request *encodedRequest) (*http.Response, error) {
-	c.setReadDeadline(time.Time{})
-	c.head = httphead.Scanner{}
-	if _, err := c.reader.Peek(1); err != nil {
+func (x *exchange) readHead(request *encodedRequest) (*http.Response, error) {
+	x.conn.setReadDeadline(time.Time{})
+	x.head = httphead.Scanner{}
+	if _, err := x.reader.Peek(1); err != nil {
 		return nil, err
 	}
-	c.setReadDeadline(time.Now().Add(request.responseReadTimeout))
-	prefix, err := c.reader.Peek(len(responsePrefix))
+	x.conn.setReadDeadline(time.Now().Add(request.responseReadTimeout))
+	prefix, err := x.reader.Peek(len(responsePrefix))
 	if err != nil {
 		return nil, err
 	}
 	if string(prefix) != responsePrefix {
 		return nil, errNotHTTP // the parser would wait for the end of the line
 	}
-	return http.ReadResponse(c.reader, request.http)
+	return http.ReadResponse(x.reader, request.http)
 }
 
 // readBody reads the body of a response. A body without a length is complete when the server closes
 // the connection (RFC 9112, section 6.3), and incomplete after a reset. readBody does not close
 // response.Body: Close would read the body to its end, whatever its length. A connection whose
 // response was not read to the end is closed instead.
-func (c *connection) readBody(response *http.Response) ([]byte, error) {
+func (x *exchange) readBody(response *http.Response) ([]byte, error) {
 	size := int(response.ContentLength)
 	switch {
 	case response.ContentLength > maxBodyBytes:
 		return nil, errBodyTooLarge
 	case size < 0:
-		return c.readBodyOfUnknownSize(response.Body)
+		return x.readBodyOfUnknownSize(response.Body)
 	}
-	if err := c.responseMemory.ensure(c.head.Memory() + size); err != nil {
+	if err := x.memory.ensure(x.head.Memory() + size); err != nil {
 		return nil, err
 	}
 	body := make([]byte, size)
@@ -118,12 +170,12 @@
 
 // readBodyOfUnknownSize reads a body to its end. It reserves memory for a body of maximum size if the body turns out to
 // be larger than responseAllowance.
-func (c *connection) readBodyOfUnknownSize(body io.Reader) ([]byte, error) {
+func (x *exchange) readBodyOfUnknownSize(body io.Reader) ([]byte, error) {
 	start, err := io.ReadAll(io.LimitReader(body, responseAllowance+1))
 	if err != nil || len(start) <= responseAllowance {
 		return start, err
 	}
-	if err := c.responseMemory.ensure(c.head.Memory() + maxBodyBytes); err != nil {
+	if err := x.memory.ensure(x.head.Memory() + maxBodyBytes); err != nil {
 		return nil, err
 	}
 	// bytes.Buffer.ReadFrom needs bytes.MinRead bytes of room, also at the end.
@@ -155,13 +207,13 @@
 // failureStatus returns the status of an attempt whose response could not be read because of err. It
 // is StatusReset if the connection ended, and StatusServerError if the response is invalid or too
 // large, or did not end within its read timeout.
-func (c *connection) failureStatus(err error) policy.Status {
+func (x *exchange) failureStatus(err error) policy.Status {
 	switch {
 	case errors.Is(err, errBodyTooLarge),
 		errors.Is(err, errTooManyInterimResponses),
 		errors.Is(err, errSwitchingProtocols):
 		return policy.StatusServerError
-	case c.readErr == nil, errors.Is(c.readErr, os.ErrDeadlineExceeded):
+	case x.readErr == nil, errors.Is(x.readErr, os.ErrDeadlineExceeded):
 		return policy.StatusServerError
 	}
 	return policy.StatusReset
--- a/internal/upstream/memory_test.go
+++ b/internal/upstream/memory_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
+	"weak"
 
 	"calicohinge/internal/httphead"
 	"calicohinge/internal/memorybudget"
@@ -43,6 +45,37 @@
 	}
 }
 
+// Guards against connections that keep the body of their last request in memory: the budget counts it as free once the
+// request is released, and there may be more idle connections than clients.
+func TestConnectionKeepsNoBodyInMemory(t *testing.T) {
+	for name, response := range map[string]string{
+		"idle after a response":         okResponse,
+		"idle after a rejection":        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+		"closed after invalid response": "invalid",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := testkit.NewScriptedServer(t, response, testkit.KeepAlive)
+			pool, id := newPoolWithServer(testPoolConfig(), server.Address)
+			body := sendLargeRequest(t, pool, id)
+			testkit.WaitUntil(t, "the garbage collector to free the body", func() bool {
+				runtime.GC()
+				return body.Value() == nil
+			})
+			runtime.KeepAlive(pool)
+		})
+	}
+}
+
+// sendLargeRequest makes one attempt with a body of maximum size, and returns a pointer to the body that does not keep it
+// in memory.
+func sendLargeRequest(t *testing.T, pool *Pool, id policy.ServerID) weak.Pointer[byte] {
+	t.Helper()
+	request := newTestRequest()
+	request.Body = bytes.Repeat([]byte("x"), maxBodyBytes)
+	send(t.Context(), pool, id, request)
+	return weak.Make(&request.Body[0])
+}
+
 // Guards against responses whose sum exceeds the memory: a response for which no memory is free in time is an error of
 // the attempt, and its memory is released with the request.
 func TestResponseNeedsFreeMemory(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
 	"net"
 	"slices"
@@ -53,6 +54,7 @@
 	config      Config
 	dial        netdial.Func
 	maxIdleTime time.Duration // idle time after which the pool closes a connection
+	readers     sync.Pool     // of *bufio.Reader: buffers of exchanges that have ended, so that idle connections need none
 
 	mu      sync.Mutex
 	servers map[policy.ServerID]*server
@@ -84,6 +86,7 @@
 		config:      config,
 		dial:        netdial.Retry(dialer.DialContext),
 		maxIdleTime: time.Duration(float64(config.IdleTimeout) * idleTimeoutFraction),
+		readers:     sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		servers:     map[policy.ServerID]*server{},
 	}
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -62,7 +62,7 @@
 	if latest := call.writeDeadlineOrZero(); !latest.Equal(writeDeadline) {
 		conn.setWriteDeadline(latest) // the owner of the attempt has changed the deadline in the meantime
 	}
-	result := conn.exchange(request)
+	result := p.exchange(conn, request)
 	if aborted := !stopAbort(); aborted {
 		conn.reusable = false
 	}
