Attempts that end withdraw what their servers have not received

Cause: a write that has returned has put its bytes into the system of this machine. An orderly close leaves them there, and the system delivers them as soon as the server's machine answers again. The same holds for an attempt that is in flight when the retention ends, and for attempts of a process that ends.

At the end of a key's retention a timer of the request withdraws attempts that their servers have not acknowledged as a whole, if more than one attempt may be executed. A write deadline that is set during a blocked write interrupts it. A connection whose server has responded before it had the whole request is not used again.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -52,15 +52,10 @@
 	e.outcome.handle(l, now)
 }
 
-// keyRetentionExpired is posted by an attempt's timer when servers may have discarded the request's idempotency key.
-type keyRetentionExpired struct {
-	request *request
-	index   int // index of the attempt in request.attempts; the attempt must not be sent any more
-}
+// keyRetentionExpired is posted by a request's timer when servers may have discarded its idempotency key.
+type keyRetentionExpired struct{ request *request }
 
-func (e keyRetentionExpired) handle(l *loop, now time.Duration) {
-	l.expireKeyRetention(now, e.request, e.index)
-}
+func (e keyRetentionExpired) handle(l *loop, now time.Duration) { l.expireKeyRetention(now, e.request) }
 
 // requestCompletedByHost is deferred by policyHost.Reject and policyHost.Fail.
 type requestCompletedByHost struct{ request *request }
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -58,10 +58,10 @@
 	})
 }
 
-// limitToKeyRetention prevents a retry of a request with an idempotency key from being sent once servers may have
-// discarded the key. The retention of the key counts from the first attempt that may have been executed. That
-// attempt or any later attempt may be the first to get a connection, so all of these attempts have the same write
-// deadline.
+// limitToKeyRetention prevents the attempts of a request with an idempotency key from reaching a server once servers may
+// have discarded the key, if there is more than one. The retention of the key counts from the first attempt that may have
+// been executed. That attempt or any later attempt may be the last one to reach its server, so the limit applies to all
+// of them.
 func (h *policyHost) limitToKeyRetention(req *request, index int) {
 	class := &h.classes[req.class]
 	first := slices.IndexFunc(req.attempts, func(a *attempt) bool { return a.state != attemptNotExecuted })
@@ -73,8 +73,7 @@
 	for _, a := range req.attempts[first:] {
 		a.call.SetWriteDeadline(retentionEnd)
 	}
-	expire := func() { h.queue.post(keyRetentionExpired{req, index}) }
-	req.attempts[index].timer = time.AfterFunc(time.Until(retentionEnd), expire)
+	req.startRetentionTimer(time.Until(retentionEnd), func() { h.queue.post(keyRetentionExpired{req}) })
 }
 
 // Cancel implements policy.Host.
--- a/internal/node/key_retention_test.go
+++ b/internal/node/key_retention_test.go
@@ -76,3 +76,65 @@
 		t.Errorf("number of times that attempt %d was sent: got %d, want %d", c.lateAttempt, len(sent), c.wantLateSends)
 	}
 }
+
+// retentionEnd is a request at the end of its key's retention: its first attempt has not reached its server as a whole.
+type retentionEnd struct {
+	secondStatus   policy.Status // outcome of the second attempt; StatusCancelled if it is still in flight
+	wantFirstState attemptState
+}
+
+// Guards against a request that is executed again because the rest of an attempt, which waits in this machine's system,
+// reaches its server after the end of the key's retention, when another attempt may have been executed.
+func TestUndeliveredAttemptIsWithdrawnAtTheEndOfTheKeyRetention(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]retentionEnd{
+		"second attempt in flight":    {policy.StatusCancelled, attemptPossiblyExecuted},
+		"second attempt failed":       {policy.StatusServerError, attemptPossiblyExecuted},
+		"second attempt not executed": {policy.StatusRejected, attemptInFlight},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testRetentionEnd(t, c)
+		})
+	}
+}
+
+func testRetentionEnd(t *testing.T, c retentionEnd) {
+	t.Helper()
+	stalled := testkit.NewStalledServer(t)
+	unresponsive := testkit.NewRecordingServer(t, testkit.Unresponsive(make(chan struct{}, 1)))
+	l := startLoop(t, stalled.Endpoint("stalled"), unresponsive.Endpoint("unresponsive"))
+	r := l.newRequest(classPush, neverDisconnected)
+	r.Body = make([]byte, testkit.StalledBody)
+	r.completion = make(chan completion, 1)
+	r.deadlineTimer = time.NewTimer(time.Hour)
+	l.runInLoop(func() {
+		r.activate(1000)
+		l.requests.add(r)
+		l.host.Send(r.id, endpoint.ServerID("stalled"), 0)
+	})
+	conn := stalled.AwaitWritten(t)
+	l.runInLoop(func() { l.host.Send(r.id, endpoint.ServerID("unresponsive"), 0) })
+	l.awaitInLoop("the second attempt to be sent", func() bool { return r.attempts[1].call.Sent() })
+	ended := make(chan struct{})
+	l.runInLoop(func() {
+		if c.secondStatus != policy.StatusCancelled {
+			l.reportOutcome(l.clock.now(), r, 1, upstream.Result{Status: c.secondStatus})
+		}
+		r.attempts[0].startedAt = l.clock.now() + 20*time.Millisecond - l.host.classes[classPush].KeyRetention
+		l.host.limitToKeyRetention(r, 1) // the retention ends in 20 ms
+		time.AfterFunc(20*time.Millisecond, func() { close(ended) })
+	})
+	testkit.Receive(t, ended, "the end of the retention")
+
+	if c.wantFirstState == attemptInFlight {
+		l.runInLoop(func() { l.expireKeyRetention(l.clock.now(), r) })
+	}
+	l.awaitInLoop("the wanted state of the first attempt", func() bool { return r.attempts[0].state == c.wantFirstState })
+	if c.wantFirstState == attemptInFlight {
+		return
+	}
+	if received := testkit.CountReceived(t, conn); received >= testkit.StalledBody {
+		t.Errorf("bytes that reached the server: got %d, want less than the body's %d", received, testkit.StalledBody)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -173,11 +173,22 @@
 	l.reportOutcome(now, req, index, result)
 }
 
-// expireKeyRetention revokes an attempt that still waits for a connection when servers may have discarded its
-// idempotency key.
-func (l *loop) expireKeyRetention(now time.Duration, req *request, index int) {
-	if req.attempts[index].revoke() {
-		l.reportOutcome(now, req, index, upstream.Result{Status: policy.StatusNotSent})
+// expireKeyRetention ends the effect of all attempts on servers that may have discarded the idempotency key: it revokes
+// those that still wait for a connection. If more than one other attempt may be executed, it withdraws those that have
+// not reached their servers as a whole.
+func (l *loop) expireKeyRetention(now time.Duration, req *request) {
+	for index, a := range req.attempts {
+		if a.state == attemptInFlight && a.revoke() {
+			l.reportOutcome(now, req, index, upstream.Result{Status: policy.StatusNotSent})
+		}
+	}
+	if req.countPossiblyExecuted() < 2 {
+		return
+	}
+	for _, a := range req.attempts {
+		if a.state == attemptInFlight {
+			a.call.WithdrawUndelivered()
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 	_ = s.server.Close() // fails if the listener is already closed
 	cancelBackground()
 	s.background.Wait()
+	s.pool.CloseIdle()
 }
 
 // connectionLimits are the maximum numbers of open connections.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -24,11 +24,12 @@
 	completion    chan completion // has capacity 1, so that the loop never blocks when it sends the only completion
 
 	// Only the loop's goroutine uses the fields below.
-	id            policy.RequestID
-	state         requestState
-	attempts      []*attempt
-	inFlight      int // number of attempts in state attemptInFlight
-	deadlineTimer *time.Timer
+	id             policy.RequestID
+	state          requestState
+	attempts       []*attempt
+	inFlight       int         // number of attempts in state attemptInFlight
+	deadlineTimer  *time.Timer // ends all attempts at the request's deadline
+	retentionTimer *time.Timer // withdraws attempts at the end of the key's retention; nil if there is no retry
 }
 
 // dropData drops the references to all data of the client and of servers. Nothing that still refers to the request,
@@ -38,6 +39,25 @@
 	r.completion = nil
 }
 
+// startRetentionTimer starts the timer for the end of the key's retention. It replaces an earlier timer.
+func (r *request) startRetentionTimer(d time.Duration, expire func()) {
+	if r.retentionTimer != nil {
+		r.retentionTimer.Stop()
+	}
+	r.retentionTimer = time.AfterFunc(d, expire)
+}
+
+// countPossiblyExecuted returns the number of attempts that a server has executed or may still execute.
+func (r *request) countPossiblyExecuted() int {
+	count := 0
+	for _, a := range r.attempts {
+		if a.state != attemptNotExecuted {
+			count++
+		}
+	}
+	return count
+}
+
 // completion is a request's result for its client: the final response, or an error if there is none.
 type completion struct {
 	response response
@@ -51,5 +71,5 @@
 	server    policy.ServerID
 	startedAt time.Duration // time on the node's clock
 	state     attemptState
-	timer     *time.Timer // ends or revokes the attempt before the request's deadline; may be nil
+	timer     *time.Timer // ends the attempt before the request's deadline; may be nil
 }
--- a/internal/node/transitions.go
+++ b/internal/node/transitions.go
@@ -73,6 +73,9 @@
 	}
 	r.state = requestReleased
 	r.deadlineTimer.Stop()
+	if r.retentionTimer != nil {
+		r.retentionTimer.Stop()
+	}
 	return true
 }
 
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -37,17 +37,8 @@
 
 // Peek returns the state of conn. It never blocks and does not consume unread bytes.
 func Peek(conn net.Conn) State {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return Closed
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return Closed
-	}
 	state := Closed
-	// raw.Control, because raw.Read would wait as long as another goroutine is blocked in a read of the connection.
-	if err := raw.Control(func(fd uintptr) { state = peek(int(fd)) }); err != nil {
+	if err := control(conn, func(fd int) { state = peek(fd) }); err != nil {
 		return Closed
 	}
 	return state
@@ -69,18 +60,10 @@
 // SinceLastData returns the time since bytes last arrived at a TCP socket, whether or not they have been read. It reports
 // false if the system does not tell.
 func SinceLastData(conn net.Conn) (time.Duration, bool) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
 	var info *unix.TCPInfo
 	var infoErr error
-	err = raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	err := control(conn, func(fd int) {
+		info, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	// A system that has no such record, or an emulation of sockets, leaves the fields at zero.
 	if err != nil || infoErr != nil || info.Bytes_received == 0 {
@@ -89,6 +72,35 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
+// Unacknowledged returns the number of bytes that were written to a TCP socket and that the peer has not acknowledged. It
+// reports false if the system does not tell.
+func Unacknowledged(conn net.Conn) (int, bool) {
+	bytes := 0
+	var ioctlErr error
+	err := control(conn, func(fd int) { bytes, ioctlErr = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	if err != nil || ioctlErr != nil {
+		return 0, false
+	}
+	return bytes, true
+}
+
+// errNoSocket is the error of control for a connection that is not a socket.
+var errNoSocket = errors.New("connection is not a socket")
+
+// control calls inspect with the file descriptor of a connection. It uses RawConn.Control, because RawConn.Read would
+// wait as long as another goroutine is blocked in a read of the connection.
+func control(conn net.Conn, inspect func(fd int)) error {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { inspect(int(fd)) })
+}
+
 // peek returns the state of the socket with the given file descriptor.
 func peek(fd int) State {
 	var buffer [1]byte
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -203,3 +203,38 @@
 	closeIgnoringError(peer)
 	testkit.WaitUntil(t, "the close to be seen", peerClosed)
 }
+
+func TestUnacknowledgedCountsWhatThePeerHasNotReceived(t *testing.T) {
+	server := testkit.NewStalledServer(t)
+	conn, err := net.Dial("tcp", server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }() // the test ends with it
+	if bytes, known := Unacknowledged(conn); !known || bytes != 0 {
+		t.Errorf("Unacknowledged of a new connection: got %d, %v; want 0, true", bytes, known)
+	}
+	if _, err := conn.Write(make([]byte, testkit.StalledBody)); err != nil {
+		t.Fatal(err)
+	}
+	if bytes, known := Unacknowledged(conn); !known || bytes == 0 {
+		t.Errorf("Unacknowledged after a write that the peer does not read: got %d, %v; want more than 0, true", bytes, known)
+	}
+	received := make(chan int, 1)
+	accepted := server.AwaitWritten(t)
+	go func() {
+		n, _ := io.ReadFull(accepted, make([]byte, testkit.StalledBody)) // an error shows in n
+		received <- n
+	}()
+	if n := testkit.Receive(t, received, "the peer to read"); n != testkit.StalledBody {
+		t.Fatalf("bytes that the peer read: got %d, want %d", n, testkit.StalledBody)
+	}
+	testkit.WaitUntil(t, "the peer's acknowledgement", func() bool {
+		bytes, known := Unacknowledged(conn)
+		return known && bytes == 0
+	})
+	_ = conn.Close()
+	if _, known := Unacknowledged(conn); known {
+		t.Error("Unacknowledged of a closed connection: got known, want unknown")
+	}
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -22,7 +22,10 @@
 	cancel             context.CancelFunc
 	clientDisconnected func() bool
 	state              atomicCallState
-	writeDeadline      atomic.Pointer[time.Time] // nil if SetWriteDeadline was not called
+
+	mu            sync.Mutex
+	writeDeadline time.Time   // zero if SetWriteDeadline was not called
+	conn          *connection // the connection that Pool.Send uses for the attempt now; nil if there is none
 }
 
 // NewCall returns the Call of a new attempt, which ends when ctx is done or Cancel is called.
@@ -34,7 +37,7 @@
 	return call
 }
 
-// Cancel ends the attempt and closes its connection.
+// Cancel ends the attempt and resets its connection: what has not reached the server never reaches it.
 func (c *Call) Cancel() { c.cancel() }
 
 // Revoke prevents the attempt from being sent. It returns false if the attempt was sent or revoked
@@ -47,16 +50,47 @@
 // Sent reports whether the attempt counts as sent: its first byte may have been written.
 func (c *Call) Sent() bool { return c.state.is(callSent) }
 
-// SetWriteDeadline sets a deadline: at that time and later, no byte of the attempt is written. It has
-// no effect once writing has begun.
-func (c *Call) SetWriteDeadline(deadline time.Time) { c.writeDeadline.Store(&deadline) }
+// SetWriteDeadline sets a deadline: at that time and later, no byte of the attempt is written.
+func (c *Call) SetWriteDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = deadline
+	if c.conn != nil {
+		c.conn.setWriteDeadline(deadline)
+	}
+}
 
-// writeDeadlineOrZero returns the write deadline, or the zero time if there is none.
-func (c *Call) writeDeadlineOrZero() time.Time {
-	if deadline := c.writeDeadline.Load(); deadline != nil {
-		return *deadline
+// WithdrawUndelivered resets the connection of the attempt if the server's system has not acknowledged the whole request.
+// The rest of the request never reaches the server then. The attempt counts as possibly executed, since an
+// acknowledgement may have been lost.
+func (c *Call) WithdrawUndelivered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil && c.conn.undelivered() {
+		c.conn.abort()
 	}
-	return time.Time{}
+}
+
+// attach makes a connection subject to the write deadline and to WithdrawUndelivered until detach is called.
+func (c *Call) attach(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	conn.setWriteDeadline(c.writeDeadline)
+}
+
+// detach ends the effect of attach. The connection may then be used for another attempt.
+func (c *Call) detach() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = nil
+}
+
+// writeDeadlinePassed reports whether no byte of the attempt may be written any more.
+func (c *Call) writeDeadlinePassed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.writeDeadline.IsZero() && !time.Now().Before(c.writeDeadline)
 }
 
 // checkAndMarkSent marks the attempt as sent, right before its first byte is written. If the attempt
@@ -68,7 +102,7 @@
 // 0.1 s. The process may be paused for longer than that after it has read the clock, so the client is
 // checked after the clock has been read.
 func (c *Call) checkAndMarkSent() error {
-	if deadline := c.writeDeadlineOrZero(); !deadline.IsZero() && !time.Now().Before(deadline) {
+	if c.writeDeadlinePassed() {
 		return errWriteDeadline
 	}
 	if c.clientDisconnected() {
--- a/internal/upstream/endpoints.go
+++ b/internal/upstream/endpoints.go
@@ -73,9 +73,6 @@
 		return
 	}
 	s.removed = true
-	for _, c := range s.idle {
-		p.closeLocked(c)
-	}
-	s.idle = nil
+	p.closeIdleLocked(s)
 	delete(p.servers, id)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -35,9 +35,10 @@
 
 // exchange writes a request and reads its response. A server cannot execute the request before the
 // last byte of the request is written, but may have executed it at any time after that. The
-// connection is reusable afterwards only if the response is complete and no further bytes were read.
+// connection is reusable afterwards only if the response is complete, no further bytes were read, and the server's system
+// has received the whole request: a server may respond before.
 func (p *Pool) exchange(conn *connection, request *encodedRequest) Result {
-	conn.reusable = false
+	conn.reusable, conn.unfinished = false, true
 	reader := p.readers.Get().(*bufio.Reader)
 	current := &exchange{
 		conn: conn, reader: reader, responseBytesLeft: maxResponseBytes, memory: request.memory,
@@ -65,7 +66,9 @@
 	x.conn.setReadDeadline(time.Time{})
 	// Bytes after the response could be mistaken for the next response.
 	x.conn.surplus = x.reader.Buffered() > 0
-	x.conn.reusable = !response.Close && !x.conn.surplus
+	// A request that was written at once has been delivered if there is a response to it.
+	x.conn.unfinished = len(request.body) > 0 && x.conn.undelivered()
+	x.conn.reusable = !response.Close && !x.conn.surplus && !x.conn.unfinished
 	return classify(response, body)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -177,8 +177,30 @@
 	target.idle = append(target.idle, conn)
 }
 
-// closeLocked closes a connection and frees its capacity.
+// closeLocked closes a connection and frees its capacity. If its request is unfinished, it withdraws what has not been
+// delivered to the server.
 func (p *Pool) closeLocked(conn *connection) {
 	p.open--
-	conn.abort()
+	if conn.unfinished {
+		conn.abort()
+		return
+	}
+	conn.closeInOrder()
+}
+
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		p.closeIdleLocked(s)
+	}
+}
+
+// closeIdleLocked closes the idle connections to a server.
+func (p *Pool) closeIdleLocked(s *server) {
+	for _, conn := range s.idle {
+		p.closeLocked(conn)
+	}
+	s.idle = nil
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -52,20 +52,20 @@
 	stopAbort := context.AfterFunc(call.ctx, conn.abort)
 	// A server does not execute a request before the last byte has arrived, so it suffices that the
 	// deadline interrupts the write.
-	writeDeadline := call.writeDeadlineOrZero()
-	conn.setWriteDeadline(writeDeadline)
-	if err := call.checkAndMarkSent(); err != nil {
-		conn.reusable = stopAbort() // false if the call was cancelled, which closes the connection
-		p.release(conn)
-		return Result{Status: policy.StatusNotSent, ClientDisconnected: errors.Is(err, errClientDisconnected)}
-	}
-	if latest := call.writeDeadlineOrZero(); !latest.Equal(writeDeadline) {
-		conn.setWriteDeadline(latest) // the owner of the attempt has changed the deadline in the meantime
-	}
-	result := p.exchange(conn, request)
+	call.attach(conn)
+	result := p.exchangeUnlessRevoked(conn, call, request)
+	call.detach()
 	if aborted := !stopAbort(); aborted {
 		conn.reusable = false
 	}
 	p.release(conn)
 	return result
 }
+
+// exchangeUnlessRevoked makes the exchange of an attempt that may still be sent.
+func (p *Pool) exchangeUnlessRevoked(conn *connection, call *Call, request *encodedRequest) Result {
+	if err := call.checkAndMarkSent(); err != nil {
+		return Result{Status: policy.StatusNotSent, ClientDisconnected: errors.Is(err, errClientDisconnected)}
+	}
+	return p.exchange(conn, request)
+}
