Failed calls to discovery leave the notification deadline as it is

Cause: the deadline of 6 s counted from the start of the call that had failed last, so that each failed call granted another 6 s, and the doubled backoff after it was not limited. A change of address granted 4 s whatever had been missed.

The policy shortens its backoff to meet it, but not below the spread of the calls of the fleet; after a failure that was found late it hurries. The first failure after a list resets the backoff: a response without changes did not.

--- a/cmd/simadapter/adapter.go
+++ b/cmd/simadapter/adapter.go
@@ -106,7 +106,8 @@
 // updateEndpoints passes an update of the endpoint list, or the failure of a watch, to the instance.
 func updateEndpoints(balancer *policy.Balancer, now time.Duration, event *simproto.Event) {
 	if event.WatchFailed {
-		balancer.WatchFailed(now, now+policy.NotificationDeadline)
+		deadline := now + policy.NotificationDeadline
+		balancer.WatchFailed(now, policy.WatchFailure{NotifiedAt: deadline, CallNotifiedAt: deadline})
 		return
 	}
 	balancer.UpdateEndpoints(now, event.Kind, event.Endpoints)
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -21,6 +21,7 @@
 	}
 	f.logList(finished.list)
 	f.haveList, f.generation = true, finished.list.Generation
+	f.deadlines.listApplied()
 	f.deliver(finished.list)
 }
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -31,9 +31,8 @@
 	UpdateEndpoints(kind policy.UpdateKind, endpoints []endpoint.Endpoint)
 	// Synced is called after each list, even if the list has no endpoints or no changes.
 	Synced()
-	// WatchFailed is called in polling mode after a failed call. notifiedAt is the time at which the node counts
-	// as notified of the changes that the call has missed. The next call waits for RequestWatch.
-	WatchFailed(notifiedAt time.Time)
+	// WatchFailed is called in polling mode after a failed call. The next call waits for RequestWatch.
+	WatchFailed(failure WatchFailure)
 }
 
 // Config holds the parameters of a Client.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/internal/testkit"
@@ -13,18 +12,18 @@
 // recorder is a Handler that records the updates and failures it receives.
 type recorder struct {
 	updates chan policy.UpdateKind
-	failed  chan time.Time
+	failed  chan WatchFailure
 }
 
 func newRecorder() *recorder {
-	return &recorder{updates: make(chan policy.UpdateKind, 100), failed: make(chan time.Time, 100)}
+	return &recorder{updates: make(chan policy.UpdateKind, 100), failed: make(chan WatchFailure, 100)}
 }
 
 func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, _ []endpoint.Endpoint) {
 	r.updates <- kind
 }
 func (r *recorder) Synced()                          {}
-func (r *recorder) WatchFailed(notifiedAt time.Time) { r.failed <- notifiedAt }
+func (r *recorder) WatchFailed(failure WatchFailure) { r.failed <- failure }
 
 // pendingRequestRecorder records how many watch requests are pending when a failure is reported.
 type pendingRequestRecorder struct {
@@ -33,9 +32,9 @@
 	pending chan int
 }
 
-func (r pendingRequestRecorder) WatchFailed(notifiedAt time.Time) {
+func (r pendingRequestRecorder) WatchFailed(failure WatchFailure) {
 	r.pending <- len(r.client.watchRequests)
-	r.recorder.WatchFailed(notifiedAt)
+	r.recorder.WatchFailed(failure)
 }
 
 // A watch request made while another watch is active is stale once that watch fails, because the handler then
--- a/internal/discovery/failure.go
+++ b/internal/discovery/failure.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 	"time"
-
-	"calicohinge/policy"
 )
 
 // handleFailure handles a call that failed, or that ended because the follower stops, and returns the next state.
@@ -29,19 +27,9 @@
 func (f *follower) reportFailure(failed *call, err error) {
 	f.logFailure(failed, err)
 	f.dropStaleWatchRequest()
-	f.handler.WatchFailed(f.notifiedAt(failed.startedAt, time.Now()))
-}
-
-// notifiedAt returns the time at which the node counts as notified of the changes that a failed call has missed:
-// the notification deadline, or the deadline of the initial list at a new address if that list is pending and its
-// deadline is earlier.
-func (f *follower) notifiedAt(startedAt, now time.Time) time.Time {
-	callDeadline := startedAt.Add(policy.NotificationDeadline)
-	listDeadline := f.deadlines.nextAfter(now)
-	if f.initialListPending(now) && listDeadline.Before(callDeadline) {
-		return listDeadline
-	}
-	return callDeadline
+	failure := f.deadlines.failure(failed.startedAt, time.Now())
+	failure.First = f.outage.failures == 1
+	f.handler.WatchFailed(failure)
 }
 
 // dropStaleWatchRequest discards a watch request that was made before the failure. Otherwise the next call would be
@@ -56,7 +44,7 @@
 // retryDelay returns the delay after a failed call in push mode. After an unresponsive watch, and while the initial
 // list at a new address is pending, the deadlines leave no time for a backoff.
 func (f *follower) retryDelay(kind ErrorKind) time.Duration {
-	if kind == Unresponsive || f.initialListPending(time.Now()) {
+	if kind == Unresponsive || f.deadlines.initialListPending(time.Now()) {
 		return jitter()
 	}
 	return f.backoff.next()
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -38,6 +38,7 @@
 // *Error or the error of ctx. It applies lists from previous addresses that arrive in the meantime.
 func (f *follower) fetch(ctx context.Context) (*call, error) {
 	current := f.calls.start(ctx, f.address, f.nextQuery())
+	f.deadlines.startCall(current.startedAt)
 	timeout := time.NewTimer(f.nextResponseTimeout())
 	defer timeout.Stop()
 	for {
@@ -66,7 +67,7 @@
 
 // nextResponseTimeout returns the response timeout of the next call.
 func (f *follower) nextResponseTimeout() time.Duration {
-	if f.initialListPending(time.Now()) {
+	if f.deadlines.initialListPending(time.Now()) {
 		return initialListResponseTimeout
 	}
 	return responseTimeout
--- a/internal/discovery/fetch_test.go
+++ b/internal/discovery/fetch_test.go
@@ -124,7 +124,10 @@
 	f := newTestFollower(t, "discovery", c.haveList)
 	f.client.httpClient.Transport = unresponsiveTransport{}
 	if c.addressChanged {
-		f.deadlines.current = time.Now().Add(addressChangeDeadline)
+		f.deadlines.initialList = time.Now().Add(addressChangeDeadline)
+	}
+	if c.haveList {
+		f.deadlines.listApplied()
 	}
 	startedAt := time.Now()
 	_, err := f.fetch(t.Context())
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -62,9 +62,9 @@
 	delay   time.Duration // how long to stay in statePausing
 	backoff backoff
 
-	haveList   bool                 // whether a list from the current address was cached or applied
-	generation uint64               // generation of the list, possibly 0; always 0 if haveList is false
-	deadlines  initialListDeadlines // set after a change of address
+	haveList   bool   // whether a list from the current address was cached or applied
+	generation uint64 // generation of the list, possibly 0; always 0 if haveList is false
+	deadlines  notificationDeadlines
 	outage     outage
 }
 
@@ -84,15 +84,11 @@
 	return f
 }
 
-// moveTo returns the follower that continues at another address. f must have stopped. If the initial list of f
-// is still pending, the deadline of that list stays in force.
+// moveTo returns the follower that continues at another address. f must have stopped.
 func (f *follower) moveTo(address string, now time.Time) *follower {
 	next := newFollower(f.client, f.handler, f.calls, address)
 	next.state = stateCalling
-	next.deadlines.current = now.Add(addressChangeDeadline)
-	if f.initialListPending(now) {
-		next.deadlines.previous = f.deadlines.nextAfter(now)
-	}
+	next.deadlines = f.deadlines.changeAddress(now)
 	return next
 }
 
@@ -168,9 +164,3 @@
 	f.applyList(finished)
 	return finished.address == f.address
 }
-
-// initialListPending reports whether the address has changed, no list from the new address has arrived, and the
-// deadline of that list has not passed.
-func (f *follower) initialListPending(now time.Time) bool {
-	return !f.haveList && now.Before(f.deadlines.current)
-}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -14,12 +14,7 @@
 // After an unresponsive watch, and while the initial list at a new address is pending, the delay is only jitter and
 // does not grow.
 func TestRetryDelayAfterFailure(t *testing.T) {
-	for name, c := range map[string]struct {
-		kind           ErrorKind
-		haveList       bool
-		addressChanged bool
-		grows          bool
-	}{
+	for name, c := range map[string]retryDelayTest{
 		"unresponsive watch":              {Unresponsive, true, false, false},
 		"reset watch":                     {Reset, true, false, true},
 		"refused, no list":                {Unreachable, false, false, true},
@@ -27,11 +22,7 @@
 		"bad status, list at new address": {BadStatus, true, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newTestFollower(t, "discovery", c.haveList)
-			f.backoff = newBackoff(time.Second)
-			if c.addressChanged {
-				f.deadlines.current = time.Now().Add(time.Hour)
-			}
+			f := c.newFollower(t)
 			for range 10 {
 				delay := f.retryDelay(c.kind)
 				if !c.grows && delay >= initialBackoff {
@@ -46,6 +37,28 @@
 	}
 }
 
+// retryDelayTest describes a failed call, and whether the delay after it grows from failure to failure.
+type retryDelayTest struct {
+	kind           ErrorKind
+	haveList       bool
+	addressChanged bool
+	grows          bool
+}
+
+// newFollower returns the follower whose call has failed.
+func (c retryDelayTest) newFollower(t *testing.T) *follower {
+	t.Helper()
+	f := newTestFollower(t, "discovery", c.haveList)
+	f.backoff = newBackoff(time.Second)
+	if c.addressChanged {
+		f.deadlines.initialList = time.Now().Add(time.Hour)
+	}
+	if c.haveList {
+		f.deadlines.listApplied()
+	}
+	return f
+}
+
 // A node may miss changes because a call fails. It counts as notified of them at the notification deadline of the call,
 // or earlier if the initial list at a new address is due before then.
 func TestFailureIsReportedWithNotificationTime(t *testing.T) {
@@ -75,14 +88,14 @@
 	f.handler, f.client.polling, f.state = handler, true, stateCalling
 	failed := &call{startedAt: time.Now(), progress: &callProgress{}}
 	if c.currentIn != 0 {
-		f.deadlines.current = failed.startedAt.Add(c.currentIn)
+		f.deadlines.initialList = failed.startedAt.Add(c.currentIn)
 	}
 	if c.previousIn != 0 {
-		f.deadlines.previous = failed.startedAt.Add(c.previousIn)
+		f.deadlines.previousInitialList = failed.startedAt.Add(c.previousIn)
 	}
 	time.Sleep(time.Second) // duration of the call
 	next := f.handleFailure(t.Context(), failed, &Error{Kind: Reset, Err: errors.New("reset")})
-	if notifiedIn := (<-handler.failed).Sub(failed.startedAt); notifiedIn != c.notifiedIn {
+	if notifiedIn := (<-handler.failed).NotifiedAt.Sub(failed.startedAt); notifiedIn != c.notifiedIn {
 		t.Errorf("notification time after the start of the call: got %v, want %v", notifiedIn, c.notifiedIn)
 	}
 	if next != stateIdle {
@@ -102,7 +115,7 @@
 		} {
 			time.Sleep(time.Until(startedAt.Add(c.changedAt)))
 			f = f.moveTo("next", time.Now())
-			if due := f.deadlines.nextAfter(time.Now()).Sub(startedAt); due != c.due {
+			if due := f.deadlines.nextInitialList(time.Now()).Sub(startedAt); due != c.due {
 				t.Errorf("list deadline after the address change at %v: got %v, want %v", c.changedAt, due, c.due)
 			}
 		}
--- a/internal/discovery/late_response_test.go
+++ b/internal/discovery/late_response_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/internal/testkit"
@@ -46,7 +45,7 @@
 	client *Client
 }
 
-func (r watchRequester) WatchFailed(time.Time) { r.client.RequestWatch() }
+func (r watchRequester) WatchFailed(WatchFailure) { r.client.RequestWatch() }
 
 // lateResponseTest tests a client that starts with generation 3. The test responds to the calls of the client.
 type lateResponseTest struct {
--- a/internal/discovery/outage.go
+++ b/internal/discovery/outage.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// outage counts the failed calls since the last list arrived, for log messages.
+// outage counts the failed calls since the last list arrived.
 type outage struct {
 	failures  int
 	startedAt time.Time // when the first failed call started
--- a/internal/node/discovery_handler.go
+++ b/internal/node/discovery_handler.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"calicohinge/internal/discovery"
 	"calicohinge/internal/endpoint"
 	"calicohinge/internal/processstart"
 	"calicohinge/policy"
@@ -41,8 +42,12 @@
 }
 
 // WatchFailed implements discovery.Handler.
-func (d *discoveryHandler) WatchFailed(notifiedAt time.Time) {
-	d.queue.post(watchFailed{d.clock.fromTime(notifiedAt)})
+func (d *discoveryHandler) WatchFailed(failure discovery.WatchFailure) {
+	d.queue.post(watchFailed{policy.WatchFailure{
+		First:          failure.First,
+		NotifiedAt:     d.clock.fromTime(failure.NotifiedAt),
+		CallNotifiedAt: d.clock.fromTime(failure.CallNotifiedAt),
+	}})
 }
 
 // policyEndpoint converts an endpoint for the balancer. startedAt is the start of its process on the node's clock.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -77,11 +77,9 @@
 func (e endpointsUpdated) handle(l *loop, now time.Duration) { l.updateEndpoints(now, e) }
 
 // watchFailed is posted by discoveryHandler.WatchFailed.
-type watchFailed struct {
-	notifiedAt time.Duration // time on the node's clock from which the node counts as notified of the missed changes
-}
+type watchFailed struct{ failure policy.WatchFailure }
 
-func (e watchFailed) handle(l *loop, now time.Duration) { l.reportWatchFailure(now, e.notifiedAt) }
+func (e watchFailed) handle(l *loop, now time.Duration) { l.reportWatchFailure(now, e.failure) }
 
 // terminationRequested is posted by loop.terminateAll near the end of a graceful shutdown.
 type terminationRequested struct{}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -231,10 +231,9 @@
 	}
 }
 
-// reportWatchFailure reports a failed watch to the balancer. From notifiedAt on, the node counts as notified of the
-// changes that it has missed, so the balancer requests the next watch before that time.
-func (l *loop) reportWatchFailure(now, notifiedAt time.Duration) {
-	l.balancer.WatchFailed(now, notifiedAt)
+// reportWatchFailure reports a failed watch to the balancer, which requests the next one.
+func (l *loop) reportWatchFailure(now time.Duration, failure policy.WatchFailure) {
+	l.balancer.WatchFailed(now, failure)
 }
 
 // terminate makes the balancer complete every active request, and rejects later requests.
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,6 +166,17 @@
 // extend it.
 const NotificationDeadline = 6 * time.Second
 
+// WatchFailure describes a failed watch or poll of the endpoint list.
+type WatchFailure struct {
+	// First is true if no other call has failed since the last list.
+	First bool
+	// NotifiedAt is the time at which the node counts as notified of the first change that it may have missed. Further
+	// failed calls do not extend it. If it has passed, NotifiedAt is CallNotifiedAt.
+	NotifiedAt time.Duration
+	// CallNotifiedAt is the same for the changes since the failed call started.
+	CallNotifiedAt time.Duration
+}
+
 // UpdateKind specifies which endpoints an update contains.
 type UpdateKind uint8
 
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -163,10 +163,10 @@
 	b.dispatch(now)
 }
 
-// WatchFailed handles the failure of a watch or poll of the endpoint list. The node keeps its list. It counts
-// as notified of missed changes from notifiedAt on, so the next call must be answered before then.
-func (b *Balancer) WatchFailed(now, notifiedAt time.Duration) {
-	b.host.SetTimer(now+b.watch.nextBackoff(notifiedAt-now), timerWatch)
+// WatchFailed handles the failure of a watch or poll of the endpoint list. The node keeps its list, and makes
+// the next call after a delay.
+func (b *Balancer) WatchFailed(now time.Duration, failure WatchFailure) {
+	b.host.SetTimer(now+b.watch.nextBackoff(now, failure), timerWatch)
 }
 
 // TerminateAll rejects or fails every active request when the node shuts down.
--- a/policy/watch_schedule_fleet_test.go
+++ b/policy/watch_schedule_fleet_test.go
@@ -72,6 +72,8 @@
 	balancer     *Balancer
 	callsStarted int // number of WatchEndpoints calls that have started a call of the service
 	currentCall  discoveryCall
+	missedSince  time.Duration // start of the first call since the last list; 0: there is none
+	failures     int           // failed calls since the last list
 	callInFlight bool          // currentCall has not ended
 	notifiedAt   time.Duration // when the node got the changes since the recovery; 0: not yet
 	watchesAgain bool          // each successful call is followed by another call
@@ -92,6 +94,9 @@
 				now, n.currentCall.startedAt)
 		}
 		n.callsStarted = n.watches
+		if n.missedSince == 0 {
+			n.missedSince = now
+		}
 		n.currentCall = d.call(now, n)
 		n.callInFlight = true
 	}
@@ -101,9 +106,10 @@
 // another call.
 func (n *watchingNode) endCall(now time.Duration, d *simulatedDiscovery) {
 	if !n.currentCall.succeeds {
-		n.balancer.WatchFailed(now, n.currentCall.startedAt+NotificationDeadline)
+		n.balancer.WatchFailed(now, n.failure(now))
 		return
 	}
+	n.missedSince, n.failures = 0, 0
 	if n.notifiedAt == 0 && n.currentCall.startedAt >= d.recoversAt {
 		n.notifiedAt = now
 	}
@@ -113,6 +119,17 @@
 	}
 }
 
+// failure returns what discovery reports of the current call, which has failed.
+func (n *watchingNode) failure(now time.Duration) WatchFailure {
+	n.failures++
+	failure := WatchFailure{First: n.failures == 1, CallNotifiedAt: n.currentCall.startedAt + NotificationDeadline}
+	failure.NotifiedAt = failure.CallNotifiedAt
+	if missed := n.missedSince + NotificationDeadline; missed > now {
+		failure.NotifiedAt = missed
+	}
+	return failure
+}
+
 // newWatchingNodes returns nodes that start at the same time with the same cached endpoint list.
 func newWatchingNodes(t *testing.T, nodes int, maxPollInterval time.Duration) []*watchingNode {
 	t.Helper()
--- a/policy/watch_schedule_test.go
+++ b/policy/watch_schedule_test.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// failureWith returns the failure of a call with a remaining time to the notification deadline.
+func failureWith(now, remaining time.Duration) WatchFailure {
+	return WatchFailure{NotifiedAt: now + remaining, CallNotifiedAt: now + remaining}
+}
+
 // Guards against a failed watch that is not repeated within half of MaxPollInterval, or that drops the servers of the
 // last endpoint list.
 func TestFailedWatchIsRepeatedAndEndpointListStaysInUse(t *testing.T) {
@@ -18,7 +23,7 @@
 	}
 
 	for range 2 {
-		h.balancer.WatchFailed(h.now, h.now+NotificationDeadline)
+		h.balancer.WatchFailed(h.now, failureWith(h.now, NotificationDeadline))
 	}
 	h.advance(settings.Rules.MaxPollInterval / 2)
 
@@ -48,7 +53,7 @@
 		}
 		for range 5 {
 			host.timers = nil
-			balancer.WatchFailed(time.Hour, time.Hour+remainingTime)
+			balancer.WatchFailed(time.Hour, failureWith(time.Hour, remainingTime))
 			if len(host.timers) != 1 || host.timers[0].token != timerWatch || host.timers[0].at > time.Hour+span {
 				t.Fatalf("node %d: WatchFailed with %v until the deadline set the timers %v, want one with token %d by %v",
 					node, remainingTime, host.timers, timerWatch, time.Hour+span)
@@ -95,13 +100,13 @@
 	schedule := newWatchSchedule(&settings, rand.New(rand.NewPCG(1, 0)))
 	const remainingTime = time.Hour
 
-	first := schedule.nextBackoff(remainingTime)
+	first := schedule.nextBackoff(0, failureWith(0, remainingTime))
 	var waits []time.Duration
 	for range 4 {
-		waits = append(waits, schedule.nextBackoff(remainingTime))
+		waits = append(waits, schedule.nextBackoff(0, failureWith(0, remainingTime)))
 	}
 	schedule.reset()
-	firstAfterReset := schedule.nextBackoff(remainingTime)
+	firstAfterReset := schedule.nextBackoff(0, failureWith(0, remainingTime))
 
 	want := []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 3 * time.Second}
 	if !slices.Equal(waits, want) {
