Share the set-up of the tests of the key's retention

Cause: two tests activated a request without the balancer with the same lines, and a comment on the write deadline did not say who applies it.

Change: activateWithoutBalancer does it for both tests; two comments are more exact. Behaviour and checks stay as they were.

--- a/internal/node/key_retention_test.go
+++ b/internal/node/key_retention_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// activateWithoutBalancer activates a request that the balancer does not know, so that the test makes its decisions. It
+// must run in the loop's goroutine.
+func (l *testLoop) activateWithoutBalancer(r *request) {
+	const id = 1000 // far from the IDs of requests that are submitted
+	r.completion = make(chan completion, 1)
+	r.deadlineTimer = time.NewTimer(time.Hour)
+	r.activate(id)
+	l.requests.add(r)
+}
+
 func testKeyRetention(t *testing.T, c retentionCase) {
 	t.Helper()
 	fullAcceptQueue := testkit.NewFullAcceptQueueServer(t)
@@ -50,12 +60,9 @@
 	servers := []policy.ServerID{endpoint.ServerID("unresponsive"), endpoint.ServerID("unresponsive")}
 	servers[c.lateAttempt] = endpoint.ServerID("late")
 	r := l.newRequest(c.class, neverDisconnected)
-	r.completion = make(chan completion, 1)
-	r.deadlineTimer = time.NewTimer(time.Hour)
 
 	l.runInLoop(func() {
-		r.activate(1000)
-		l.requests.add(r)
+		l.activateWithoutBalancer(r)
 		l.host.Send(r.id, servers[0], 0)
 		if c.firstStatus != policy.StatusCancelled {
 			l.reportOutcome(l.clock.now(), r, 0, upstream.Result{Status: c.firstStatus})
@@ -106,11 +113,8 @@
 	l := startLoop(t, stalled.Endpoint("stalled"), unresponsive.Endpoint("unresponsive"))
 	r := l.newRequest(classPush, neverDisconnected)
 	r.Body = make([]byte, testkit.StalledBody)
-	r.completion = make(chan completion, 1)
-	r.deadlineTimer = time.NewTimer(time.Hour)
 	l.runInLoop(func() {
-		r.activate(1000)
-		l.requests.add(r)
+		l.activateWithoutBalancer(r)
 		l.host.Send(r.id, endpoint.ServerID("stalled"), 0)
 	})
 	conn := stalled.AwaitWritten(t)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -51,7 +51,7 @@
 func (p *Pool) sendOn(conn *connection, call *Call, request *encodedRequest) Result {
 	stopAbort := context.AfterFunc(call.ctx, conn.abort)
 	// A server does not execute a request before the last byte has arrived, so it suffices that the
-	// deadline interrupts the write.
+	// write deadline, which attach applies, interrupts the write.
 	call.attach(conn)
 	result := p.exchangeUnlessRevoked(conn, call, request)
 	call.detach()
--- a/policy/watch_schedule.go
+++ b/policy/watch_schedule.go
@@ -17,7 +17,7 @@
 	maxSpreadDivisor  = 2 // the first calls of all nodes spread over at most half of MaxPollInterval
 	maxBackoffDivisor = 4 // the backoff is at most a quarter of MaxPollInterval plus initialWatchBackoff
 
-	// lateFailureDivisor determines when a failure is found late: less than half of the deadline is left, as
+	// lateFailureDivisor determines when a failure is found late: at most half of the deadline is left, as
 	// after an unresponsive watch.
 	lateFailureDivisor = 2
 	// A node may then shorten its delay to half of the spread, which keeps the calls of a small fleet apart,
