Find the socket of a stalled server's client by both of its addresses

Sockets to different servers may have the same local address, so that it could read the queue of another socket.

No check or bound changed.

--- a/internal/testkit/stalled_server.go
+++ b/internal/testkit/stalled_server.go
@@ -70,25 +70,26 @@
 	t.Helper()
 	conn := Receive(t, s.Conns, "a connection to the stalled server")
 	WaitUntil(t, "the request to be written", func() bool {
-		return unacknowledgedBytes(t, conn.RemoteAddr()) > stalledBodyQueued
+		return unacknowledgedBytes(t, conn.RemoteAddr(), conn.LocalAddr()) > stalledBodyQueued
 	})
 	return conn
 }
 
 // unacknowledgedBytes returns the number of bytes that a socket of this machine has sent or is about to send and that its
-// peer has not acknowledged. The socket has the given local address.
-func unacknowledgedBytes(t *testing.T, local net.Addr) int {
+// peer has not acknowledged. The socket has the given local and remote addresses: connections to different addresses may
+// have the same local one.
+func unacknowledgedBytes(t *testing.T, local, remote net.Addr) int {
 	t.Helper()
-	const addressField, queueField = 1, 4 // of a line of /proc/net/tcp
+	const localField, remoteField, queueField = 1, 2, 4 // of a line of /proc/net/tcp
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = table.Close() }() // only read
-	wanted := tableAddress(local.(*net.TCPAddr))
+	wantedLocal, wantedRemote := tableAddress(local.(*net.TCPAddr)), tableAddress(remote.(*net.TCPAddr))
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) <= queueField || fields[addressField] != wanted {
+		if len(fields) <= queueField || fields[localField] != wantedLocal || fields[remoteField] != wantedRemote {
 			continue
 		}
 		bytes := 0
