Make no attempt on the cached list before discovery has been heard

Cause: Client.reportCached called Handler.Synced for the list of the configuration file, as if it had come from discovery. The health check and the balancer could not tell the two apart. Evidence: the log of the new process shows no response of discovery before the first attempts, and the only call is a watch that is answered 2 s later.

Change: policy has a new component, initialSync, that decides when a new process is ready and may make attempts. Where lists are pushed, the cached list alone permits neither. It may be used once three connections in a row were refused, since nothing listens there then, or 5.5 s after the start, since a restarted node has to be ready within 6 s. Other failures (503, reset, timeout, malformed) come from a service that may be up, so they prove nothing. Until then requests wait in the admission queue and are rejected in time. Where lists are polled nothing changes. The first call in push mode asks for changes with a wait of 1 ms, so that a node with nothing to learn is ready after one round trip and not after the 3 s of a watch. Changes of a list that starts over no longer count as a list. Refused connections have a kind of their own; failed calls are reported to policy in both modes. Logs: the list at the start, its comparison, and why the node became ready.

Changed expectations: a refused call has the kind refused and no longer unreachable, push mode reports failures too, the first query with a cached list has the short wait, and the harness of the event loop reports Synced after a list, as the client does.

--- a/cmd/balancer/readiness_test.go
+++ b/cmd/balancer/readiness_test.go
@@ -32,10 +32,14 @@
 func TestRestartedProcessesAreReadyInTime(t *testing.T) {
 	program, processes := balancertest.Build(t), flagValue[int](processesFlag)
 	list, empty := snapshotOf(2, slices.Repeat([]string{refusingAddr}, 200)...), endpointjson.List{}
+	outdated := list
+	outdated.Generation--
 	overloaded := 4 * time.Second / time.Duration(processes) // the calls of all processes for a snapshot take 4 s
 	for _, c := range []restartCase{
 		{"cached list", list, 0, outageUnavailable, 0},
 		{"cached list, discovery refuses throughout", list, time.Hour, outageRefused, 0},
+		{"cached list, discovery unavailable throughout", list, time.Hour, outageUnavailable, 0},
+		{"outdated cached list, discovery overloaded", outdated, 0, outageUnavailable, overloaded},
 		{"no cached list", empty, 0, outageUnavailable, 0},
 		{"no cached list, discovery refuses for 3 s", empty, 3 * time.Second, outageRefused, 0},
 		{"no cached list, discovery unavailable for 3 s", empty, 3 * time.Second, outageUnavailable, 0},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,7 +32,7 @@
 	Discovery      string // address of the discovery service
 	Seed           uint64 // seed of the balancer's random choices
 	Limits         Limits
-	CachedList     endpoint.List // endpoint list used until discovery has sent its list
+	CachedList     endpoint.List // endpoint list with which the node starts
 	Policy         policy.Settings
 	Classes        map[string]int // class name to index in Policy.Classes
 	Tenants        map[string]int // tenant name to index in Policy.Tenants
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/policy"
@@ -22,14 +23,15 @@
 	if f.startsOver(finished.list) {
 		slog.Info("endpoint list starts over", "discovery_addr", f.address, "generation", finished.list.Generation,
 			"previous_generation", f.generation)
-		f.haveList, f.generation = false, 0 // the next call requests a snapshot
+		f.haveList, f.generation = false, 0 // the next call requests a snapshot, which completes the list
 		f.deliver(finished.list)
 		return
 	}
-	f.logList(finished.list)
-	f.haveList, f.generation = true, finished.list.Generation
+	f.logList(finished)
+	f.haveList, f.generation, f.unconfirmed = true, finished.list.Generation, false
 	f.deadlines.listApplied()
 	f.deliver(finished.list)
+	f.handler.Synced()
 }
 
 // applyPreviousList applies a list from a previous address, unless the current address has returned one. The
@@ -41,6 +43,7 @@
 	slog.Info("endpoint list of previous address",
 		"discovery_addr", finished.address, "generation", finished.list.Generation)
 	f.deliver(finished.list)
+	f.handler.Synced()
 }
 
 // isStale reports whether another call has returned a newer list since the finished call started. A lower
@@ -56,7 +59,7 @@
 	return f.haveList && !list.Snapshot && list.Generation < f.generation
 }
 
-// deliver passes a list to the handler. For a delta without changes, it only calls Handler.Synced.
+// deliver passes a list to the handler, unless it is a delta without changes.
 func (f *follower) deliver(list endpoint.List) {
 	switch {
 	case list.Snapshot:
@@ -64,12 +67,18 @@
 	case len(list.Endpoints) > 0:
 		f.handler.UpdateEndpoints(policy.UpdateDelta, list.Endpoints)
 	}
-	f.handler.Synced()
 }
 
-// logList logs the end of an outage, and the list unless it is a delta without changes.
-func (f *follower) logList(list endpoint.List) {
+// logList logs the end of an outage, the first response that confirms the cached list or changes it, and the list unless
+// it is a delta without changes.
+func (f *follower) logList(finished *call) {
+	list := finished.list
 	f.outage.logEnd(f.address, list.Generation)
+	if f.unconfirmed {
+		slog.Info("cached endpoint list compared", "discovery_addr", f.address, "generation", list.Generation,
+			"cached_generation", f.generation, "changes", len(list.Endpoints),
+			"took", time.Since(finished.startedAt).Round(time.Millisecond))
+	}
 	if !list.Snapshot && len(list.Endpoints) == 0 {
 		return
 	}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -3,7 +3,8 @@
 // the generation of the list. It reports lists and failures to a Handler, which internal/node implements. It
 // neither interprets endpoints nor selects servers.
 //
-// A Client has two modes. In push mode, it makes the first call on its own and retries failed calls with backoff.
+// A Client has two modes. In push mode, it makes the first call on its own and retries failed calls with backoff. The
+// first call with a cached list asks only whether that list is current, and is answered without a wait for changes.
 // In polling mode, the first call after the start and each call after a failure wait for Client.RequestWatch;
 // package policy decides when they are due.
 //
@@ -29,9 +30,10 @@
 type Handler interface {
 	// UpdateEndpoints receives a snapshot, a delta, or the cached list.
 	UpdateEndpoints(kind policy.UpdateKind, endpoints []endpoint.Endpoint)
-	// Synced is called after each list, even if the list has no endpoints or no changes.
+	// Synced is called when the handler has the list of the service: after each response that leaves no doubt of it,
+	// even if it has no endpoints or no changes.
 	Synced()
-	// WatchFailed is called in polling mode after a failed call. The next call waits for RequestWatch.
+	// WatchFailed is called after a failed call. In polling mode, the next call waits for RequestWatch.
 	WatchFailed(failure WatchFailure)
 }
 
@@ -97,6 +99,7 @@
 	current := newFollower(c, handler, calls, c.address)
 	current.haveList = len(c.cached.Endpoints) > 0
 	current.generation = c.cached.Generation
+	current.unconfirmed = current.haveList && !c.polling
 	for ctx.Err() == nil {
 		address, changed := c.followUntilAddressChange(ctx, current)
 		if !changed {
@@ -110,11 +113,9 @@
 
 // reportCached reports the cached list. In push mode it skips an empty list.
 func (c *Client) reportCached(handler Handler) {
-	if len(c.cached.Endpoints) > 0 {
+	slog.Info("cached endpoint list", "generation", c.cached.Generation, "endpoints", len(c.cached.Endpoints))
+	if len(c.cached.Endpoints) > 0 || c.polling { // in polling mode, package policy requests a watch after the update
 		handler.UpdateEndpoints(policy.UpdateCached, c.cached.Endpoints)
-		handler.Synced()
-	} else if c.polling {
-		handler.UpdateEndpoints(policy.UpdateCached, nil) // an empty list makes package policy request a watch
 	}
 }
 
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	"calicohinge/internal/endpoint"
@@ -13,6 +14,7 @@
 type recorder struct {
 	updates chan policy.UpdateKind
 	failed  chan WatchFailure
+	synced  atomic.Int32 // number of calls of Synced
 }
 
 func newRecorder() *recorder {
@@ -22,7 +24,7 @@
 func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, _ []endpoint.Endpoint) {
 	r.updates <- kind
 }
-func (r *recorder) Synced()                          {}
+func (r *recorder) Synced()                          { r.synced.Add(1) }
 func (r *recorder) WatchFailed(failure WatchFailure) { r.failed <- failure }
 
 // pendingRequestRecorder records how many watch requests are pending when a failure is reported.
@@ -87,7 +89,7 @@
 	for name, c := range map[string]clientStartTest{
 		"polling, cached list": {cached, true, update, "after=7&wait_ms=3000"},
 		"polling, no list":     {endpoint.List{}, true, update, ""}, // package policy requests a watch after the update
-		"push, cached list":    {cached, false, update, "after=7&wait_ms=3000"},
+		"push, cached list":    {cached, false, update, "after=7&wait_ms=1"},
 		"push, no list":        {endpoint.List{}, false, nil, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -154,3 +156,39 @@
 		})
 	}
 }
+
+// Guards against a restarted node that takes a cached list for that of the service, and against one that waits for the end
+// of a watch before it knows that nothing has changed. In push mode, the first call asks for changes without a wait, again
+// after a failure, and the handler is told that it has the list of the service only after a response. Changes with a lower
+// generation than that of the cached list do not make it that list.
+func TestCachedListIsConfirmedBeforeTheFirstWatch(t *testing.T) {
+	t.Parallel()
+	scripted := testkit.NewScriptedDiscovery(t)
+	handler := newRecorder()
+	client := New(Config{
+		Address: scripted.Address,
+		Cached:  endpoint.List{Generation: 7, Endpoints: []endpoint.Endpoint{{ID: 1}}},
+	})
+	go client.Run(t.Context(), handler)
+	for _, step := range []struct {
+		query    string
+		synced   int32 // calls of Synced before the query
+		response string
+	}{
+		{"after=7&wait_ms=1", 0, testkit.ResponseUnavailable},
+		{"after=7&wait_ms=1", 0, "what?"},
+		{"after=7&wait_ms=1", 0, `{"generation":3,"instances":[{"instanceId":"s","lifecycle":"Gone"}]}`},
+		{"", 0, `{"generation":3,"reset":true,"instances":[]}`},
+		{"after=3&wait_ms=3000", 1, `{"generation":3,"instances":[]}`},
+		{"after=3&wait_ms=3000", 2, testkit.ResponseUnavailable},
+		{"after=3&wait_ms=3000", 2, testkit.ResponseUnavailable},
+	} {
+		if query := testkit.Receive(t, scripted.Calls, "a call").URL.RawQuery; query != step.query {
+			t.Errorf("query of the next call: got %q, want %q", query, step.query)
+		}
+		if synced := handler.synced.Load(); synced != step.synced {
+			t.Errorf("calls of Synced before the query %q: got %d, want %d", step.query, synced, step.synced)
+		}
+		scripted.Responses <- step.response
+	}
+}
--- a/internal/discovery/deadline.go
+++ b/internal/discovery/deadline.go
@@ -15,6 +15,7 @@
 	First          bool      // no other call to the address has failed since the last list
 	NotifiedAt     time.Time // when the node counts as notified of the first change that it may have missed
 	CallNotifiedAt time.Time // the same for the changes since the failed call started
+	Kind           ErrorKind // why the call failed
 }
 
 // notificationDeadlines holds the times that determine when the node counts as notified of changes, whether or not a
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 )
 
 // ErrorKind classifies the failure of a call to the discovery service.
@@ -14,8 +15,10 @@
 const (
 	// Unknown means that this package has not classified the error.
 	Unknown ErrorKind = iota
-	// Unreachable means that the call had no connection, for example because the connection was refused.
+	// Unreachable means that the call had no connection for any other reason than Refused.
 	Unreachable
+	// Refused means that the address refused the connection: its machine is up, and nothing listens there.
+	Refused
 	// Reset means that the connection was closed before the response was complete.
 	Reset
 	// Timeout means that the response to a call for a snapshot was not complete in time.
@@ -36,6 +39,8 @@
 		return "unknown"
 	case Unreachable:
 		return "unreachable"
+	case Refused:
+		return "refused"
 	case Reset:
 		return "reset"
 	case Timeout:
@@ -77,6 +82,8 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded): // checked first, because a deadline may interrupt any operation
 		return Timeout
+	case isOperation && operation.Op == "dial" && errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
 	case isOperation && operation.Op == "dial":
 		return Unreachable
 	case isOperation, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/discovery/failure.go
+++ b/internal/discovery/failure.go
@@ -14,21 +14,23 @@
 	case ctx.Err() != nil:
 		return f.state // the follower stops; this is not a failure
 	case f.client.polling:
+		f.logFailure(failed, err)
+		f.dropStaleWatchRequest()
 		f.reportFailure(failed, err)
 		return stateIdle
 	default:
 		f.delay = f.retryDelay(kindOf(err))
 		f.logFailure(failed, err, "retry_in", f.delay)
+		f.reportFailure(failed, err)
 		return statePausing
 	}
 }
 
-// reportFailure reports a failed call to the handler, which is responsible for requesting the next one.
+// reportFailure reports a failed call to the handler, which is responsible for requesting the next one in polling mode.
 func (f *follower) reportFailure(failed *call, err error) {
-	f.logFailure(failed, err)
-	f.dropStaleWatchRequest()
 	failure := f.deadlines.failure(failed.startedAt, time.Now())
 	failure.First = f.outage.failures == 1
+	failure.Kind = kindOf(err)
 	f.handler.WatchFailed(failure)
 }
 
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -19,18 +19,24 @@
 	// responseTimeout is the response timeout of a watch: how long the client waits before it makes another call.
 	// It also applies to a call for a snapshot: if the nodes retried sooner, a slow service would never catch up.
 	responseTimeout = watchWait + watchResponseMargin
+	// confirmationWait is how long a call asks the discovery service to wait for a change that is to confirm the cached
+	// list: the shortest wait, so that the response comes at once.
+	confirmationWait = time.Millisecond
 	// initialListResponseTimeout is the response timeout of a call for the initial list at a new address. It leaves
 	// time for a second call before the deadline of that list.
 	initialListResponseTimeout = addressChangeDeadline / 2
 )
 
-// nextQuery returns the query of the next call: a watch for changes to the current list, or a query for a
-// snapshot if there is no list.
+// nextQuery returns the query of the next call: a query for a snapshot if there is no list, a query for changes to the
+// cached list in push mode until a call has returned a list, or a watch for changes to the current list.
 func (f *follower) nextQuery() query {
-	if !f.haveList {
+	switch {
+	case !f.haveList:
 		return snapshotQuery(f.address)
+	case f.unconfirmed:
+		return watchQuery(f.address, f.generation, confirmationWait)
 	}
-	return watchQuery(f.address, f.generation)
+	return watchQuery(f.address, f.generation, watchWait)
 }
 
 // fetch makes the next call and waits until that call fails, or until it or an earlier call returns a list from
--- a/internal/discovery/fetch_test.go
+++ b/internal/discovery/fetch_test.go
@@ -50,7 +50,7 @@
 		kind     ErrorKind
 		status   int
 	}{
-		"refused":               {"", Unreachable, 0},
+		"refused":               {"", Refused, 0},
 		"closed after a header": {ok + "Content-Length: 20\r\n", Reset, 0},
 		"closed in a header":    {ok + "Content-Le", Malformed, 0}, // net/http reports this as a malformed header
 		"closed in the body":    {ok + "Content-Length: 20\r\n\r\n{", Reset, 0},
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -32,10 +32,9 @@
 //	idle     an earlier call returns a list         apply the list                    calling
 //	calling  the current or an earlier call         apply the list                    calling, or pausing
 //	         returns a list                                                           after a short call
-//	calling  the current call fails or exceeds      polling mode: report the          idle
-//	         its response timeout                   failure to the handler
-//	                                                push mode: choose the             pausing
-//	                                                retry delay
+//	calling  the current call fails or exceeds      report the failure to the         polling mode: idle
+//	         its response timeout                   handler; push mode: choose        push mode: pausing
+//	                                                the retry delay
 //	calling  RequestWatch                           keep the request; drop it if      unchanged
 //	                                                the current call fails
 //	pausing  the delay has passed                   none                              calling
@@ -64,8 +63,11 @@
 
 	haveList   bool   // whether a list from the current address was cached or applied
 	generation uint64 // generation of the list, possibly 0; always 0 if haveList is false
-	deadlines  notificationDeadlines
-	outage     outage
+	// unconfirmed is true in push mode while the list is the cached list and no call has returned a list. Only the first
+	// follower starts with it: after a change of address, the next call requests a snapshot.
+	unconfirmed bool
+	deadlines   notificationDeadlines
+	outage      outage
 }
 
 // newFollower returns a follower without a list.
--- a/internal/discovery/query.go
+++ b/internal/discovery/query.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/internal/endpointjson"
@@ -30,11 +31,11 @@
 	return query{url: "http://" + address + listPath, snapshot: true}
 }
 
-// watchQuery returns a long poll for the changes after a generation.
-func watchQuery(address string, after uint64) query {
+// watchQuery returns a long poll for the changes after a generation, for which the service waits for the given time.
+func watchQuery(address string, after uint64, wait time.Duration) query {
 	return query{
 		url: "http://" + address + listPath + "?after=" + strconv.FormatUint(after, 10) +
-			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10),
+			"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10),
 		after: after,
 	}
 }
--- a/internal/node/discovery_handler.go
+++ b/internal/node/discovery_handler.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"sync/atomic"
 	"time"
 
 	"calicohinge/internal/discovery"
@@ -18,7 +17,6 @@
 	processStarts *processstart.Registry
 	addresses     *addressTable
 	zones         map[string]int // indexes of the configured zones, by name
-	synced        atomic.Bool    // whether the node has received an endpoint list; used by several goroutines
 }
 
 // UpdateEndpoints implements discovery.Handler. It skips endpoints without an ID, and ready endpoints without an
@@ -27,6 +25,11 @@
 	update := endpointsUpdated{kind: kind}
 	list = d.addresses.update(kind, list)
 	starts := d.processStarts.Update(kind, list, processstart.Moment{Clock: d.clock.now(), Wall: time.Now()})
+	if kind == policy.UpdateCached && len(list) > 0 {
+		// Processes that the cached list does not contain are assumed to have started since then, so that a wall clock
+		// that is ahead does not end their slow start.
+		d.processStarts.RecordResponse(d.clock.now())
+	}
 	for i, e := range list {
 		if e.ID == 0 || (e.Address == "" && e.State == policy.EndpointReady) {
 			continue
@@ -40,7 +43,7 @@
 // Synced implements discovery.Handler.
 func (d *discoveryHandler) Synced() {
 	d.processStarts.RecordResponse(d.clock.now())
-	d.synced.Store(true)
+	d.queue.post(endpointsSynced{})
 }
 
 // WatchFailed implements discovery.Handler.
@@ -49,6 +52,7 @@
 		First:          failure.First,
 		NotifiedAt:     d.clock.fromTime(failure.NotifiedAt),
 		CallNotifiedAt: d.clock.fromTime(failure.CallNotifiedAt),
+		Refused:        failure.Kind == discovery.Refused,
 	}})
 }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -82,6 +82,11 @@
 
 func (e endpointsUpdated) handle(l *loop, now time.Duration) { l.updateEndpoints(now, e) }
 
+// endpointsSynced is posted by discoveryHandler.Synced.
+type endpointsSynced struct{}
+
+func (endpointsSynced) handle(l *loop, now time.Duration) { l.balancer.EndpointsSynced(now) }
+
 // watchFailed is posted by discoveryHandler.WatchFailed.
 type watchFailed struct{ failure policy.WatchFailure }
 
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"calicohinge/internal/upstream"
@@ -22,6 +24,7 @@
 	newCall     func(clientDisconnected func() bool) *upstream.Call
 	classes     []policy.Class
 	maxAttempts int
+	ready       *atomic.Bool   // whether the node is ready for requests
 	sends       sync.WaitGroup // goroutines that carry out attempts
 }
 
@@ -109,5 +112,11 @@
 	time.AfterFunc(at-h.clock.now(), func() { h.queue.post(timerFired{token}) })
 }
 
+// Ready implements policy.Host.
+func (h *policyHost) Ready(state policy.SyncState) {
+	h.ready.Store(true)
+	slog.Info("ready", "initial_sync", state, "after", (h.clock.now() - clockOffset).Round(time.Millisecond))
+}
+
 // WatchEndpoints implements policy.Host.
 func (h *policyHost) WatchEndpoints() { h.watcher.RequestWatch() }
--- a/policy/api.go
+++ b/policy/api.go
@@ -175,6 +175,8 @@
 	NotifiedAt time.Duration
 	// CallNotifiedAt is the same for the changes since the failed call started.
 	CallNotifiedAt time.Duration
+	// Refused is true if the address of the service refused the connection of the call.
+	Refused bool
 }
 
 // UpdateKind specifies which endpoints an update contains.
@@ -189,6 +191,23 @@
 
 func (k UpdateKind) String() string { return enumName(k, "delta", "snapshot", "cached") }
 
+// SyncState is the progress of the initial sync of a new process with the discovery service.
+type SyncState uint8
+
+// The values of SyncState. In all states but SyncPending, the node is ready and makes attempts. SyncDone follows each
+// other state once the service has returned a list.
+const (
+	SyncPending     SyncState = iota // the service has not returned a list
+	SyncNotRequired                  // the cached list is valid until the next poll
+	SyncUnreachable                  // the service is down, so that the cached list stays valid
+	SyncTimedOut                     // the node must be ready by now, with the cached list
+	SyncDone                         // the service has returned a list
+)
+
+func (s SyncState) String() string {
+	return enumName(s, "pending", "not required", "service unreachable", "timed out", "done")
+}
+
 // Request describes a client's request that has arrived.
 type Request struct {
 	ID       RequestID
@@ -248,6 +267,8 @@
 	SetTimer(at time.Duration, token uint64)
 	// WatchEndpoints subscribes to changes of the endpoint list. It is called with Settings.PollEndpoints only.
 	WatchEndpoints()
+	// Ready makes the node ready for requests. It is called once, if StartInitialSync was called.
+	Ready(state SyncState)
 }
 
 // enumName returns the name of an enum value, or its number if it has none.
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -13,8 +13,9 @@
 
 // Tokens of the timers that the Balancer sets.
 const (
-	timerCheck uint64 = iota // the periodic check
-	timerWatch               // the next watch or poll of the endpoint list
+	timerCheck       uint64 = iota // the periodic check
+	timerWatch                     // the next watch or poll of the endpoint list
+	timerInitialSync               // the end of initialSyncTimeout
 )
 
 // Balancer makes the decisions of one node. Create it with New. Each component keeps its own state, and the
@@ -26,6 +27,7 @@
 
 	endpoints endpointSet
 	watch     watchSchedule
+	sync      initialSync
 	requests  requestTable
 	classes   []requestClass
 	quotas    tenantQuotas
@@ -60,6 +62,7 @@
 
 		endpoints: newEndpointSet(settings.Zone),
 		watch:     newWatchSchedule(&settings, random),
+		sync:      newInitialSync(&settings, host),
 		requests:  newRequestTable(settings.Limits.MaxAttempts),
 		quotas:    newTenantQuotas(&settings),
 		arrivals:  newArrivalStats(),
@@ -149,10 +152,26 @@
 	b.dispatch(now)
 }
 
+// StartInitialSync handles the start of a process. Until the initial sync ends, the node is not ready
+// and makes no attempts. The host must report lists and failed calls with EndpointsSynced and WatchFailed.
+// Without StartInitialSync, the Balancer makes attempts as soon as it has endpoints.
+func (b *Balancer) StartInitialSync(now time.Duration) { b.sync.start(now) }
+
+// EndpointsSynced handles a response of the service with which the endpoint list is that of the service.
+// An update with its changes, if any, precedes it.
+func (b *Balancer) EndpointsSynced(now time.Duration) {
+	if b.sync.complete() {
+		b.dispatch(now)
+	}
+}
+
 // UpdateEndpoints handles an update of the endpoint list. With Settings.PollEndpoints, a cached list also
 // starts the watch.
 func (b *Balancer) UpdateEndpoints(now time.Duration, kind UpdateKind, endpoints []Endpoint) {
 	b.watch.reset()
+	if kind == UpdateCached {
+		b.sync.recordCachedList(len(endpoints))
+	}
 	if kind == UpdateCached && b.settings.PollEndpoints {
 		b.watch.start(now, b.host, len(endpoints))
 	}
@@ -163,10 +182,15 @@
 	b.dispatch(now)
 }
 
-// WatchFailed handles the failure of a watch or poll of the endpoint list. The node keeps its list, and makes
-// the next call after a delay.
+// WatchFailed handles the failure of a call for the endpoint list. The node keeps its list. With
+// Settings.PollEndpoints, it makes the next call after a delay.
 func (b *Balancer) WatchFailed(now time.Duration, failure WatchFailure) {
-	b.host.SetTimer(now+b.watch.nextBackoff(now, failure), timerWatch)
+	if b.sync.recordFailure(failure) {
+		b.dispatch(now)
+	}
+	if b.settings.PollEndpoints {
+		b.host.SetTimer(now+b.watch.nextBackoff(now, failure), timerWatch)
+	}
 }
 
 // TerminateAll rejects or fails every active request when the node shuts down.
@@ -187,5 +211,9 @@
 		}
 	case timerWatch:
 		b.host.WatchEndpoints()
+	case timerInitialSync:
+		if b.sync.timeOut() {
+			b.dispatch(now)
+		}
 	}
 }
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -50,6 +50,9 @@
 
 // sendIfCapacity sends a queued request if a server has capacity, and reports whether it was sent.
 func (b *Balancer) sendIfCapacity(now time.Duration, request *request) bool {
+	if !b.sync.permitsAttempts() {
+		return false
+	}
 	server := b.selectServer(now, request)
 	if server == nil {
 		return false
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -17,7 +17,8 @@
 	failed   map[RequestID]bool
 	timers   []timer // timers that are set and have not run yet
 	watches  int
-	log      []string // all actions in order, one line each
+	ready    []SyncState // states with which Ready was called
+	log      []string    // all actions in order, one line each
 }
 
 // sentAttempt records a call of Send.
@@ -106,6 +107,11 @@
 	h.watches++
 }
 
+func (h *fakeHost) Ready(state SyncState) {
+	h.logAction("ready %v", state)
+	h.ready = append(h.ready, state)
+}
+
 // testSettings returns settings of a single node with three classes: class 0 is idempotent, class 1 is idempotent
 // with a key, and class 2 is not idempotent.
 func testSettings() Settings {
--- a/policy/simulated_node_test.go
+++ b/policy/simulated_node_test.go
@@ -72,6 +72,8 @@
 
 func (n *simulatedNode) WatchEndpoints() {}
 
+func (n *simulatedNode) Ready(SyncState) {}
+
 func (n *simulatedNode) SetTimer(at time.Duration, token uint64) {
 	n.fleet.schedule(max(at, n.fleet.now), func() {
 		if !n.stopped {
