Make no attempt on the cached list once discovery is back

Cause: the end of the initial sync by refused connections was final, although its reason can end.

Change: the discovery client reports when a call has a connection. A connection after refusals leads from SyncUnreachable back to SyncPending, with a timeout of its own. The node stays ready; its requests wait for the list. Failed calls of a service that is up and a timeout change nothing, as before.

TestCachedListIsNotUsedOnceDiscoveryIsBack failed before (timed out waiting for the node to make no more attempts).

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -33,6 +33,8 @@
 	// Synced is called when the handler has the list of the service: after each response that leaves no doubt of it,
 	// even if it has no endpoints or no changes.
 	Synced()
+	// Connected is called when a call has a connection to the service. It may be late or omitted if the call returns soon.
+	Connected()
 	// WatchFailed is called after a failed call. In polling mode, the next call waits for RequestWatch.
 	WatchFailed(failure WatchFailure)
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -25,6 +25,7 @@
 	r.updates <- kind
 }
 func (r *recorder) Synced()                          { r.synced.Add(1) }
+func (r *recorder) Connected()                       {}
 func (r *recorder) WatchFailed(failure WatchFailure) { r.failed <- failure }
 
 // pendingRequestRecorder records how many watch requests are pending when a failure is reported.
--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -47,8 +47,12 @@
 	f.deadlines.startCall(current.startedAt)
 	timeout := time.NewTimer(f.nextResponseTimeout())
 	defer timeout.Stop()
+	connected := current.progress.connected
 	for {
 		select {
+		case <-connected:
+			connected = nil
+			f.handler.Connected()
 		case done := <-f.calls.done:
 			usable := f.calls.finish(done)
 			switch {
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -86,7 +86,7 @@
 	f := newTestFollower(t, "discovery", false)
 	handler := newRecorder()
 	f.handler, f.client.polling, f.state = handler, true, stateCalling
-	failed := &call{startedAt: time.Now(), progress: &callProgress{}}
+	failed := &call{startedAt: time.Now(), progress: newCallProgress()}
 	if c.currentIn != 0 {
 		f.deadlines.initialList = failed.startedAt.Add(c.currentIn)
 	}
--- a/internal/discovery/hollow_node_test.go
+++ b/internal/discovery/hollow_node_test.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// Connected implements Handler.
+func (n *hollowNode) Connected() {}
+
 // WatchFailed implements Handler.
 func (n *hollowNode) WatchFailed(failure WatchFailure) {
 	n.mu.Lock()
--- a/internal/discovery/inflight.go
+++ b/internal/discovery/inflight.go
@@ -71,7 +71,7 @@
 		address:   address,
 		query:     query,
 		startedAt: time.Now(),
-		progress:  &callProgress{},
+		progress:  newCallProgress(),
 		cancel:    cancel,
 	}
 	c.calls = append(c.calls, started)
--- a/internal/discovery/progress.go
+++ b/internal/discovery/progress.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 )
 
@@ -42,7 +43,16 @@
 }
 
 // callProgress records the phase that a call has reached. The HTTP client updates it from its own goroutines.
-type callProgress struct{ phase atomic.Int32 }
+type callProgress struct {
+	phase         atomic.Int32
+	connected     chan struct{} // closed when the call has a connection
+	markConnected func()        // closes connected once
+}
+
+func newCallProgress() *callProgress {
+	connected := make(chan struct{})
+	return &callProgress{connected: connected, markConnected: sync.OnceFunc(func() { close(connected) })}
+}
 
 // advance records that the call has reached a phase. The phase never goes back, even though the HTTP client may
 // report a connection attempt for a call that has already been assigned another connection.
@@ -60,8 +70,11 @@
 // track returns a context for the HTTP request of the call. It makes the HTTP client update p.
 func (p *callProgress) track(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		ConnectStart:         func(string, string) { p.advance(phaseConnecting) },
-		GotConn:              func(httptrace.GotConnInfo) { p.advance(phaseWriting) },
+		ConnectStart: func(string, string) { p.advance(phaseConnecting) },
+		GotConn: func(httptrace.GotConnInfo) {
+			p.advance(phaseWriting)
+			p.markConnected()
+		},
 		WroteRequest:         func(httptrace.WroteRequestInfo) { p.advance(phaseWaiting) },
 		GotFirstResponseByte: func() { p.advance(phaseReading) },
 	})
--- a/internal/node/discovery_handler.go
+++ b/internal/node/discovery_handler.go
@@ -46,6 +46,9 @@
 	d.queue.post(endpointsSynced{})
 }
 
+// Connected implements discovery.Handler.
+func (d *discoveryHandler) Connected() { d.queue.post(discoveryConnected{}) }
+
 // WatchFailed implements discovery.Handler.
 func (d *discoveryHandler) WatchFailed(failure discovery.WatchFailure) {
 	d.queue.post(watchFailed{policy.WatchFailure{
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -87,6 +87,11 @@
 
 func (endpointsSynced) handle(l *loop, now time.Duration) { l.balancer.EndpointsSynced(now) }
 
+// discoveryConnected is posted by discoveryHandler.Connected.
+type discoveryConnected struct{}
+
+func (discoveryConnected) handle(l *loop, now time.Duration) { l.balancer.DiscoveryConnected(now) }
+
 // watchFailed is posted by discoveryHandler.WatchFailed.
 type watchFailed struct{ failure policy.WatchFailure }
 
--- a/internal/node/initial_sync_test.go
+++ b/internal/node/initial_sync_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"testing"
 
@@ -159,3 +161,51 @@
 		n.wantStatus("read", http.StatusOK)
 	})
 }
+
+// Guards against a cached list that stays in use after discovery is back: a node that is ready because nothing listened
+// at the address of discovery makes no more attempts on that list as soon as a call has a connection.
+func TestCachedListIsNotUsedOnceDiscoveryIsBack(t *testing.T) {
+	t.Parallel()
+	changed, other := testkit.NewRecordingServer(t, testkit.OK), testkit.NewRecordingServer(t, testkit.OK)
+	reserved := testkit.ReserveAddr(t)
+	n := startReadyNodeWithConfig(t, changed.Endpoint("s-0"), func(file map[string]any) {
+		file["discovery"] = reserved.Address
+		file["known"] = endpointjson.List{
+			Generation: 7, Reset: true, Endpoints: []endpointjson.Endpoint{changed.Endpoint("s-0"), other.Endpoint("s-1")},
+		}
+	})
+	r := &restartedNode{testNode: n, changed: changed, other: other}
+	r.wantStatus("read", http.StatusOK)
+
+	listener, err := reserved.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	respond := make(chan string)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		select {
+		case text := <-respond:
+			_, _ = io.WriteString(w, text) // the node may have disconnected
+		case <-request.Context().Done():
+		}
+	})}
+	context.AfterFunc(t.Context(), func() { _ = server.Close() }) // errors do not matter after the test
+	go func() { _ = server.Serve(listener) }()                    // returns when the server is closed
+	shortRequest := func() *http.Request {
+		request := r.newRequest("read")
+		request.Header.Set("X-Timeout-Ms", "300")
+		return request
+	}
+	testkit.WaitUntil(t, "the node to make no more attempts", func() bool {
+		return r.do(shortRequest()).status == http.StatusServiceUnavailable
+	})
+	takeRequests(changed, other)
+	r.do(shortRequest())
+	if sent := len(takeRequests(changed, other)); sent > 0 {
+		t.Errorf("attempts while discovery takes its time: got %d, want none", sent)
+	}
+	respond <- listJSON(t, endpointjson.List{
+		Generation: 8, Endpoints: []endpointjson.Endpoint{draining(changed.Endpoint("s-0"))},
+	})
+	r.wantServedByOther(t)
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -194,8 +194,8 @@
 // SyncState is the progress of the initial sync of a new process with the discovery service.
 type SyncState uint8
 
-// The values of SyncState. In all states but SyncPending, the node is ready and makes attempts. SyncDone follows each
-// other state once the service has returned a list.
+// The values of SyncState. The node makes attempts in all states but SyncPending. SyncDone follows each other state once
+// the service has returned a list.
 const (
 	SyncPending     SyncState = iota // the service has not returned a list
 	SyncNotRequired                  // the cached list is valid until the next poll
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -165,6 +165,9 @@
 	}
 }
 
+// DiscoveryConnected handles a connection to the service, on which a call may still wait for its response.
+func (b *Balancer) DiscoveryConnected(now time.Duration) { b.sync.recordConnection(now) }
+
 // UpdateEndpoints handles an update of the endpoint list. With Settings.PollEndpoints, a cached list also
 // starts the watch.
 func (b *Balancer) UpdateEndpoints(now time.Duration, kind UpdateKind, endpoints []Endpoint) {
@@ -212,7 +215,7 @@
 	case timerWatch:
 		b.host.WatchEndpoints()
 	case timerInitialSync:
-		if b.sync.timeOut() {
+		if b.sync.timeOut(now) {
 			b.dispatch(now)
 		}
 	}
--- a/policy/initial_sync.go
+++ b/policy/initial_sync.go
@@ -25,18 +25,23 @@
 //	a list from the service                SyncDone            SyncDone
 //	minRefusals refused connections        unchanged           SyncUnreachable: nothing listens at the
 //	in a row                                                   address, so the service is down
+//	a connection, in SyncUnreachable       unchanged           SyncPending, and initialSyncTimeout begins
+//	                                                           again: the service is back with a list
 //	error status, reset, timeout or        unchanged           unchanged: an overloaded service that is up
 //	malformed response                                         fails calls in the same ways
 //	initialSyncTimeout has passed          unchanged           SyncTimedOut
 //
-// Without endpoints in the cached list, only a list from the service ends SyncPending.
+// Without endpoints in the cached list, only a list from the service ends SyncPending. The node stays ready
+// when it returns to SyncPending: its requests wait for the list.
 type initialSync struct {
 	host        Host
 	polled      bool
 	state       SyncState
-	hasCached   bool // whether the cached list has endpoints
-	hasTimedOut bool // whether initialSyncTimeout has passed
-	refusals    int  // number of refused connections in a row
+	ready       bool          // whether Host.Ready was called
+	hasCached   bool          // whether the cached list has endpoints
+	timeoutAt   time.Duration // when initialSyncTimeout ends
+	hasTimedOut bool          // whether initialSyncTimeout has passed
+	refusals    int           // number of refused connections in a row
 }
 
 // newInitialSync returns an initialSync that has not started. It permits attempts.
@@ -48,10 +53,16 @@
 func (s *initialSync) start(now time.Duration) {
 	s.state = SyncPending
 	if !s.polled {
-		s.host.SetTimer(now+initialSyncTimeout, timerInitialSync)
+		s.startTimeout(now)
 	}
 }
 
+// startTimeout starts initialSyncTimeout.
+func (s *initialSync) startTimeout(now time.Duration) {
+	s.timeoutAt = now + initialSyncTimeout
+	s.host.SetTimer(s.timeoutAt, timerInitialSync)
+}
+
 // permitsAttempts reports whether the node may make attempts.
 func (s *initialSync) permitsAttempts() bool { return s.state != SyncPending }
 
@@ -71,9 +82,18 @@
 	return s.update()
 }
 
-// timeOut handles the end of initialSyncTimeout.
-func (s *initialSync) timeOut() bool {
-	s.hasTimedOut = true
+// recordConnection handles a connection to the service: one that counted as down is up again.
+func (s *initialSync) recordConnection(now time.Duration) {
+	s.refusals = 0
+	if s.state == SyncUnreachable {
+		s.enter(SyncPending)
+		s.startTimeout(now)
+	}
+}
+
+// timeOut handles a timer of initialSyncTimeout, which may have been started again meanwhile.
+func (s *initialSync) timeOut(now time.Duration) bool {
+	s.hasTimedOut = now >= s.timeoutAt
 	return s.update()
 }
 
@@ -95,11 +115,12 @@
 	return false
 }
 
-// enter changes the state. The end of SyncPending makes the node ready.
+// enter changes the state. The first end of SyncPending makes the node ready.
 func (s *initialSync) enter(next SyncState) bool {
 	wasPending := s.state == SyncPending
 	s.state = next
-	if wasPending {
+	if wasPending && !s.ready {
+		s.ready = true
 		s.host.Ready(next)
 	}
 	return wasPending
--- a/policy/initial_sync_test.go
+++ b/policy/initial_sync_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -13,6 +14,7 @@
 }
 func unchangedList(h *harness) { h.balancer.EndpointsSynced(h.now) }
 func refusal(h *harness)       { h.balancer.WatchFailed(h.now, WatchFailure{Refused: true}) }
+func connection(h *harness)    { h.balancer.DiscoveryConnected(h.now) }
 func otherFailure(h *harness)  { h.balancer.WatchFailed(h.now, WatchFailure{}) }
 func startOver(h *harness)     { h.updateEndpoints(UpdateDelta, readyEndpoints(1, 1)...) }
 
@@ -54,6 +56,15 @@
 		"pushed, late list":                 {false, []func(*harness){cachedList, wait(6 * time.Second), snapshot}, SyncDone},
 		"pushed, no list, failures":         {false, []func(*harness){repeat(9, refusal), wait(time.Minute)}, pending},
 		"pushed, refused before the cached": {false, []func(*harness){repeat(3, refusal), cachedList}, SyncUnreachable},
+		"pushed, back after refusals":       {false, []func(*harness){cachedList, repeat(3, refusal), wait(time.Second), connection}, pending},
+		"pushed, back, waits anew":          {false, []func(*harness){cachedList, repeat(3, refusal), wait(5 * time.Second), connection, wait(5 * time.Second)}, pending},
+		"pushed, back, no response":         {false, []func(*harness){cachedList, repeat(3, refusal), wait(5 * time.Second), connection, wait(6 * time.Second)}, SyncTimedOut},
+		"pushed, back, refused again":       {false, []func(*harness){cachedList, repeat(3, refusal), connection, repeat(3, refusal)}, SyncUnreachable},
+		"pushed, back, then a list":         {false, []func(*harness){cachedList, repeat(3, refusal), connection, snapshot}, SyncDone},
+		"pushed, connected between":         {false, []func(*harness){cachedList, repeat(2, refusal), connection, repeat(2, refusal)}, pending},
+		"pushed, connected after a list":    {false, []func(*harness){cachedList, snapshot, connection}, SyncDone},
+		"pushed, connected after timeout":   {false, []func(*harness){cachedList, wait(6 * time.Second), connection}, SyncTimedOut},
+		"polled, connected":                 {true, []func(*harness){cachedList, connection}, SyncNotRequired},
 	} {
 		t.Run(name, func(t *testing.T) {
 			settings := testSettings()
@@ -62,7 +73,11 @@
 			for _, apply := range tc.events {
 				apply(h)
 			}
-			wantSyncState(t, h, tc.want)
+			readyCalls := 1
+			if tc.want == pending && !strings.Contains(name, "back") {
+				readyCalls = 0
+			}
+			wantSyncState(t, h, tc.want, readyCalls)
 		})
 	}
 }
@@ -80,18 +95,14 @@
 	return h
 }
 
-// wantSyncState fails the test unless the initial sync has the wanted state and the node was made ready once, if at all.
-func wantSyncState(t *testing.T, h *harness, want SyncState) {
+// wantSyncState fails the test unless the initial sync has the wanted state and Host.Ready was called as often as wanted.
+func wantSyncState(t *testing.T, h *harness, want SyncState, readyCalls int) {
 	t.Helper()
 	if got := h.balancer.sync.state; got != want {
 		t.Errorf("state of the initial sync: got %v, want %v", got, want)
 	}
-	wantCalls := 1
-	if want == SyncPending {
-		wantCalls = 0
-	}
-	if len(h.host.ready) != wantCalls {
-		t.Errorf("calls of Host.Ready in state %v: got %v, want %d", want, h.host.ready, wantCalls)
+	if len(h.host.ready) != readyCalls {
+		t.Errorf("calls of Host.Ready in state %v: got %v, want %d", want, h.host.ready, readyCalls)
 	}
 }
 
