Make no attempt after an outage of discovery before its first list

Cause: the same as for a restarted node. The list from before the outage stayed in use until the first response, however long it took.

Change: initialSync becomes listSync, which also follows a running node: three connections refused in a row mean that discovery is down, and the next connection ends the attempts until it has returned a list, for 5.5 s at most. Each change of the state is logged ("endpoint list sync"). The host is told of the state; readiness follows from it.

TestListIsNotUsedOnceDiscoveryIsBack/running_node failed with this case taken back.

--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -118,7 +118,7 @@
 
 // serveReadiness responds to the health check by which the platform decides whether to assign clients to this node.
 func (h *handler) serveReadiness(w http.ResponseWriter) {
-	if !h.loop.ready.Load() || h.shuttingDown.Load() {
+	if !h.loop.sync.ready.Load() || h.shuttingDown.Load() {
 		writeText(w, http.StatusServiceUnavailable, "not ready")
 		return
 	}
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"calicohinge/internal/upstream"
@@ -24,7 +23,7 @@
 	newCall     func(clientDisconnected func() bool) *upstream.Call
 	classes     []policy.Class
 	maxAttempts int
-	ready       *atomic.Bool   // whether the node is ready for requests
+	sync        *syncStatus
 	sends       sync.WaitGroup // goroutines that carry out attempts
 }
 
@@ -112,10 +111,11 @@
 	time.AfterFunc(at-h.clock.now(), func() { h.queue.post(timerFired{token}) })
 }
 
-// Ready implements policy.Host.
-func (h *policyHost) Ready(state policy.SyncState) {
-	h.ready.Store(true)
-	slog.Info("ready", "initial_sync", state, "after", (h.clock.now() - clockOffset).Round(time.Millisecond))
+// SetSyncState implements policy.Host.
+func (h *policyHost) SetSyncState(state policy.SyncState) {
+	h.sync.set(state)
+	slog.Info("endpoint list sync", "state", state, "ready", h.sync.ready.Load(),
+		"after", (h.clock.now() - clockOffset).Round(time.Millisecond))
 }
 
 // WatchEndpoints implements policy.Host.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"calicohinge/internal/config"
@@ -25,7 +24,7 @@
 	pool       *upstream.Pool
 	retryAfter time.Duration // value of Retry-After in rejections after termination
 	delays     requestDelays
-	ready      *atomic.Bool // whether the balancer has made the node ready; used by several goroutines
+	sync       *syncStatus
 
 	// The fields below are used only in run's goroutine.
 	balancer   *policy.Balancer
@@ -37,14 +36,13 @@
 // newLoop returns a loop. The loop and all its attempts end with ctx.
 func newLoop(ctx context.Context, cfg *config.Config, pool *upstream.Pool, watcher watcher) (*loop, error) {
 	clock, queue, requests := newClock(), newEventQueue(ctx.Done()), newRequestTable()
-	ready := &atomic.Bool{}
 	host := &policyHost{
-		ready:    ready,
 		clock:    clock,
 		queue:    queue,
 		requests: requests,
 		pool:     pool,
 		watcher:  watcher,
+		sync:     &syncStatus{},
 		newCall: func(clientDisconnected func() bool) *upstream.Call {
 			return upstream.NewCall(ctx, clientDisconnected)
 		},
@@ -55,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	balancer.StartInitialSync(clock.now())
+	balancer.StartSync(clock.now())
 	endpoints := &discoveryHandler{
 		clock:         clock,
 		queue:         queue,
@@ -72,7 +70,7 @@
 		balancer:   balancer,
 		host:       host,
 		requests:   requests,
-		ready:      ready,
+		sync:       host.sync,
 	}, nil
 }
 
--- a/internal/simproto/encode.go
+++ b/internal/simproto/encode.go
@@ -131,8 +131,8 @@
 	r.appendAction(actionWatchEndpoints)[subscribeOffset] = subscribe
 }
 
-// Ready implements policy.Host. Nodes of the simulator are ready from their start.
-func (r *Reply) Ready(policy.SyncState) {}
+// SetSyncState implements policy.Host. Nodes of the simulator are ready from their start.
+func (r *Reply) SetSyncState(policy.SyncState) {}
 
 // Fatal appends an action that ends the simulation with an error text.
 func (r *Reply) Fatal(text string) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -191,16 +191,16 @@
 
 func (k UpdateKind) String() string { return enumName(k, "delta", "snapshot", "cached") }
 
-// SyncState is the progress of the initial sync of a new process with the discovery service.
+// SyncState tells whether the endpoint list of a node is that of the discovery service.
 type SyncState uint8
 
 // The values of SyncState. The node makes attempts in all states but SyncPending. SyncDone follows each other state once
 // the service has returned a list.
 const (
-	SyncPending     SyncState = iota // the service has not returned a list
+	SyncPending     SyncState = iota // the service has not returned a list since the start or since an outage
 	SyncNotRequired                  // the cached list is valid until the next poll
-	SyncUnreachable                  // the service is down, so that the cached list stays valid
-	SyncTimedOut                     // the node must be ready by now, with the cached list
+	SyncUnreachable                  // the service is down, so that the list stays valid
+	SyncTimedOut                     // the node may not wait longer, and uses the list that it has
 	SyncDone                         // the service has returned a list
 )
 
@@ -267,8 +267,9 @@
 	SetTimer(at time.Duration, token uint64)
 	// WatchEndpoints subscribes to changes of the endpoint list. It is called with Settings.PollEndpoints only.
 	WatchEndpoints()
-	// Ready makes the node ready for requests. It is called once, if StartInitialSync was called.
-	Ready(state SyncState)
+	// SetSyncState reports a change of the state of the endpoint list; the first state is SyncPending. The node is ready
+	// for requests from the first other state on, and stays ready. It is called only if StartSync was called.
+	SetSyncState(state SyncState)
 }
 
 // enumName returns the name of an enum value, or its number if it has none.
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -13,9 +13,9 @@
 
 // Tokens of the timers that the Balancer sets.
 const (
-	timerCheck       uint64 = iota // the periodic check
-	timerWatch                     // the next watch or poll of the endpoint list
-	timerInitialSync               // the end of initialSyncTimeout
+	timerCheck uint64 = iota // the periodic check
+	timerWatch               // the next watch or poll of the endpoint list
+	timerSync                // the end of syncTimeout
 )
 
 // Balancer makes the decisions of one node. Create it with New. Each component keeps its own state, and the
@@ -27,7 +27,7 @@
 
 	endpoints endpointSet
 	watch     watchSchedule
-	sync      initialSync
+	sync      listSync
 	requests  requestTable
 	classes   []requestClass
 	quotas    tenantQuotas
@@ -62,7 +62,7 @@
 
 		endpoints: newEndpointSet(settings.Zone),
 		watch:     newWatchSchedule(&settings, random),
-		sync:      newInitialSync(&settings, host),
+		sync:      newListSync(&settings, host),
 		requests:  newRequestTable(settings.Limits.MaxAttempts),
 		quotas:    newTenantQuotas(&settings),
 		arrivals:  newArrivalStats(),
@@ -152,10 +152,10 @@
 	b.dispatch(now)
 }
 
-// StartInitialSync handles the start of a process. Until the initial sync ends, the node is not ready
-// and makes no attempts. The host must report lists and failed calls with EndpointsSynced and WatchFailed.
-// Without StartInitialSync, the Balancer makes attempts as soon as it has endpoints.
-func (b *Balancer) StartInitialSync(now time.Duration) { b.sync.start(now) }
+// StartSync handles the start of a process. Until its endpoint list is in sync, the node is not ready and
+// makes no attempts; see listSync. The host must report lists with EndpointsSynced and failed calls with
+// WatchFailed. Without StartSync, the Balancer makes attempts as soon as it has endpoints.
+func (b *Balancer) StartSync(now time.Duration) { b.sync.start(now) }
 
 // EndpointsSynced handles a response of the service with which the endpoint list is that of the service.
 // An update with its changes, if any, precedes it.
@@ -214,7 +214,7 @@
 		}
 	case timerWatch:
 		b.host.WatchEndpoints()
-	case timerInitialSync:
+	case timerSync:
 		if b.sync.timeOut(now) {
 			b.dispatch(now)
 		}
