--- a/internal/soak/check/slow_start.go
+++ b/internal/soak/check/slow_start.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"calicohinge/internal/soak/history"
@@ -29,8 +32,10 @@
 		if got := server.CountArrivals(at, end); float64(got) > allowed {
 			c.violations = append(c.violations, history.Violation{
 				Rule: "slow start", At: at,
-				Text: fmt.Sprintf("server %s received %d requests within %v, counted from %v after its start, want at most %.1f",
-					server.ID, got, c.Settings.OverloadWindow, at.Sub(server.JoinedAt), allowed),
+				Text: fmt.Sprintf("server %s received %d requests within %v, counted from %v after its start, want at most %.1f "+
+					"(a warm server %.0f/s); arrivals in each tenth of that time: %s",
+					server.ID, got, c.Settings.OverloadWindow, at.Sub(server.JoinedAt), allowed,
+					c.warmServerRate(at, end), c.arrivalsByIncarnation(server, at, end)),
 			})
 			return
 		}
@@ -77,3 +82,27 @@
 	}
 	return float64(maxCount)
 }
+
+// arrivalsByIncarnation describes the attempts that arrived at a server in the interval [from, to): for each incarnation of
+// a node, their numbers in each tenth of the interval.
+func (c *checker) arrivalsByIncarnation(server *history.Server, from, to time.Time) string {
+	const parts = 10
+	counts := map[string]*[parts]int{}
+	for _, request := range c.History.Requests() {
+		for _, attempt := range request.Attempts {
+			if attempt.Server != server || attempt.At.Before(from) || !attempt.At.Before(to) || request.Incarnation == nil {
+				continue
+			}
+			name := request.Incarnation.Name
+			if counts[name] == nil {
+				counts[name] = &[parts]int{}
+			}
+			counts[name][int(attempt.At.Sub(from)*parts/to.Sub(from))]++
+		}
+	}
+	var texts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		texts = append(texts, fmt.Sprintf("%s %v", name, *counts[name]))
+	}
+	return strings.Join(texts, ", ")
+}
