Estimate the ages of servers on the first list by the time that discovery sends

Cause: the node's wall clock was 30 s or 7 min ahead at its start. If more than a quarter of the servers on the first list are warming up, their ages followed from that clock alone, so that they counted as warm.

Change: the field Date of discovery's response is one more clock; the lowest age counts. Ages that are negative by more than its resolution are ignored. Without the field nothing changes.

TestFirstListUsesTheServicesClock failed with the clock taken back (33.5 s and 33.5 s, want 3.5 and 2.6 s). Existing tests of processstart changed in form only (named fields).

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -63,9 +63,9 @@
 func (f *follower) deliver(list endpoint.List) {
 	switch {
 	case list.Snapshot:
-		f.handler.UpdateEndpoints(policy.UpdateSnapshot, list.Endpoints)
+		f.handler.UpdateEndpoints(policy.UpdateSnapshot, list)
 	case len(list.Endpoints) > 0:
-		f.handler.UpdateEndpoints(policy.UpdateDelta, list.Endpoints)
+		f.handler.UpdateEndpoints(policy.UpdateDelta, list)
 	}
 }
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,7 +29,7 @@
 // or from a goroutine that Run starts, but never concurrently.
 type Handler interface {
 	// UpdateEndpoints receives a snapshot, a delta, or the cached list.
-	UpdateEndpoints(kind policy.UpdateKind, endpoints []endpoint.Endpoint)
+	UpdateEndpoints(kind policy.UpdateKind, list endpoint.List)
 	// Synced is called when the handler has the list of the service: after each response that leaves no doubt of it,
 	// even if it has no endpoints or no changes.
 	Synced()
@@ -117,7 +117,7 @@
 func (c *Client) reportCached(handler Handler) {
 	slog.Info("cached endpoint list", "generation", c.cached.Generation, "endpoints", len(c.cached.Endpoints))
 	if len(c.cached.Endpoints) > 0 || c.polling { // in polling mode, package policy requests a watch after the update
-		handler.UpdateEndpoints(policy.UpdateCached, c.cached.Endpoints)
+		handler.UpdateEndpoints(policy.UpdateCached, c.cached)
 	}
 }
 
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -21,7 +21,7 @@
 	return &recorder{updates: make(chan policy.UpdateKind, 100), failed: make(chan WatchFailure, 100)}
 }
 
-func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, _ []endpoint.Endpoint) {
+func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, _ endpoint.List) {
 	r.updates <- kind
 }
 func (r *recorder) Synced()                          { r.synced.Add(1) }
--- a/internal/discovery/hollow_node_test.go
+++ b/internal/discovery/hollow_node_test.go
@@ -59,7 +59,7 @@
 func (n *hollowNode) now() time.Duration { return time.Since(n.startedAt) }
 
 // UpdateEndpoints implements Handler.
-func (n *hollowNode) UpdateEndpoints(kind policy.UpdateKind, _ []endpoint.Endpoint) {
+func (n *hollowNode) UpdateEndpoints(kind policy.UpdateKind, _ endpoint.List) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.balancer.UpdateEndpoints(n.now(), kind, nil)
--- a/internal/discovery/query.go
+++ b/internal/discovery/query.go
@@ -58,7 +58,18 @@
 	if response.StatusCode != http.StatusOK {
 		return endpoint.List{}, &Error{Kind: BadStatus, Status: response.StatusCode}
 	}
-	return query.decode(body)
+	list, err := query.decode(body)
+	list.SentAt = sentAt(response.Header)
+	return list, err
+}
+
+// sentAt returns the time in the field Date of a response's header, or the zero time if there is no valid one.
+func sentAt(header http.Header) time.Time {
+	date, err := http.ParseTime(header.Get("Date"))
+	if err != nil {
+		return time.Time{}
+	}
+	return date
 }
 
 // decode decodes the body of a response. The response to a query for a snapshot is a snapshot, even if its field
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -15,6 +15,9 @@
 	Generation uint64 // increases with each change
 	Snapshot   bool   // whether the list is a snapshot; an endpoint that a snapshot omits has been removed
 	Endpoints  []Endpoint
+	// SentAt is when the list was sent, by the wall clock of the service's machine, rounded down to a whole second. It is
+	// the zero time if the service did not say so.
+	SentAt time.Time
 }
 
 // Endpoint is the entry of one server in a list.
--- a/internal/node/discovery_handler.go
+++ b/internal/node/discovery_handler.go
@@ -21,16 +21,17 @@
 
 // UpdateEndpoints implements discovery.Handler. It skips endpoints without an ID, and ready endpoints without an
 // address.
-func (d *discoveryHandler) UpdateEndpoints(kind policy.UpdateKind, list []endpoint.Endpoint) {
+func (d *discoveryHandler) UpdateEndpoints(kind policy.UpdateKind, list endpoint.List) {
 	update := endpointsUpdated{kind: kind}
-	list = d.addresses.update(kind, list)
-	starts := d.processStarts.Update(kind, list, processstart.Moment{Clock: d.clock.now(), Wall: time.Now()})
-	if kind == policy.UpdateCached && len(list) > 0 {
+	endpoints := d.addresses.update(kind, list.Endpoints)
+	now := processstart.Moment{Clock: d.clock.now(), Wall: time.Now(), SentAt: list.SentAt}
+	starts := d.processStarts.Update(kind, endpoints, now)
+	if kind == policy.UpdateCached && len(endpoints) > 0 {
 		// Processes that the cached list does not contain are assumed to have started since then, so that a wall clock
 		// that is ahead does not end their slow start.
 		d.processStarts.RecordResponse(d.clock.now())
 	}
-	for i, e := range list {
+	for i, e := range endpoints {
 		if e.ID == 0 || (e.Address == "" && e.State == policy.EndpointReady) {
 			continue
 		}
--- a/internal/node/harness_loop_test.go
+++ b/internal/node/harness_loop_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"calicohinge/internal/endpoint"
 	"calicohinge/internal/endpointjson"
 	"calicohinge/internal/testkit"
 	"calicohinge/internal/upstream"
@@ -68,7 +69,7 @@
 
 // reportEndpoints reports an update of the endpoint list to the loop, as the discovery client does.
 func (l *testLoop) reportEndpoints(kind policy.UpdateKind, list ...endpointjson.Endpoint) {
-	l.endpoints.UpdateEndpoints(kind, endpointjson.TranslateAll(list))
+	l.endpoints.UpdateEndpoints(kind, endpoint.List{Endpoints: endpointjson.TranslateAll(list)})
 	l.endpoints.Synced()
 }
 
--- a/internal/processstart/estimator.go
+++ b/internal/processstart/estimator.go
@@ -13,16 +13,19 @@
 	// updates its estimate of the work sent to a warm server only while at least three quarters of its servers are
 	// warm.
 	minReadyPerWarmingUp = 4
+	// serviceClockResolution is the resolution of the time that the discovery service sends.
+	serviceClockResolution = time.Second
 	// maxAge limits ages by the servers' clock, so that they cannot overflow. No process runs that long.
 	maxAge = 100 * 365 * 24 * time.Hour
 )
 
 // estimator estimates the start of a process on the node's monotonic clock. The wall clocks of the node's machine
 // and of the servers' machines may be wrong from the beginning or be stepped later. A process whose age is
-// overestimated could be overloaded while it warms up. The estimate therefore uses the lowest of three ages, each
+// overestimated could be overloaded while it warms up. The estimate therefore uses the lowest of four ages, each
 // of which may be wrong:
 //
 //   - the age by the wall clock of the node's machine;
+//   - the age by the wall clock of the discovery service's machine, if the service sends its time;
 //   - the age by the servers' clock, which is inferred from their start times, if useServerClock is set;
 //   - the time since discovery last responded, because its list did not contain the process then.
 type estimator struct {
@@ -57,6 +60,9 @@
 		return 0
 	}
 	age := e.ageByWallClock(startedAt, now)
+	if serviceAge, known := ageByServiceClock(startedAt, now.SentAt); known {
+		age = min(age, serviceAge)
+	}
 	if e.useServerClock {
 		age = min(age, e.ageByServerClock(startedAt, now.Clock))
 	}
@@ -85,6 +91,16 @@
 	return min(byStartupClock, byCurrentClock)
 }
 
+// ageByServiceClock returns the age of a process when the discovery service sent the list, rounded down to the resolution
+// of the service's clock. It returns false if that clock is unknown, or if the age is impossible because the clock is behind.
+func ageByServiceClock(startedAt, sentAt time.Time) (time.Duration, bool) {
+	age := sentAt.Sub(startedAt)
+	if sentAt.IsZero() || age < -serviceClockResolution {
+		return 0, false
+	}
+	return max(0, age), true
+}
+
 // inferServerClock infers the servers' wall time from their start times: no process starts after it is listed.
 // The inferred time lags by the age that the newest process had when it was listed, so that all ages are too low
 // by the same amount. If the clock of one server's machine is ahead, the inferred time is ahead too, and from then
--- a/internal/processstart/registry.go
+++ b/internal/processstart/registry.go
@@ -16,10 +16,11 @@
 	"calicohinge/policy"
 )
 
-// Moment is a point in time on two clocks.
+// Moment is a point in time on two or three clocks.
 type Moment struct {
-	Clock time.Duration // the node's monotonic clock
-	Wall  time.Time     // the wall clock of the node's machine
+	Clock  time.Duration // the node's monotonic clock
+	Wall   time.Time     // the wall clock of the node's machine
+	SentAt time.Time     // endpoint.List.SentAt of the list that has arrived
 }
 
 // Registry holds the estimated start of each process in the endpoint list. It estimates a start only once, when
--- a/internal/processstart/registry_test.go
+++ b/internal/processstart/registry_test.go
@@ -75,7 +75,7 @@
 	t.Helper()
 	registry := newTestRegistry(0)
 	previous := endpointStartedAt(wallNow().Add(-time.Hour))
-	registry.Update(policy.UpdateSnapshot, previous, Moment{clockNow - processAge, wallNow()})
+	registry.Update(policy.UpdateSnapshot, previous, Moment{Clock: clockNow - processAge, Wall: wallNow()})
 	registry.RecordResponse(clockNow - processAge)
 	list := endpointStartedAt(wallNow().Add(serverStep - processAge))
 
@@ -86,7 +86,7 @@
 			age, processAge)
 	}
 	for range 2 {
-		later := Moment{clockNow + time.Second, wallNow()}
+		later := Moment{Clock: clockNow + time.Second, Wall: wallNow()}
 		if again := registry.Update(policy.UpdateSnapshot, list, later)[0]; again != start {
 			t.Errorf("start after another update: got %v, want it unchanged at %v", again, start)
 		}
@@ -133,7 +133,7 @@
 func TestNewServerHasJustStartedRegardlessOfTheWallClock(t *testing.T) {
 	for _, ahead := range []time.Duration{0, time.Second, 5 * time.Second, 30 * time.Second, time.Hour, -time.Hour} {
 		registry, now := newTestRegistry(ahead), nowWithWallClockAhead(ahead)
-		registry.Update(policy.UpdateSnapshot, nil, Moment{clockNow - processAge, now.Wall})
+		registry.Update(policy.UpdateSnapshot, nil, Moment{Clock: clockNow - processAge, Wall: now.Wall})
 		registry.RecordResponse(clockNow - processAge)
 		start := registry.Update(policy.UpdateDelta, endpointStartedAt(wallNow().Add(-time.Millisecond)), now)[0]
 		if start != clockNow {
@@ -187,6 +187,33 @@
 	}
 }
 
+// Guards against a node that starts with its wall clock ahead, while more than a quarter of the servers are warming up, and
+// takes them for warm: their ages follow from the time that the discovery service sends with its first list. A time from
+// which an age would be negative by more than its resolution is ignored.
+func TestFirstListUsesTheServicesClock(t *testing.T) {
+	const ahead = 30 * time.Second
+	for name, c := range map[string]struct {
+		sentAt  time.Time
+		wantAge time.Duration // of a process that started 3.5 s ago
+	}{
+		"no time":               {time.Time{}, ahead + 3500*time.Millisecond},
+		"time":                  {wallNow(), 3500 * time.Millisecond},
+		"time rounded down":     {wallNow().Add(-900 * time.Millisecond), 2600 * time.Millisecond},
+		"time before the start": {wallNow().Add(-4 * time.Second), 0},
+		"clock behind":          {wallNow().Add(-time.Hour), ahead + 3500*time.Millisecond},
+		"clock further ahead":   {wallNow().Add(time.Hour), ahead + 3500*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			registry, list := newTestRegistry(ahead), endpointStartedAt(wallNow().Add(-3500*time.Millisecond))
+			now := nowWithWallClockAhead(ahead)
+			now.SentAt = c.sentAt
+			if age := clockNow - registry.Update(policy.UpdateSnapshot, list, now)[0]; age != c.wantAge {
+				t.Errorf("age of the process: got %v, want %v", age, c.wantAge)
+			}
+		})
+	}
+}
+
 // A server that is removed and returns with the same process keeps its start, unless it was removed for longer than the
 // slow start duration, after which the registry discards the start.
 func TestStartOfAReturningProcessIsStable(t *testing.T) {
@@ -214,7 +241,7 @@
 
 		// Once all servers are removed and the slow start duration has passed, no process is kept.
 		registry.Update(policy.UpdateSnapshot, nil, later)
-		registry.Update(policy.UpdateDelta, nil, Moment{later.Clock + testSlowStart + 1, now.Wall})
+		registry.Update(policy.UpdateDelta, nil, Moment{Clock: later.Clock + testSlowStart + 1, Wall: now.Wall})
 		if kept := len(registry.listed) + len(registry.removed); kept > 0 {
 			t.Errorf("processes kept after the slow start duration: got %d, want 0", kept)
 		}
