Make the order of events certain in the test of the reuse delay

The server of the test sent its surplus bytes 1 ms after its response. Now the server acts when the test has received the response, and the last connection stays as it is until it has been counted.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -98,12 +98,15 @@
 // testReuseDelay checks that a connection is not reused before the effect of afterResponse is visible.
 func testReuseDelay(t *testing.T, afterResponse func(conn net.Conn)) {
 	t.Helper()
-	served := make(chan struct{}, 10)
+	received, applied := make(chan struct{}), make(chan struct{}) // signals after a response and after its effect
 	server := testkit.NewRecordingServer(t, hijackHandler(func(conn net.Conn) {
 		writeQuietly(conn, okResponse)
-		time.Sleep(time.Millisecond) // the effect arrives later than the response, but within the reuse delay
-		afterResponse(conn)
-		served <- struct{}{}
+		select {
+		case <-received: // the effect arrives later than the response, but within the reuse delay
+			afterResponse(conn)
+			applied <- struct{}{}
+		case <-t.Context().Done():
+		}
 		<-t.Context().Done() // keeps the connection open until the end of the test
 	}))
 	config := testPoolConfig()
@@ -119,9 +122,10 @@
 
 	expectServed()
 	expectServed() // on a new connection, because the reuse delay of the first has not passed
-
-	testkit.Receive(t, served, "the end of the first handler")
-	testkit.Receive(t, served, "the end of the second handler")
+	for range 2 {
+		received <- struct{}{}
+		testkit.Receive(t, applied, "the effect on a connection")
+	}
 	pool.config.ReuseDelay = 0
 
 	expectServed()                    // on a new connection: the first two are closed or have unread bytes
