Start the descriptor shortage of a test after its request is written

The test gave the node 300 ms without descriptors and sent its request meanwhile. If the test itself was paused between its connection and its request, the request waited for less than that, and the server rightly got more time than the check allows. Now the 300 ms count from the end of the write; the bound of 7700 ms is the same.

--- a/cmd/balancer/client_test.go
+++ b/cmd/balancer/client_test.go
@@ -48,6 +48,11 @@
 	if err := writeRequest(conn, id, classDeadline); err != nil {
 		return "", err
 	}
+	return readBody(conn)
+}
+
+// readBody reads a response and returns its body.
+func readBody(conn net.Conn) (string, error) {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return "", err
--- a/cmd/balancer/descriptor_shortage_test.go
+++ b/cmd/balancer/descriptor_shortage_test.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// testDescriptorShortage sets the descriptor limit of a process to exhaustedDescriptorLimit and restores it after
-// shortageDuration. Meanwhile it sends a signal (0 for none) to the process, and requests on a new connection and on an
-// existing connection.
+// testDescriptorShortage sets the descriptor limit of a process to exhaustedDescriptorLimit and sends a signal (0 for none)
+// to the process and a request on a new connection. shortageDuration after the request was written, it restores the limit.
+// The request must be served then, with the rest of its time, and another one on an existing connection.
 func testDescriptorShortage(t *testing.T, program string, signal unix.Signal) {
 	t.Helper()
 	server := testkit.NewRecordingServer(t, testkit.OK)
@@ -72,7 +72,11 @@
 
 	previous := mustSetDescriptorLimit(t, process.PID, exhaustedDescriptorLimit)
 	balancertest.Signal(t, process.PID, signal)
-	began := time.Now()
+	newConn := node.dial()
+	if err := writeRequest(newConn, "new", classDeadline); err != nil {
+		t.Fatal(err)
+	}
+	written := time.Now() // the shortage counts from here, so that a pause of this test cannot shorten the request's wait
 	timer := time.AfterFunc(shortageDuration, func() {
 		if _, err := setDescriptorLimit(process.PID, previous); err != nil {
 			t.Errorf("set the descriptor limit back to %d: %v", previous, err)
@@ -80,12 +84,14 @@
 	})
 	defer timer.Stop()
 
-	expectServed(t, node, node.dial())
+	if body, err := readBody(newConn); body != "done" {
+		t.Errorf("response on a new connection: got %q (error %v), want %q", body, err, "done")
+	}
 	timeoutMs, err := strconv.Atoi(testkit.Receive(t, server.Requests, "the next request").Header.Get("X-Timeout-Ms"))
 	if limit := (classDeadline - shortageDuration).Milliseconds(); err != nil || int64(timeoutMs) > limit {
 		t.Errorf("X-Timeout-Ms at the server: got %d (error %v), want %d at most", timeoutMs, err, limit)
 	}
-	if took := time.Since(began); took < shortageDuration {
+	if took := time.Since(written); took < shortageDuration {
 		t.Errorf("time to the response on a new connection: got %v, want %v at least, the length of the shortage",
 			took, shortageDuration)
 	}
