Soak: restart nodes with their last list, and hold pushed lists against them at once

A restarted node now has the list that its previous process received last. Where lists are pushed, its process counts as notified from its start of what was published before, unless discovery is unreachable in the 6 s from the start; 6 s were allowed before.

--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -192,6 +192,25 @@
 	return list
 }
 
+// listOf returns the complete list of a generation, which is empty for generation 0.
+func (d *discovery) listOf(generation uint64) endpointjson.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	latest := map[string]endpointjson.Endpoint{}
+	for _, endpoints := range d.changes[:generation] {
+		for _, e := range endpoints {
+			latest[e.InstanceID] = e
+		}
+	}
+	list := endpointjson.List{Generation: generation, Reset: true}
+	for _, e := range latest {
+		if e.Lifecycle != lifecycleRemoved {
+			list.Endpoints = append(list.Endpoints, e)
+		}
+	}
+	return list
+}
+
 // snapshot returns a snapshot. With the probability omitDrainingShare, it omits the draining servers. The caller holds
 // d.mu.
 func (d *discovery) snapshot() endpointjson.List {
--- a/internal/soak/history/discovery.go
+++ b/internal/soak/history/discovery.go
@@ -9,8 +9,10 @@
 )
 
 // Discovery records when the discovery service published each generation and when it was unreachable. The zero
-// value is ready to use.
+// value is ready to use, for nodes that poll the endpoint list.
 type Discovery struct {
+	Pushes bool // whether the service pushes the endpoint list
+
 	mu        sync.Mutex
 	published []time.Time // when each generation was published; index 0 is generation 1
 	outages   []outage    // the outages that have ended, in order of time
@@ -55,6 +57,8 @@
 
 // NotifiedAt returns the time from which an incarnation counts as notified of a generation. This is the earliest of:
 //   - the delivery of an endpoint list of this or a later generation;
+//   - the start of the incarnation, if lists are pushed, the generation was published before, and no outage overlaps the
+//     notification deadline from the start;
 //   - the end of the notification deadline;
 //   - the end of the address change deadline of a reload.
 //
@@ -67,13 +71,23 @@
 	if known.Before(incarnation.StartedAt) {
 		known = incarnation.StartedAt
 	}
-	notified := d.reachableSince(known, policy.NotificationDeadline).Add(policy.NotificationDeadline)
+	reachable := d.reachableSince(known, policy.NotificationDeadline)
+	startedLater := known.Equal(incarnation.StartedAt)
+	if d.Pushes && startedLater && reachable.Equal(known) {
+		return known
+	}
+	notified := reachable.Add(policy.NotificationDeadline)
 	deliveries, reloads := incarnation.notifications()
 	for _, delivery := range deliveries {
 		if delivery.generation >= generation && delivery.at.Before(notified) {
 			notified = delivery.at
 		}
 	}
+	return d.notifiedByReload(reloads, known, notified)
+}
+
+// notifiedByReload returns the earlier of notified and the end of the first address change deadline that applies.
+func (d *Discovery) notifiedByReload(reloads []time.Time, known, notified time.Time) time.Time {
 	for _, reload := range reloads {
 		due := reload.Add(testkit.AddressChangeDeadline)
 		reloadFollows := !reload.Before(known)
--- a/internal/soak/history/discovery_test.go
+++ b/internal/soak/history/discovery_test.go
@@ -53,6 +53,32 @@
 	}
 }
 
+// Where lists are pushed, a process counts as notified from its start of what was published before, unless discovery is
+// unreachable.
+func TestProcessIsNotifiedFromItsStartOfPushedLists(t *testing.T) {
+	began := time.Now().Add(-time.Minute)
+	start := began.Add(10 * time.Second)
+	for name, c := range map[string]struct {
+		published time.Time
+		outages   []outage
+		want      time.Time
+	}{
+		"published before":        {began, nil, start},
+		"published later":         {start.Add(1), nil, start.Add(1 + policy.NotificationDeadline)},
+		"outage before the start": {began, []outage{{began, start.Add(-1)}}, start},
+		"outage shortly after":    {began, []outage{{start.Add(5 * time.Second), start.Add(9 * time.Second)}}, start.Add(9*time.Second + policy.NotificationDeadline)},
+		"outage long after":       {began, []outage{{start.Add(6 * time.Second), start.Add(9 * time.Second)}}, start},
+		"outage at the start":     {began, []outage{{began, start.Add(time.Second)}}, start.Add(time.Second + policy.NotificationDeadline)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			discovery := Discovery{Pushes: true, published: []time.Time{c.published}, outages: c.outages}
+			if got := discovery.NotifiedAt(&Incarnation{StartedAt: start}, 1); !got.Equal(c.want) {
+				t.Errorf("NotifiedAt(incarnation, 1) is %v after the start, want %v", got.Sub(start), c.want.Sub(start))
+			}
+		})
+	}
+}
+
 func TestMaxNearIsGreatestLagInWindow(t *testing.T) {
 	began := time.Now()
 	lag := lagSeries{samples: []lagSample{
--- a/internal/soak/history/incarnation.go
+++ b/internal/soak/history/incarnation.go
@@ -84,6 +84,16 @@
 	return strings.Join(i.logLines[max(0, len(i.logLines)-count):], "\n")
 }
 
+// LastDelivery returns the latest generation that was delivered to the process, or 0 if there is none.
+func (i *Incarnation) LastDelivery() uint64 {
+	deliveries, _ := i.notifications()
+	latest := uint64(0)
+	for _, delivery := range deliveries {
+		latest = max(latest, delivery.generation)
+	}
+	return latest
+}
+
 // notifications returns the deliveries of endpoint lists to the process and the times of its reloads.
 func (i *Incarnation) notifications() ([]delivery, []time.Time) {
 	i.mu.Lock()
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"calicohinge/internal/balancertest"
+	"calicohinge/internal/endpointjson"
 	"calicohinge/internal/soak/history"
 	"calicohinge/internal/testkit"
 )
@@ -27,6 +28,7 @@
 
 	process balancertest.Process
 	clock   balancertest.WallClock
+	known   endpointjson.List // the list in the configuration: the last one that the previous incarnation received
 
 	mu                 sync.Mutex
 	currentIncarnation *history.Incarnation
@@ -34,10 +36,14 @@
 
 // config returns the configuration of the node. The parameter discovery is the address of the discovery service.
 func (n *node) config(discovery string) map[string]any {
-	return map[string]any{
+	config := map[string]any{
 		"name": n.name, "listen": n.addr, "discovery": discovery, "settings": n.settings,
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 512},
 	}
+	if n.known.Generation > 0 {
+		config["known"] = n.known
+	}
+	return config
 }
 
 // start starts an incarnation of the node: number 0 at the start of the run, number 1 after a restart of the node. The
@@ -45,6 +51,9 @@
 func (n *node) start(number int, ahead time.Duration) {
 	n.t.Helper()
 	n.clock = balancertest.NewWallClock(n.t, ahead)
+	if previous := n.incarnation(); previous != nil {
+		n.known = n.discovery.listOf(previous.LastDelivery())
+	}
 	next := &history.Incarnation{Name: fmt.Sprintf("%s.%d", n.name, number), StartedAt: time.Now()}
 	// A client that connects to the process records this incarnation, so it is set before the process starts.
 	n.mu.Lock()
--- a/internal/soak/scenario/settings.go
+++ b/internal/soak/scenario/settings.go
@@ -24,6 +24,9 @@
 	EffectSideEffect Effect = "side_effect" // not idempotent
 )
 
+// ModePushed is the value of Settings.Mode with which discovery pushes the endpoint list.
+const ModePushed = "pushed"
+
 // Settings contains the settings of the nodes that vary between runs or that the checks of the soak need.
 type Settings struct {
 	Mode    string // discovery mode: "pushed" or "on_request"
@@ -47,7 +50,7 @@
 func generateSettings(random *rand.Rand) Settings {
 	deadline := func() time.Duration { return time.Duration(200+random.IntN(600)) * time.Millisecond }
 	return Settings{
-		Mode: []string{"pushed", "on_request"}[random.IntN(2)],
+		Mode: []string{ModePushed, "on_request"}[random.IntN(2)],
 		Classes: []Class{
 			{Name: "read", Effect: EffectPure, Deadline: deadline()},
 			{Name: "push", Effect: EffectToken, Deadline: deadline(), KeyRetention: 400 * time.Millisecond},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -54,6 +54,7 @@
 	lag := history.MeasureSchedulingLag()
 	t.Cleanup(lag.Stop)
 	records := history.New(lag)
+	records.Discovery.Pushes = s.Settings.Mode == scenario.ModePushed
 	r := &runner{t: t, scenario: s, history: records, discovery: newDiscovery(t, &records.Discovery)}
 	var listed []endpointjson.Endpoint
 	for i := range scenario.Servers {
