Correct the starts of cached servers by the first response of discovery

Cause: the starts of the cached list are estimated before discovery has responded, by the node's wall clock, which was 30 s ahead, and a process keeps its estimate.

Change: the first response has the time of discovery. A process of the cached list that is warming up by that clock, and was taken for older, gets a new start before the node makes its first attempt (where lists are pushed). Without that time nothing changes.

TestFirstResponseCorrectsTheStartsOfTheCachedList has the cases.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -31,7 +31,7 @@
 	f.haveList, f.generation, f.unconfirmed = true, finished.list.Generation, false
 	f.deadlines.listApplied()
 	f.deliver(finished.list)
-	f.handler.Synced()
+	f.handler.Synced(finished.list.SentAt)
 }
 
 // applyPreviousList applies a list from a previous address, unless the current address has returned one. The
@@ -43,7 +43,7 @@
 	slog.Info("endpoint list of previous address",
 		"discovery_addr", finished.address, "generation", finished.list.Generation)
 	f.deliver(finished.list)
-	f.handler.Synced()
+	f.handler.Synced(finished.list.SentAt)
 }
 
 // isStale reports whether another call has returned a newer list since the finished call started. A lower
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -31,8 +31,8 @@
 	// UpdateEndpoints receives a snapshot, a delta, or the cached list.
 	UpdateEndpoints(kind policy.UpdateKind, list endpoint.List)
 	// Synced is called when the handler has the list of the service: after each response that leaves no doubt of it,
-	// even if it has no endpoints or no changes.
-	Synced()
+	// even if it has no endpoints or no changes. It gets the SentAt of the response.
+	Synced(sentAt time.Time)
 	// Connected is called when a call has a connection to the service. It may be late or omitted if the call returns soon.
 	Connected()
 	// WatchFailed is called after a failed call. In polling mode, the next call waits for RequestWatch.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"calicohinge/internal/endpoint"
 	"calicohinge/internal/testkit"
@@ -24,7 +25,7 @@
 func (r *recorder) UpdateEndpoints(kind policy.UpdateKind, _ endpoint.List) {
 	r.updates <- kind
 }
-func (r *recorder) Synced()                          { r.synced.Add(1) }
+func (r *recorder) Synced(time.Time)                 { r.synced.Add(1) }
 func (r *recorder) Connected()                       {}
 func (r *recorder) WatchFailed(failure WatchFailure) { r.failed <- failure }
 
--- a/internal/discovery/hollow_node_test.go
+++ b/internal/discovery/hollow_node_test.go
@@ -66,7 +66,7 @@
 }
 
 // Synced implements Handler.
-func (n *hollowNode) Synced() {
+func (n *hollowNode) Synced(time.Time) {
 	select {
 	case n.listed <- time.Now():
 	default:
--- a/internal/node/discovery_handler.go
+++ b/internal/node/discovery_handler.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"calicohinge/internal/discovery"
@@ -17,10 +20,11 @@
 	processStarts *processstart.Registry
 	addresses     *addressTable
 	zones         map[string]int // indexes of the configured zones, by name
+	// cached holds the endpoints of the cached list, as later updates have changed them, until the first call of Synced.
+	cached map[policy.ServerID]endpoint.Endpoint
 }
 
-// UpdateEndpoints implements discovery.Handler. It skips endpoints without an ID, and ready endpoints without an
-// address.
+// UpdateEndpoints implements discovery.Handler. It skips endpoints that are not usable.
 func (d *discoveryHandler) UpdateEndpoints(kind policy.UpdateKind, list endpoint.List) {
 	update := endpointsUpdated{kind: kind}
 	endpoints := d.addresses.update(kind, list.Endpoints)
@@ -30,9 +34,15 @@
 		// Processes that the cached list does not contain are assumed to have started since then, so that a wall clock
 		// that is ahead does not end their slow start.
 		d.processStarts.RecordResponse(d.clock.now())
+		d.cached = map[policy.ServerID]endpoint.Endpoint{}
+	}
+	if d.cached != nil {
+		for _, e := range endpoints {
+			d.cached[e.ID] = e
+		}
 	}
 	for i, e := range endpoints {
-		if e.ID == 0 || (e.Address == "" && e.State == policy.EndpointReady) {
+		if !isUsable(e) {
 			continue
 		}
 		update.forPool = append(update.forPool, e)
@@ -42,7 +52,10 @@
 }
 
 // Synced implements discovery.Handler.
-func (d *discoveryHandler) Synced() {
+func (d *discoveryHandler) Synced(sentAt time.Time) {
+	if d.cached != nil {
+		d.correctCached(sentAt)
+	}
 	d.processStarts.RecordResponse(d.clock.now())
 	d.queue.post(endpointsSynced{})
 }
@@ -60,6 +73,28 @@
 	}})
 }
 
+// correctCached posts the endpoints of the cached list whose processes are warming up, although they were taken for older.
+func (d *discoveryHandler) correctCached(sentAt time.Time) {
+	now := processstart.Moment{Clock: d.clock.now(), Wall: time.Now(), SentAt: sentAt}
+	starts := d.processStarts.CorrectCached(now)
+	update := endpointsUpdated{kind: policy.UpdateDelta}
+	for _, id := range slices.Sorted(maps.Keys(starts)) {
+		if e := d.cached[id]; isUsable(e) {
+			update.forBalancer = append(update.forBalancer, d.policyEndpoint(e, starts[id]))
+		}
+	}
+	d.cached = nil
+	if len(update.forBalancer) > 0 {
+		slog.Info("starts of cached endpoints corrected", "endpoints", len(update.forBalancer))
+		d.queue.post(update)
+	}
+}
+
+// isUsable reports whether an endpoint has an ID, and an address if it is ready.
+func isUsable(e endpoint.Endpoint) bool {
+	return e.ID != 0 && (e.Address != "" || e.State != policy.EndpointReady)
+}
+
 // policyEndpoint converts an endpoint for the balancer. startedAt is the start of its process on the node's clock.
 func (d *discoveryHandler) policyEndpoint(e endpoint.Endpoint, startedAt time.Duration) policy.Endpoint {
 	zone, configured := d.zones[e.Zone]
--- a/internal/node/harness_loop_test.go
+++ b/internal/node/harness_loop_test.go
@@ -70,7 +70,7 @@
 // reportEndpoints reports an update of the endpoint list to the loop, as the discovery client does.
 func (l *testLoop) reportEndpoints(kind policy.UpdateKind, list ...endpointjson.Endpoint) {
 	l.endpoints.UpdateEndpoints(kind, endpoint.List{Endpoints: endpointjson.TranslateAll(list)})
-	l.endpoints.Synced()
+	l.endpoints.Synced(time.Time{})
 }
 
 // newRequest returns a request in the form in which the handler submits it to the loop.
--- a/internal/processstart/registry.go
+++ b/internal/processstart/registry.go
@@ -39,6 +39,7 @@
 	startedAt      time.Time     // start by the wall clock of the server's machine
 	estimatedStart time.Duration // time on the node's clock; 0 means long ago
 	lastUpdate     uint32        // number of the last update that contained it
+	cached         bool          // estimatedStart is from the cached list; CorrectCached has not checked it
 }
 
 // removedProcess is a process that is no longer listed.
@@ -70,7 +71,7 @@
 	r.estimator.observe(list, now.Clock)
 	starts := make([]time.Duration, len(list))
 	for i := range list {
-		starts[i] = r.updateProcess(&list[i], now)
+		starts[i] = r.updateProcess(kind, &list[i], now)
 	}
 	if kind != policy.UpdateDelta {
 		r.removeUnlisted(now.Clock)
@@ -79,10 +80,13 @@
 }
 
 // updateProcess records an endpoint's process as listed or removed and returns its estimated start.
-func (r *Registry) updateProcess(e *endpoint.Endpoint, now Moment) time.Duration {
+func (r *Registry) updateProcess(kind policy.UpdateKind, e *endpoint.Endpoint, now Moment) time.Duration {
 	p, found := r.find(e)
 	if !found {
-		p = process{startedAt: e.StartedAt, estimatedStart: r.estimator.estimate(e.StartedAt, now)}
+		p = process{
+			startedAt: e.StartedAt, estimatedStart: r.estimator.estimate(e.StartedAt, now),
+			cached: kind == policy.UpdateCached,
+		}
 	}
 	p.lastUpdate = r.updates
 	delete(r.removed, e.ID)
@@ -94,6 +98,27 @@
 	return p.estimatedStart
 }
 
+// CorrectCached checks the estimated starts of the cached list's processes when discovery has first responded. A process
+// that is warming up by the service's clock, but was taken for older by the node's, gets a new estimate. CorrectCached
+// returns the new estimates. Without a time in the response, there are none.
+func (r *Registry) CorrectCached(now Moment) map[policy.ServerID]time.Duration {
+	corrected := map[policy.ServerID]time.Duration{}
+	for id, p := range r.listed {
+		if !p.cached {
+			continue
+		}
+		p.cached = false
+		age, known := ageByServiceClock(p.startedAt, now.SentAt)
+		start := now.Clock - age
+		if known && age < r.estimator.slowStartDuration && start > p.estimatedStart+serviceClockResolution {
+			p.estimatedStart = start
+			corrected[id] = start
+		}
+		r.listed[id] = p
+	}
+	return corrected
+}
+
 // find returns the record of an endpoint's process if the process is listed or was removed recently.
 func (r *Registry) find(e *endpoint.Endpoint) (process, bool) {
 	if p, ok := r.listed[e.ID]; ok && p.startedAt.Equal(e.StartedAt) {
--- a/internal/processstart/registry_test.go
+++ b/internal/processstart/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -214,6 +215,43 @@
 	}
 }
 
+// Guards against a server of the cached list that is taken for warm because the node's wall clock is ahead: the first
+// response of discovery corrects its start, once, if the server is warming up.
+func TestFirstResponseCorrectsTheStartsOfTheCachedList(t *testing.T) {
+	const ahead = 30 * time.Second
+	startedAt := []time.Time{wallNow().Add(-3 * time.Second), wallNow().Add(-time.Minute), {}}
+	for name, c := range map[string]struct {
+		ahead  time.Duration
+		sentAt time.Time
+		want   map[policy.ServerID]time.Duration
+	}{
+		"clock ahead":             {ahead, wallNow(), map[policy.ServerID]time.Duration{1: clockNow - 3*time.Second}},
+		"clock right":             {0, wallNow(), map[policy.ServerID]time.Duration{}},
+		"clock right, rounded":    {0, wallNow().Add(-900 * time.Millisecond), map[policy.ServerID]time.Duration{}},
+		"clock ahead, no time":    {ahead, time.Time{}, map[policy.ServerID]time.Duration{}},
+		"clock ahead, same time":  {ahead, wallNow().Add(ahead), map[policy.ServerID]time.Duration{}},
+		"clock of service behind": {ahead, wallNow().Add(-time.Hour), map[policy.ServerID]time.Duration{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			registry, list, now := newTestRegistry(c.ahead), endpointsStartedAt(startedAt...), nowWithWallClockAhead(c.ahead)
+			registry.Update(policy.UpdateCached, list, now)
+			now.SentAt = c.sentAt
+			if corrected := registry.CorrectCached(now); !maps.Equal(corrected, c.want) {
+				t.Errorf("corrected starts: got %v, want %v", corrected, c.want)
+			}
+			now.SentAt = wallNow()
+			if again := registry.CorrectCached(now); len(again) > 0 {
+				t.Errorf("starts corrected by a second response: got %v, want none", again)
+			}
+			for id, want := range c.want {
+				if start := registry.Update(policy.UpdateDelta, list, now)[id-1]; start != want {
+					t.Errorf("start of server %d after the correction: got %v, want %v", id, start, want)
+				}
+			}
+		})
+	}
+}
+
 // A server that is removed and returns with the same process keeps its start, unless it was removed for longer than the
 // slow start duration, after which the registry discards the start.
 func TestStartOfAReturningProcessIsStable(t *testing.T) {
